--- a/include/zinniadoor/base/codec.hpp
+++ b/include/zinniadoor/base/codec.hpp
@@ -1,38 +1,133 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
+#include <cstring>
 #include <sstream>
 #include <string>
+#include <type_traits>
+#include <utility>
+#include <vector>
 
 #include <cereal/archives/portable_binary.hpp>
 
+#include "absl/base/config.h"
+
 #include "zinniadoor/base/outcome.hpp"
 
 namespace zinniadoor::base {
 
+/// Reads what `encode` wrote from bytes that may come from anybody. It knows how many bytes are
+/// left: a length prefix beyond them is refused before anything is allocated for it.
+/// Throws cereal::Exception; `decode` turns that into a reason.
+class BoundedInputArchive
+    : public cereal::InputArchive<BoundedInputArchive, cereal::AllowEmptyClassElision>
+{
+public:
+    explicit BoundedInputArchive(const std::string &bytes)
+        : InputArchive(this)
+        , next_(bytes.data())
+        , left_(bytes.size())
+    {
+        std::uint8_t littleEndian = 0;
+        loadBytes(&littleEndian, 1);
+        if (littleEndian != 1)
+            throw cereal::Exception("not a little-endian message");
+    }
+
+    std::size_t bytesLeft() const { return left_; }
+
+    void loadBytes(void *to, std::size_t size)
+    {
+        if (size > left_)
+            throw cereal::Exception("the message ends too early");
+        std::memcpy(to, next_, size);
+        next_ += size;
+        left_ -= size;
+    }
+
+private:
+    const char *next_;
+    std::size_t left_;
+};
+
+#ifndef ABSL_IS_LITTLE_ENDIAN
+#error "BoundedInputArchive copies little-endian values as they stand"
+#endif
+
+template <typename T, std::enable_if_t<std::is_arithmetic_v<T>, int> = 0>
+void load(BoundedInputArchive &archive, T &value)
+{
+    if constexpr (std::is_same_v<T, bool>) {
+        std::uint8_t byte = 0;
+        archive.loadBytes(&byte, 1);
+        if (byte > 1)
+            throw cereal::Exception("not a truth value");
+        value = byte == 1;
+    } else {
+        archive.loadBytes(&value, sizeof(value));
+    }
+}
+
+template <typename T>
+void load(BoundedInputArchive &archive, cereal::NameValuePair<T> &pair)
+{
+    archive(pair.value);
+}
+
+template <typename T>
+void load(BoundedInputArchive &archive, cereal::SizeTag<T> &tag)
+{
+    archive(tag.size);
+    // Every element of every container takes at least one byte.
+    if (tag.size > archive.bytesLeft())
+        throw cereal::Exception("a length goes beyond the message");
+}
+
+template <typename T>
+void load(BoundedInputArchive &archive, cereal::BinaryData<T> &data)
+{
+    archive.loadBytes(data.data, static_cast<std::size_t>(data.size));
+}
+
+/// Grows with the elements that were really there; cereal's own loader makes room for all that
+/// the prefix promises, which costs many times the message for large element types.
+template <typename T, typename Allocator>
+void load(BoundedInputArchive &archive, std::vector<T, Allocator> &vector)
+{
+    cereal::size_type size = 0;
+    archive(cereal::make_size_tag(size));
+    vector.clear();
+    for (cereal::size_type i = 0; i < size; ++i) {
+        T element {};
+        archive(element);
+        vector.push_back(std::move(element));
+    }
+}
+
 /// Binary form of a message whose type has a cereal `serialize` function.
 template <typename Message>
 std::string encode(const Message &message)
 {
     std::ostringstream out;
     {
-        cereal::PortableBinaryOutputArchive archive(out);
+        cereal::PortableBinaryOutputArchive archive(
+            out, cereal::PortableBinaryOutputArchive::Options::LittleEndian());
         archive(message);
     }
     return std::move(out).str();
 }
 
 /// Reads a message back. Bytes from outside may be anything: short, long or malformed input
-/// gives a reason, never a crash.
+/// gives a reason, never a crash, and takes memory in proportion to its own size.
 template <typename Message>
 Outcome<Message> decode(const std::string &bytes)
 {
-    std::istringstream in(bytes);
     try {
-        cereal::PortableBinaryInputArchive archive(in);
+        BoundedInputArchive archive(bytes);
         Message message;
         archive(message);
-        if (in.peek() != std::istringstream::traits_type::eof())
+        if (archive.bytesLeft() != 0)
             return Reason { ReasonCode::InvalidArgument, "trailing bytes after the message" };
         return message;
     } catch (const std::exception &error) {
@@ -41,3 +136,13 @@
 }
 
 } // namespace zinniadoor::base
+
+namespace cereal::traits::detail {
+
+template <>
+struct get_output_from_input<zinniadoor::base::BoundedInputArchive>
+{
+    using type = PortableBinaryOutputArchive; // NOLINT(readability-identifier-naming)
+};
+
+} // namespace cereal::traits::detail
--- a/include/zinniadoor/control/records.hpp
+++ b/include/zinniadoor/control/records.hpp
@@ -198,7 +198,7 @@
     }
 };
 
-constexpr std::size_t MaxRecordedAnswerBytes = 64 * 1024;
+constexpr std::size_t MaxRecordedAnswerBytes = 65'536;
 
 /// What one answered request used.
 struct UsageItem
