HTTP server for callers, curl client for endpoints and the platform's log

Cause: the thin path needs its adapters. Change: libmicrohttpd server that hands over whole requests and streams with suspend and resume; a monitor thread bounds slow senders and finds callers that left a suspended connection (POLLRDHUP). libcurl multi client with pause, silence timeout and at most one attempt a request: the pre-request callback refuses libcurl's own repetition on a dead pooled connection. Ruled out: telling a half-closed caller from one that left (TCP shows the same); HTTP answers of libmicrohttpd's own to requests that are not HTTP keep their text, it has no hook for them.

--- /dev/null
+++ b/src/zinniadoor/adapters/curl_endpoint_client_test.cpp
@@ -0,0 +1,227 @@
+#include "zinniadoor/adapters/curl_endpoint_client.hpp"
+
+#include <atomic>
+#include <string>
+
+#include <boost/test/unit_test.hpp>
+
+#include "absl/strings/str_cat.h"
+#include "absl/synchronization/mutex.h"
+
+#include "test_sockets.hpp"
+
+namespace {
+
+using namespace zinniadoor;
+using adapters::test::eventually;
+using adapters::test::TestConnection;
+using adapters::test::TestListener;
+
+class RecordingObserver : public ports::EndpointCallObserver
+{
+public:
+    void onHeaders(int answerStatus, const std::vector<ports::HttpHeader> &headers) override
+    {
+        headerCount = headers.size();
+        status = answerStatus;
+    }
+    bool onData(std::string_view bytes) override
+    {
+        if (refusing) {
+            ++refusals;
+            return false;
+        }
+        const absl::MutexLock lock(&mutex_);
+        data_.append(bytes);
+        return true;
+    }
+    void onEnd(const ports::EndpointCallEnd &end) override
+    {
+        last = end;
+        ++ends;
+    }
+
+    std::string data()
+    {
+        const absl::MutexLock lock(&mutex_);
+        return data_;
+    }
+    bool waitForEnd()
+    {
+        return eventually([this] { return ends > 0; });
+    }
+
+    std::atomic<int> status { 0 };
+    std::atomic<std::size_t> headerCount { 0 };
+    std::atomic<bool> refusing { false };
+    std::atomic<int> refusals { 0 };
+    std::atomic<int> ends { 0 };
+    ports::EndpointCallEnd last; ///< Valid once `ends` is 1.
+
+private:
+    absl::Mutex mutex_;
+    std::string data_;
+};
+
+struct EndpointClientFixture
+{
+    ports::EndpointRequest request(const std::string &path = "/x") const
+    {
+        ports::EndpointRequest result;
+        result.url = absl::StrCat("http://127.0.0.1:", listener.port(), path);
+        result.body = "{}";
+        return result;
+    }
+
+    ports::EndpointCallId start(const ports::EndpointRequest &call)
+    {
+        const auto id = client->start(call, observer);
+        BOOST_REQUIRE(id.hasValue());
+        return *id;
+    }
+
+    TestListener listener;
+    std::shared_ptr<RecordingObserver> observer = std::make_shared<RecordingObserver>();
+    std::unique_ptr<ports::EndpointClient> client = adapters::curlEndpointClient({});
+};
+
+constexpr const char *ChunkedHead
+    = "HTTP/1.1 200 OK\r\nX-A: b\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+BOOST_FIXTURE_TEST_SUITE(CurlEndpointClientTest, EndpointClientFixture)
+
+BOOST_AUTO_TEST_CASE(endpointClient_streamedAnswer_arrivesWhole)
+{
+    start(request());
+    const TestConnection endpoint = listener.accept();
+    const std::string received = endpoint.receiveUntil("{}");
+    BOOST_TEST(received.find("POST /x HTTP/1.1\r\n") == 0u);
+    BOOST_TEST(received.find("Content-Type") == std::string::npos);
+    endpoint.send(ChunkedHead);
+    endpoint.send("5\r\nfirst\r\n");
+    BOOST_TEST(eventually([&] { return observer->data() == "first"; }));
+    BOOST_TEST(observer->status == 200);
+    BOOST_TEST(observer->headerCount == 2u);
+    endpoint.send("4\r\nlast\r\n0\r\n\r\n");
+    BOOST_REQUIRE(observer->waitForEnd());
+    BOOST_TEST(observer->last.complete);
+    BOOST_TEST(observer->last.mayHaveRun);
+    BOOST_TEST(observer->data() == "firstlast");
+}
+
+BOOST_AUTO_TEST_CASE(endpointClient_truncatedAnswer_isNotComplete)
+{
+    start(request());
+    {
+        const TestConnection endpoint = listener.accept();
+        endpoint.receiveUntil("{}");
+        endpoint.send(ChunkedHead);
+        endpoint.send("5\r\nfirst\r\n");
+    }
+    BOOST_REQUIRE(observer->waitForEnd());
+    BOOST_TEST(!observer->last.complete);
+    BOOST_TEST(observer->last.mayHaveRun);
+}
+
+BOOST_AUTO_TEST_CASE(endpointClient_refusedConnection_hasCertainlyNotRun)
+{
+    const ports::EndpointRequest call = request();
+    listener.closeNow();
+    start(call);
+    BOOST_REQUIRE(observer->waitForEnd());
+    BOOST_TEST(!observer->last.complete);
+    BOOST_TEST(!observer->last.mayHaveRun);
+}
+
+BOOST_AUTO_TEST_CASE(endpointClient_pausedCall_getsSameBytesAfterResume)
+{
+    observer->refusing = true;
+    ports::EndpointRequest call = request();
+    call.silenceTimeout = absl::Milliseconds(200);
+    const auto id = start(call);
+    const TestConnection endpoint = listener.accept();
+    endpoint.receiveUntil("{}");
+    endpoint.send(ChunkedHead);
+    endpoint.send("5\r\nfirst\r\n");
+    BOOST_TEST(eventually([&] { return observer->refusals == 1; }));
+    // A paused call doesn't count as silent: another one goes silent meanwhile, this one stays.
+    const auto other = std::make_shared<RecordingObserver>();
+    BOOST_REQUIRE(client->start(call, other).hasValue());
+    BOOST_REQUIRE(other->waitForEnd());
+    BOOST_TEST((other->last.reason.code == base::ReasonCode::Timeout));
+    BOOST_TEST(observer->ends == 0);
+    observer->refusing = false;
+    client->resume(id);
+    BOOST_TEST(eventually([&] { return observer->data() == "first"; }));
+    endpoint.send("0\r\n\r\n");
+    BOOST_REQUIRE(observer->waitForEnd());
+    BOOST_TEST(observer->last.complete);
+}
+
+BOOST_AUTO_TEST_CASE(endpointClient_cancelledCall_closesConnectionAndEndsOnce)
+{
+    const auto id = start(request());
+    const TestConnection endpoint = listener.accept();
+    endpoint.receiveUntil("{}");
+    endpoint.send(ChunkedHead);
+    client->cancel(id);
+    client->cancel(id);
+    BOOST_REQUIRE(observer->waitForEnd());
+    BOOST_TEST(endpoint.seesEnd());
+    client.reset();
+    BOOST_TEST(observer->ends == 1);
+    BOOST_TEST(!observer->last.complete);
+}
+
+BOOST_AUTO_TEST_CASE(endpointClient_pooledConnectionDiesUnderRequest_isNotRepeated)
+{
+    start(request("/first"));
+    const auto second = std::make_shared<RecordingObserver>();
+    {
+        const TestConnection endpoint = listener.accept();
+        endpoint.receiveUntil("{}");
+        endpoint.send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+        BOOST_REQUIRE(observer->waitForEnd());
+        BOOST_REQUIRE(client->start(request("/second"), second).hasValue());
+        BOOST_TEST(endpoint.receiveUntil("{}").find("POST /second") == 0u);
+    }
+    BOOST_REQUIRE(second->waitForEnd());
+    BOOST_TEST(!second->last.complete);
+    BOOST_TEST(second->last.mayHaveRun);
+    const TestConnection repeated = listener.accept(0);
+    if (repeated.isOpen())
+        BOOST_TEST(repeated.receiveUntil("{}") == "");
+}
+
+BOOST_AUTO_TEST_CASE(endpointClient_freshConnection_usesNoPooledOne)
+{
+    start(request());
+    const TestConnection pooled = listener.accept();
+    pooled.receiveUntil("{}");
+    pooled.send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    BOOST_REQUIRE(observer->waitForEnd());
+    const auto second = std::make_shared<RecordingObserver>();
+    ports::EndpointRequest call = request();
+    call.freshConnection = true;
+    BOOST_REQUIRE(client->start(call, second).hasValue());
+    const TestConnection fresh = listener.accept();
+    BOOST_REQUIRE(fresh.isOpen());
+    fresh.receiveUntil("{}");
+    fresh.send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    BOOST_REQUIRE(second->waitForEnd());
+    BOOST_TEST(second->last.complete);
+    BOOST_TEST(fresh.seesEnd());
+}
+
+BOOST_AUTO_TEST_CASE(endpointClient_destroyed_endsRunningCalls)
+{
+    start(request());
+    const TestConnection endpoint = listener.accept();
+    endpoint.receiveUntil("{}");
+    client.reset();
+    BOOST_TEST(observer->ends == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
--- /dev/null
+++ b/src/zinniadoor/adapters/curl_handle.cpp
@@ -0,0 +1,117 @@
+#include "curl_handle.hpp"
+
+#include "absl/strings/match.h"
+#include "absl/strings/str_cat.h"
+
+namespace zinniadoor::adapters::detail {
+
+namespace {
+
+int beforeRequest(void *cls, char *, char *, int, int)
+{
+    auto *attempted = static_cast<bool *>(cls);
+    if (*attempted)
+        return CURL_PREREQFUNC_ABORT;
+    *attempted = true;
+    return CURL_PREREQFUNC_OK;
+}
+
+bool isConnectionHeader(const std::string &name)
+{
+    for (const char *skipped : { "Connection", "Keep-Alive", "Transfer-Encoding", "Content-Length",
+                                 "Expect", "TE", "Trailer", "Upgrade", "Proxy-Connection" }) {
+        if (absl::EqualsIgnoreCase(name, skipped))
+            return true;
+    }
+    return false;
+}
+
+bool hasControls(const std::string &text)
+{
+    return text.find_first_of(std::string("\r\n\0", 3)) != std::string::npos;
+}
+
+void append(CurlHeaders &list, const std::string &line)
+{
+    curl_slist *longer = curl_slist_append(list.get(), line.c_str());
+    static_cast<void>(list.release());
+    list.reset(longer);
+}
+
+} // namespace
+
+void initializeCurl()
+{
+    static const CURLcode result = curl_global_init(CURL_GLOBAL_DEFAULT);
+    static_cast<void>(result);
+}
+
+CurlHandle newHttpHandle()
+{
+    initializeCurl();
+    CurlHandle easy(curl_easy_init());
+    curl_easy_setopt(easy.get(), CURLOPT_PROTOCOLS_STR, "http");
+    curl_easy_setopt(easy.get(), CURLOPT_FOLLOWLOCATION, 0L);
+    curl_easy_setopt(easy.get(), CURLOPT_PROXY, "");
+    curl_easy_setopt(easy.get(), CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy.get(), CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+    curl_easy_setopt(easy.get(), CURLOPT_TCP_KEEPALIVE, 1L);
+    curl_easy_setopt(easy.get(), CURLOPT_TCP_NODELAY, 1L);
+    curl_easy_setopt(easy.get(), CURLOPT_PATH_AS_IS, 1L);
+    return easy;
+}
+
+// libcurl silently repeats a request whose pooled connection turned out to be dead, even when
+// the other side may have read it. Each attempt passes through the pre-request callback, which
+// refuses the second.
+void forbidSecondAttempt(CURL *easy, bool *attempted)
+{
+    *attempted = false;
+    curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &beforeRequest);
+    curl_easy_setopt(easy, CURLOPT_PREREQDATA, attempted);
+}
+
+void setRequest(CURL *easy, const std::string &method, const std::string &body)
+{
+    const bool bodyExpected = method == "POST" || method == "PUT" || method == "PATCH";
+    if (bodyExpected || !body.empty()) {
+        curl_easy_setopt(easy, CURLOPT_POST, 1L);
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDS, body.c_str());
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(body.size()));
+    } else if (method == "HEAD") {
+        curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
+    } else {
+        curl_easy_setopt(easy, CURLOPT_HTTPGET, 1L);
+    }
+    curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, method.c_str());
+}
+
+CurlHeaders headerList(const std::vector<ports::HttpHeader> &headers)
+{
+    CurlHeaders list;
+    append(list, "Expect:");
+    bool typed = false;
+    for (const ports::HttpHeader &header : headers) {
+        if (isConnectionHeader(header.name))
+            continue;
+        typed = typed || absl::EqualsIgnoreCase(header.name, "Content-Type");
+        const char *separator = header.value.empty() ? ";" : ": ";
+        append(list, absl::StrCat(header.name, separator, header.value));
+    }
+    if (!typed)
+        append(list, "Content-Type:"); // Else libcurl claims that the body is a form.
+    return list;
+}
+
+bool validHeaders(const std::vector<ports::HttpHeader> &headers)
+{
+    for (const ports::HttpHeader &header : headers) {
+        const bool badName = header.name.empty()
+            || header.name.find_first_of(":; \t") != std::string::npos || hasControls(header.name);
+        if (badName || hasControls(header.value))
+            return false;
+    }
+    return true;
+}
+
+} // namespace zinniadoor::adapters::detail
--- /dev/null
+++ b/src/zinniadoor/adapters/http_exchange.cpp
@@ -0,0 +1,168 @@
+#include "http_exchange.hpp"
+
+#include <algorithm>
+#include <cstring>
+#include <utility>
+
+#include "zinniadoor/adapters/http_server.hpp"
+
+namespace zinniadoor::adapters::detail {
+
+HttpExchange::HttpExchange(ports::CallerRequest request, std::size_t maxPendingBytes)
+    : request_(std::move(request))
+    , maxPendingBytes_(maxPendingBytes)
+{ }
+
+void HttpExchange::respond(int status, std::vector<ports::HttpHeader> headers, std::string body)
+{
+    const absl::MutexLock lock(&mutex_);
+    if (headReady_ || finished_)
+        return;
+    wholeBodyBytes_ = body.size();
+    head_ = { status, std::move(headers), std::move(body), false };
+    headReady_ = true;
+    resumeLocked();
+}
+
+void HttpExchange::beginStream(int status, std::vector<ports::HttpHeader> headers)
+{
+    const absl::MutexLock lock(&mutex_);
+    if (headReady_ || finished_)
+        return;
+    head_ = { status, std::move(headers), "", true };
+    headReady_ = true;
+    resumeLocked();
+}
+
+void HttpExchange::write(std::string_view bytes)
+{
+    const absl::MutexLock lock(&mutex_);
+    if (finished_ || ended_ || bytes.empty())
+        return;
+    pending_.append(bytes);
+    // The source ignores the back-pressure: better one cut stream than all of the memory.
+    if (pending_.size() - pendingOffset_ > maxPendingBytes_) {
+        pending_.clear();
+        pendingOffset_ = 0;
+        ended_ = true;
+        endedWhole_ = false;
+    }
+    resumeLocked();
+}
+
+void HttpExchange::endStream(bool whole)
+{
+    const absl::MutexLock lock(&mutex_);
+    if (finished_ || ended_)
+        return;
+    ended_ = true;
+    endedWhole_ = whole;
+    resumeLocked();
+}
+
+std::size_t HttpExchange::pendingBytes() const
+{
+    const absl::MutexLock lock(&mutex_);
+    return pending_.size() - pendingOffset_ + wholeBodyBytes_;
+}
+
+bool HttpExchange::callerGone() const
+{
+    const absl::MutexLock lock(&mutex_);
+    return callerGone_;
+}
+
+bool HttpExchange::takeHeadOrSuspend(MHD_Connection *connection, AnswerHead &head, bool &hasHead,
+                                     bool &report)
+{
+    const absl::MutexLock lock(&mutex_);
+    report = std::exchange(reportDue_, false);
+    hasHead = headReady_ && !headTaken_;
+    if (hasHead) {
+        head = std::move(head_);
+        headTaken_ = true;
+        return true;
+    }
+    if (abandoned_)
+        return false;
+    suspendLocked(connection);
+    return true;
+}
+
+ReadResult HttpExchange::readOrSuspend(MHD_Connection *connection, char *buffer,
+                                       std::size_t capacity)
+{
+    const absl::MutexLock lock(&mutex_);
+    ReadResult result;
+    result.report = std::exchange(reportDue_, false);
+    const std::size_t waiting = pending_.size() - pendingOffset_;
+    if (abandoned_) {
+        result.step = ReadStep::EndCut;
+    } else if (waiting > 0) {
+        result.step = ReadStep::Bytes;
+        result.bytes = std::min(waiting, capacity);
+        std::memcpy(buffer, pending_.data() + pendingOffset_, result.bytes);
+        pendingOffset_ += result.bytes;
+        takenSinceReport_ += result.bytes;
+        // Moving the rest forward only after half was taken keeps the copying linear.
+        if (pendingOffset_ * 2 >= pending_.size()) {
+            pending_.erase(0, pendingOffset_);
+            pendingOffset_ = 0;
+        }
+    } else if (ended_) {
+        result.step = endedWhole_ ? ReadStep::EndWhole : ReadStep::EndCut;
+    } else {
+        suspendLocked(connection);
+    }
+    if (takenSinceReport_ >= ProgressStepBytes) {
+        takenSinceReport_ = 0;
+        result.report = true;
+    }
+    return result;
+}
+
+void HttpExchange::noteCallerLeft()
+{
+    const absl::MutexLock lock(&mutex_);
+    if (callerGone_ || finished_)
+        return;
+    callerGone_ = true;
+    reportDue_ = true;
+    resumeLocked();
+}
+
+void HttpExchange::finish(bool whole)
+{
+    const absl::MutexLock lock(&mutex_);
+    suspended_ = nullptr;
+    finished_ = true;
+    pending_.clear();
+    pendingOffset_ = 0;
+    wholeBodyBytes_ = 0;
+    if (!whole)
+        callerGone_ = true;
+}
+
+void HttpExchange::abandon()
+{
+    const absl::MutexLock lock(&mutex_);
+    abandoned_ = true;
+    resumeLocked();
+}
+
+// MHD_resume_connection may be called only for a suspended connection that still exists:
+// `suspended_` is set exactly between the suspension and the first resumption or the end.
+void HttpExchange::resumeLocked()
+{
+    if (suspended_ == nullptr)
+        return;
+    MHD_resume_connection(std::exchange(suspended_, nullptr));
+}
+
+void HttpExchange::suspendLocked(MHD_Connection *connection)
+{
+    MHD_suspend_connection(connection);
+    suspended_ = connection;
+}
+
+} // namespace zinniadoor::adapters::detail
--- /dev/null
+++ b/src/zinniadoor/adapters/http_exchange.hpp
@@ -0,0 +1,90 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include <microhttpd.h>
+
+#include "absl/synchronization/mutex.h"
+
+#include "zinniadoor/ports/caller_server.hpp"
+
+namespace zinniadoor::adapters::detail {
+
+/// What the server's thread does next for an exchange.
+enum class ReadStep { Bytes, Wait, EndWhole, EndCut };
+
+struct ReadResult
+{
+    ReadStep step = ReadStep::Wait;
+    std::size_t bytes = 0;
+    bool report = false; ///< The handler has to hear of progress.
+};
+
+/// An answer that the core has begun.
+struct AnswerHead
+{
+    int status = 0;
+    std::vector<ports::HttpHeader> headers;
+    std::string body; ///< Of a whole answer.
+    bool streamed = false;
+};
+
+/// One request and its answer between the core's threads and the server's thread.
+class HttpExchange : public ports::CallerExchange
+{
+public:
+    HttpExchange(ports::CallerRequest request, std::size_t maxPendingBytes);
+
+    const ports::CallerRequest &request() const override { return request_; }
+    void respond(int status, std::vector<ports::HttpHeader> headers, std::string body) override;
+    void beginStream(int status, std::vector<ports::HttpHeader> headers) override;
+    void write(std::string_view bytes) override;
+    void endStream(bool whole) override;
+    std::size_t pendingBytes() const override;
+    bool callerGone() const override;
+
+    // The rest is for the server only.
+
+    /// Moves the answer's head out into `head`; where there is none yet, suspends `connection`.
+    /// `report` is set when the handler has to hear of progress. False: give up the connection.
+    bool takeHeadOrSuspend(MHD_Connection *connection, AnswerHead &head, bool &hasHead,
+                           bool &report);
+
+    /// Next bytes of a streamed answer; suspends `connection` where there are none.
+    ReadResult readOrSuspend(MHD_Connection *connection, char *buffer, std::size_t capacity);
+
+    /// The caller has shut down its sending side or reset the connection.
+    void noteCallerLeft();
+
+    /// The connection is done with this exchange.
+    void finish(bool whole);
+
+    /// Ends the exchange because the server closes.
+    void abandon();
+
+private:
+    void resumeLocked() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+    void suspendLocked(MHD_Connection *connection) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+
+    const ports::CallerRequest request_;
+    const std::size_t maxPendingBytes_;
+
+    mutable absl::Mutex mutex_;
+    AnswerHead head_ ABSL_GUARDED_BY(mutex_);
+    bool headReady_ ABSL_GUARDED_BY(mutex_) = false;
+    bool headTaken_ ABSL_GUARDED_BY(mutex_) = false;
+    std::string pending_ ABSL_GUARDED_BY(mutex_);
+    std::size_t pendingOffset_ ABSL_GUARDED_BY(mutex_) = 0; ///< Taken bytes of `pending_`.
+    std::size_t wholeBodyBytes_ ABSL_GUARDED_BY(mutex_) = 0;
+    std::size_t takenSinceReport_ ABSL_GUARDED_BY(mutex_) = 0;
+    bool ended_ ABSL_GUARDED_BY(mutex_) = false;
+    bool endedWhole_ ABSL_GUARDED_BY(mutex_) = false;
+    bool callerGone_ ABSL_GUARDED_BY(mutex_) = false;
+    bool reportDue_ ABSL_GUARDED_BY(mutex_) = false;
+    bool abandoned_ ABSL_GUARDED_BY(mutex_) = false;
+    bool finished_ ABSL_GUARDED_BY(mutex_) = false;
+    MHD_Connection *suspended_ ABSL_GUARDED_BY(mutex_) = nullptr;
+};
+
+} // namespace zinniadoor::adapters::detail
--- /dev/null
+++ b/src/zinniadoor/adapters/http_server_test.cpp
@@ -0,0 +1,206 @@
+#include "zinniadoor/adapters/http_server.hpp"
+
+#include <atomic>
+#include <vector>
+
+#include <boost/test/unit_test.hpp>
+
+#include "absl/synchronization/mutex.h"
+
+#include "test_sockets.hpp"
+
+namespace {
+
+using namespace zinniadoor;
+using adapters::KibiByte;
+using adapters::test::eventually;
+using adapters::test::TestConnection;
+using Exchange = std::shared_ptr<ports::CallerExchange>;
+
+/// Keeps the exchanges; the test answers them from its own thread.
+class KeepingHandler : public ports::CallerHandler
+{
+public:
+    void onRequest(Exchange exchange) override
+    {
+        const absl::MutexLock lock(&mutex_);
+        exchanges_.push_back(std::move(exchange));
+    }
+    void onProgress(const Exchange &exchange) override
+    {
+        ++progress;
+        if (exchange->callerGone())
+            ++gone;
+    }
+
+    /// The request with that number; nothing when it doesn't come.
+    Exchange wait(std::size_t number)
+    {
+        Exchange found;
+        eventually([&] {
+            const absl::MutexLock lock(&mutex_);
+            if (exchanges_.size() > number)
+                found = exchanges_[number];
+            return found != nullptr;
+        });
+        return found;
+    }
+
+    std::atomic<int> progress { 0 };
+    std::atomic<int> gone { 0 };
+
+private:
+    absl::Mutex mutex_;
+    std::vector<Exchange> exchanges_;
+};
+
+struct HttpServerFixture
+{
+    HttpServerFixture()
+    {
+        options.maxHeaderBytes = 4 * KibiByte;
+        options.maxBodyBytes = 64 * KibiByte;
+    }
+
+    void listen()
+    {
+        auto outcome = adapters::listenHttp(options, handler);
+        BOOST_REQUIRE(outcome.hasValue());
+        server = std::move(*outcome);
+    }
+
+    TestConnection connect() const { return TestConnection::to(server->port()); }
+
+    adapters::HttpServerOptions options;
+    KeepingHandler handler;
+    std::unique_ptr<ports::CallerServer> server;
+};
+
+bool contains(const std::string &text, const std::string &part)
+{
+    return text.find(part) != std::string::npos;
+}
+
+BOOST_FIXTURE_TEST_SUITE(HttpServerTest, HttpServerFixture)
+
+BOOST_AUTO_TEST_CASE(httpServer_wholeRequest_isHandedOverAndAnswered)
+{
+    listen();
+    const TestConnection caller = connect();
+    caller.send("PATCH /a%20b?x=1&y HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\nA: b\r\n\r\nhello");
+    const Exchange exchange = handler.wait(0);
+    BOOST_REQUIRE(exchange);
+    BOOST_TEST(exchange->request().method == "PATCH");
+    BOOST_TEST(exchange->request().path == "/a%20b");
+    BOOST_TEST(exchange->request().query == "x=1&y");
+    BOOST_TEST(exchange->request().body == "hello");
+    BOOST_REQUIRE(exchange->request().header("a"));
+    BOOST_TEST(*exchange->request().header("a") == "b");
+    exchange->respond(201, { { "X-Test", "1" } }, "done");
+    exchange->respond(500, {}, "too late");
+    const std::string answer = caller.receiveUntil("done");
+    BOOST_TEST(contains(answer, "HTTP/1.1 201 "));
+    BOOST_TEST(contains(answer, "X-Test: 1\r\n"));
+    caller.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    BOOST_REQUIRE(handler.wait(1));
+    handler.wait(1)->respond(204, {}, "");
+    BOOST_TEST(contains(caller.receiveUntil("\r\n\r\n"), "HTTP/1.1 204 "));
+    BOOST_TEST(!exchange->callerGone());
+}
+
+BOOST_AUTO_TEST_CASE(httpServer_streamedAnswer_arrivesInPiecesAndWhole)
+{
+    listen();
+    const TestConnection caller = connect();
+    caller.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    const Exchange exchange = handler.wait(0);
+    BOOST_REQUIRE(exchange);
+    exchange->beginStream(200, { { "Content-Type", "text/event-stream" } });
+    exchange->write("first");
+    BOOST_TEST(contains(caller.receiveUntil("first"), "chunked"));
+    BOOST_TEST(exchange->pendingBytes() == 0u);
+    exchange->write("second");
+    BOOST_TEST(contains(caller.receiveUntil("second"), "second"));
+    exchange->endStream(true);
+    BOOST_TEST(contains(caller.receiveUntil("0\r\n\r\n"), "0\r\n\r\n"));
+}
+
+BOOST_AUTO_TEST_CASE(httpServer_cutStream_closesWithoutFinalChunk)
+{
+    listen();
+    const TestConnection caller = connect();
+    caller.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    const Exchange exchange = handler.wait(0);
+    BOOST_REQUIRE(exchange);
+    exchange->beginStream(200, {});
+    exchange->write("part");
+    caller.receiveUntil("part");
+    exchange->endStream(false);
+    BOOST_TEST(!contains(caller.receiveAll(), "0\r\n\r\n"));
+    BOOST_TEST(caller.seesEnd());
+}
+
+BOOST_AUTO_TEST_CASE(httpServer_tooLargeBodyOrHeaders_areRefused)
+{
+    listen();
+    const TestConnection announced = connect();
+    announced.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 65537\r\n\r\n");
+    const std::string refused = announced.receiveUntil("}}");
+    BOOST_TEST(contains(refused, "HTTP/1.1 413 "));
+    BOOST_TEST(contains(refused, "Zinniadoor-Run: not-run"));
+    BOOST_TEST(contains(refused, "\"code\":\"body_too_large\""));
+
+    const TestConnection chunked = connect();
+    chunked.send("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n10001\r\n");
+    chunked.send(std::string(64 * KibiByte + 1, 'x'));
+    BOOST_TEST(contains(chunked.receiveUntil("}}"), "HTTP/1.1 413 "));
+
+    const TestConnection wide = connect();
+    wide.send("GET / HTTP/1.1\r\nHost: h\r\nA: " + std::string(5000, 'a') + "\r\n\r\n");
+    BOOST_TEST(contains(wide.receiveUntil("}}"), "\"code\":\"headers_too_large\""));
+
+    const TestConnection huge = connect();
+    huge.send("GET / HTTP/1.1\r\nHost: h\r\nA: " + std::string(80'000, 'a'));
+    BOOST_TEST(contains(huge.receiveUntil("\r\n"), "HTTP/1.1 431 "));
+}
+
+BOOST_AUTO_TEST_CASE(httpServer_callerLeavesWhileWaiting_isReported)
+{
+    listen();
+    {
+        const TestConnection caller = connect();
+        caller.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+        BOOST_REQUIRE(handler.wait(0));
+    }
+    BOOST_TEST(eventually([&] { return handler.gone > 0; }));
+    BOOST_TEST(handler.wait(0)->callerGone());
+    handler.wait(0)->respond(200, {}, "nobody");
+}
+
+BOOST_AUTO_TEST_CASE(httpServer_destroyedWithOpenStreams_closesThemAndExchangesStaySafe)
+{
+    listen();
+    const TestConnection waiting = connect();
+    waiting.send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+    const Exchange first = handler.wait(0);
+    const TestConnection streaming = connect();
+    streaming.send("GET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+    const Exchange second = handler.wait(1);
+    BOOST_REQUIRE(first);
+    BOOST_REQUIRE(second);
+    second->beginStream(200, {});
+    second->write("part");
+    streaming.receiveUntil("part");
+    server.reset();
+    BOOST_TEST(waiting.seesEnd());
+    BOOST_TEST(!contains(streaming.receiveAll(), "0\r\n\r\n"));
+    first->respond(200, {}, "late");
+    second->write("late");
+    second->endStream(true);
+    BOOST_TEST(first->callerGone());
+    BOOST_TEST(second->callerGone());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
--- /dev/null
+++ b/src/zinniadoor/adapters/test_sockets.hpp
@@ -0,0 +1,161 @@
+#pragma once
+
+#include <chrono>
+#include <functional>
+#include <string>
+#include <string_view>
+#include <thread>
+
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "absl/time/clock.h"
+#include "absl/time/time.h"
+
+#include "socket_address.hpp"
+
+namespace zinniadoor::adapters::test {
+
+constexpr int GenerousMilliseconds = 20'000;
+
+/// Waits until `condition` holds; false after a generous deadline.
+inline bool eventually(const std::function<bool()> &condition)
+{
+    const absl::Time deadline = absl::Now() + absl::Milliseconds(GenerousMilliseconds);
+    while (!condition()) {
+        if (absl::Now() > deadline)
+            return false;
+        std::this_thread::sleep_for(std::chrono::milliseconds(2));
+    }
+    return true;
+}
+
+/// A blocking TCP connection on loopback.
+class TestConnection
+{
+public:
+    /// Takes over an accepted socket.
+    explicit TestConnection(int socket = -1)
+        : socket_(socket)
+    { }
+    TestConnection(TestConnection &&other) noexcept
+        : socket_(std::exchange(other.socket_, -1))
+    { }
+    TestConnection &operator=(TestConnection &&other) noexcept
+    {
+        closeNow();
+        socket_ = std::exchange(other.socket_, -1);
+        return *this;
+    }
+    ~TestConnection() { closeNow(); }
+
+    static TestConnection to(int port, int receiveBufferBytes = 0)
+    {
+        TestConnection result(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+        if (receiveBufferBytes > 0)
+            setsockopt(result.socket_, SOL_SOCKET, SO_RCVBUF, &receiveBufferBytes,
+                       sizeof(receiveBufferBytes));
+        const auto address = detail::parseAddress("127.0.0.1", port);
+        if (connect(result.socket_, address->data(), address->length) != 0)
+            result.closeNow();
+        return result;
+    }
+
+    bool isOpen() const { return socket_ >= 0; }
+
+    bool send(std::string_view bytes) const
+    {
+        while (!bytes.empty()) {
+            const ssize_t sent = ::send(socket_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+            if (sent <= 0)
+                return false;
+            bytes.remove_prefix(static_cast<std::size_t>(sent));
+        }
+        return true;
+    }
+
+    /// Some bytes; empty at the end, on a reset or after a generous deadline.
+    std::string receive() const
+    {
+        pollfd waiting { socket_, POLLIN, 0 };
+        if (poll(&waiting, 1, GenerousMilliseconds) <= 0)
+            return "";
+        char buffer[16 * 1024];
+        const ssize_t got = recv(socket_, buffer, sizeof(buffer), 0);
+        return got <= 0 ? "" : std::string(buffer, static_cast<std::size_t>(got));
+    }
+
+    /// Reads until `mark` was seen (inclusive of what came after it) or the end.
+    std::string receiveUntil(const std::string &mark) const
+    {
+        std::string all;
+        while (all.find(mark) == std::string::npos) {
+            const std::string more = receive();
+            if (more.empty())
+                break;
+            all += more;
+        }
+        return all;
+    }
+
+    std::string receiveAll() const
+    {
+        std::string all;
+        for (std::string more = receive(); !more.empty(); more = receive())
+            all += more;
+        return all;
+    }
+
+    /// True once the other side closed or reset the connection.
+    bool seesEnd() const
+    {
+        pollfd waiting { socket_, POLLIN | POLLRDHUP, 0 };
+        poll(&waiting, 1, GenerousMilliseconds);
+        return (waiting.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+    }
+
+    void shutdownSending() const { shutdown(socket_, SHUT_WR); }
+    void closeNow()
+    {
+        if (socket_ >= 0)
+            ::close(std::exchange(socket_, -1));
+    }
+
+private:
+    int socket_;
+};
+
+/// A listening socket whose connections the test answers itself.
+class TestListener
+{
+public:
+    TestListener()
+        : socket_(*detail::listenTcp(*detail::parseAddress("127.0.0.1", 0)))
+    { }
+    ~TestListener() { closeNow(); }
+    TestListener(const TestListener &) = delete;
+    TestListener &operator=(const TestListener &) = delete;
+
+    int port() const { return detail::boundAddress(socket_).port(); }
+
+    TestConnection accept(int milliseconds = GenerousMilliseconds) const
+    {
+        pollfd waiting { socket_, POLLIN, 0 };
+        if (poll(&waiting, 1, milliseconds) <= 0)
+            return TestConnection();
+        return TestConnection(accept4(socket_, nullptr, nullptr, SOCK_CLOEXEC));
+    }
+
+    void closeNow()
+    {
+        if (socket_ >= 0)
+            ::close(std::exchange(socket_, -1));
+    }
+
+private:
+    int socket_;
+};
+
+} // namespace zinniadoor::adapters::test
