--- /dev/null
+++ b/include/zinniadoor/daemon/log_threads.hpp
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <thread>
+
+#include "zinniadoor/base/clock.hpp"
+#include "zinniadoor/base/ring.hpp"
+#include "zinniadoor/daemon/core_messages.hpp"
+#include "zinniadoor/ports/log.hpp"
+
+namespace zinniadoor::daemon {
+
+/// Reads the platform's log on a thread of its own, one page per request of the core.
+class LogTail
+{
+public:
+    struct Options
+    {
+        std::size_t pageRecords = 500;
+        absl::Duration wait = absl::Seconds(1); ///< Of one long poll.
+    };
+
+    LogTail(Options options, std::unique_ptr<ports::Log> log, const base::Clock &clock,
+            CoreRing &core);
+    ~LogTail();
+    LogTail(const LogTail &) = delete;
+    LogTail &operator=(const LogTail &) = delete;
+
+    /// Asks for what follows `offset`. One LogRead or LogUnreadable answers it.
+    void readAfter(base::Offset offset);
+
+private:
+    void run();
+    void tell(CoreMessage message);
+
+    const Options options_;
+    const std::unique_ptr<ports::Log> log_;
+    const base::Clock &clock_;
+    CoreRing &core_;
+    base::Ring<base::Offset> requests_;
+    std::atomic<bool> stopping_ { false };
+    std::thread thread_;
+};
+
+/// A frame to append.
+struct AppendRequest
+{
+    std::uint64_t sequence = 0;
+    std::string bytes;
+};
+
+/// Appends to the platform's log on a thread of its own, one frame at a time.
+class LogAppender
+{
+public:
+    LogAppender(std::unique_ptr<ports::Log> log, CoreRing &core);
+    ~LogAppender();
+    LogAppender(const LogAppender &) = delete;
+    LogAppender &operator=(const LogAppender &) = delete;
+
+    /// False when the ring is full. One AppendEnded answers a frame that was taken.
+    bool append(AppendRequest request);
+
+private:
+    void run();
+
+    const std::unique_ptr<ports::Log> log_;
+    CoreRing &core_;
+    base::Ring<AppendRequest> requests_;
+    std::atomic<bool> stopping_ { false };
+    std::thread thread_;
+};
+
+} // namespace zinniadoor::daemon
--- /dev/null
+++ b/src/zinniadoor/ctl/bundle_commands.hpp
@@ -0,0 +1,13 @@
+#pragma once
+
+#include <memory>
+#include <vector>
+
+#include "zinniadoor/ctl/command.hpp"
+
+namespace zinniadoor::ctl {
+
+/// "bundle ...".
+std::vector<std::unique_ptr<Command>> bundleCommands();
+
+} // namespace zinniadoor::ctl
--- /dev/null
+++ b/src/zinniadoor/daemon/answers.cpp
@@ -0,0 +1,81 @@
+#include "zinniadoor/daemon/answers.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+#include <nlohmann/json.hpp>
+
+#include "absl/strings/str_cat.h"
+
+namespace zinniadoor::daemon {
+
+const char *nameOf(RunState state)
+{
+    switch (state) {
+    case RunState::NotRun:
+        return "not-run";
+    case RunState::Unknown:
+        return "unknown";
+    case RunState::Ran:
+        return "ran";
+    }
+    return "unknown";
+}
+
+int statusOf(base::ReasonCode code)
+{
+    switch (code) {
+    case base::ReasonCode::InvalidArgument:
+        return 400;
+    case base::ReasonCode::Unauthorized:
+        return 401;
+    case base::ReasonCode::Forbidden:
+        return 403;
+    case base::ReasonCode::NotFound:
+        return 404;
+    case base::ReasonCode::Conflict:
+        return 409;
+    case base::ReasonCode::Gone:
+        return 410;
+    case base::ReasonCode::Overloaded:
+        return 429;
+    case base::ReasonCode::Timeout:
+        return 504;
+    case base::ReasonCode::Unavailable:
+        return 503;
+    case base::ReasonCode::OutcomeUnknown:
+        return 502;
+    case base::ReasonCode::Internal:
+        return 500;
+    }
+    return 500;
+}
+
+ErrorAnswer errorAnswerOf(base::Reason reason, RunState run, absl::Duration retryAfter)
+{
+    const int status = statusOf(reason.code);
+    return ErrorAnswer { status, std::move(reason), run, retryAfter };
+}
+
+std::string errorBody(const base::Reason &reason)
+{
+    using Json = nlohmann::json;
+    const Json body = { { "error", { { "code", nameOf(reason.code) }, { "message", reason.text } } } };
+    return body.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+void sendError(ports::CallerExchange &exchange, const base::RequestId &request,
+                 const ErrorAnswer &answer)
+{
+    std::vector<ports::HttpHeader> headers { { "Content-Type", "application/json" },
+                                             { "Zinniadoor-Run", nameOf(answer.run) },
+                                             { "Zinniadoor-Request", request.str() } };
+    if (answer.retryAfter > absl::ZeroDuration()) {
+        const double seconds = std::ceil(absl::ToDoubleSeconds(answer.retryAfter));
+        const auto wholeSeconds = static_cast<long>(std::clamp(seconds, 1.0, 86400.0));
+        headers.push_back({ "Retry-After", absl::StrCat(wholeSeconds) });
+    }
+    exchange.respond(answer.status, std::move(headers), errorBody(answer.reason));
+}
+
+} // namespace zinniadoor::daemon
--- /dev/null
+++ b/src/zinniadoor/daemon/endpoint_poller.cpp
@@ -0,0 +1,163 @@
+#include "zinniadoor/daemon/endpoint_poller.hpp"
+
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "absl/strings/str_cat.h"
+
+#include "zinniadoor/serving/prefix_view.hpp"
+
+namespace zinniadoor::daemon {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr absl::Duration PollTimeout = absl::Seconds(1);
+constexpr std::size_t MostPollBytes = 1024 * 1024;
+constexpr int StatusOk = 200;
+
+template <typename Number>
+Number numberAt(const Json &object, const char *key)
+{
+    const auto found = object.find(key);
+    const bool good = found != object.end() && found->is_number_unsigned();
+    return good ? found->get<Number>() : Number {};
+}
+
+std::string stringAt(const Json &object, const char *key)
+{
+    const auto found = object.find(key);
+    return found != object.end() && found->is_string() ? found->get<std::string>() : std::string();
+}
+
+} // namespace
+
+EndpointPoller::EndpointPoller(Options options, const base::Clock &clock, CallTable &calls,
+                               serving::EndpointTable &table)
+    : options_(options)
+    , clock_(clock)
+    , calls_(calls)
+    , table_(table)
+{
+}
+
+EndpointPoller::~EndpointPoller()
+{
+    for (const auto &[call, poll] : polls_)
+        calls_.cancel(call);
+}
+
+void EndpointPoller::setEndpoints(const std::vector<control::Endpoint> &endpoints)
+{
+    absl::flat_hash_map<base::EndpointId, Target> targets;
+    for (const control::Endpoint &endpoint : endpoints) {
+        if (endpoint.kind != control::EndpointKind::Engine)
+            continue;
+        Target target { endpoint, absl::InfinitePast(), 0 };
+        const auto old = targets_.find(endpoint.id);
+        if (old != targets_.end() && old->second.endpoint.address == endpoint.address) {
+            target.nextAt = old->second.nextAt;
+            target.lastCacheEvent = old->second.lastCacheEvent;
+        }
+        targets[endpoint.id] = std::move(target);
+    }
+    targets_ = std::move(targets);
+}
+
+void EndpointPoller::tick(absl::Time now)
+{
+    for (auto &[id, target] : targets_) {
+        if (now < target.nextAt || polls_.size() >= options_.maxInFlight)
+            continue;
+        target.nextAt = now + options_.interval;
+        start(target, PollKind::Load);
+        start(target, PollKind::CacheEvents);
+    }
+}
+
+void EndpointPoller::start(Target &target, PollKind kind)
+{
+    ports::EndpointRequest request;
+    request.method = "GET";
+    request.url = kind == PollKind::Load
+        ? absl::StrCat("http://", target.endpoint.address, "/load")
+        : absl::StrCat("http://", target.endpoint.address,
+                       "/cache_events?after=", target.lastCacheEvent);
+    request.connectTimeout = PollTimeout;
+    request.totalTimeout = PollTimeout;
+    const base::Outcome<CallToken> call = calls_.start(std::move(request), *this);
+    if (call)
+        polls_[*call] = Poll { target.endpoint.id, kind, 0, {} };
+}
+
+void EndpointPoller::onCallNews(CallToken call, const CallNews &news)
+{
+    const auto found = polls_.find(call);
+    if (found == polls_.end())
+        return;
+    if (news.head)
+        found->second.status = news.head->status;
+    found->second.body += news.bytes;
+    if (found->second.body.size() > MostPollBytes) {
+        polls_.erase(found);
+        calls_.cancel(call);
+        return;
+    }
+    if (!news.end)
+        return;
+    const Poll poll = std::move(found->second);
+    polls_.erase(found);
+    if (!news.end->complete || poll.status != StatusOk)
+        return;
+    if (poll.kind == PollKind::Load)
+        takeLoad(poll);
+    else
+        takeCacheEvents(poll);
+}
+
+void EndpointPoller::takeLoad(const Poll &poll)
+{
+    const Json body = Json::parse(poll.body, nullptr, false);
+    if (!body.is_object())
+        return;
+    serving::LoadReport report;
+    report.running = numberAt<std::uint32_t>(body, "running");
+    report.waiting = numberAt<std::uint32_t>(body, "waiting");
+    report.prefillTokensWaiting = numberAt<std::uint64_t>(body, "prefill_tokens_waiting");
+    report.kvPagesFree = numberAt<std::uint32_t>(body, "kv_pages_free");
+    report.kvPages = numberAt<std::uint32_t>(body, "kv_pages");
+    const base::Outcome<control::Role> role = control::roleFrom(stringAt(body, "role"));
+    if (role)
+        report.role = *role;
+    report.takenAt = clock_.now() - absl::Milliseconds(numberAt<std::uint32_t>(body, "age_ms"));
+    table_.noteReport(poll.endpoint, report);
+}
+
+void EndpointPoller::takeCacheEvents(const Poll &poll)
+{
+    const Json body = Json::parse(poll.body, nullptr, false);
+    const auto target = targets_.find(poll.endpoint);
+    if (!body.is_object() || target == targets_.end())
+        return;
+    const auto list = body.find("events");
+    if (list == body.end() || !list->is_array())
+        return;
+    std::vector<serving::CacheEvent> events;
+    for (const Json &item : *list) {
+        if (!item.is_object())
+            continue;
+        serving::CacheEvent event;
+        event.sequence = numberAt<std::uint64_t>(item, "sequence");
+        event.kind = stringAt(item, "kind") == "stored" ? serving::CacheEventKind::Stored
+                                                        : serving::CacheEventKind::Evicted;
+        event.prefix = serving::prefixFromName(stringAt(item, "prefix"));
+        events.push_back(event);
+    }
+    target->second.lastCacheEvent
+        = std::max(target->second.lastCacheEvent, numberAt<std::uint64_t>(body, "last"));
+    table_.noteCacheEvents(poll.endpoint, events);
+}
+
+} // namespace zinniadoor::daemon
--- /dev/null
+++ b/src/zinniadoor/daemon/service_request.cpp
@@ -0,0 +1,256 @@
+#include "zinniadoor/daemon/service_request.hpp"
+
+#include <array>
+#include <utility>
+
+#include "absl/strings/ascii.h"
+#include "absl/strings/match.h"
+#include "absl/strings/str_cat.h"
+
+namespace zinniadoor::daemon {
+
+namespace {
+
+constexpr absl::Duration ServiceTimeout = absl::Seconds(60);
+constexpr std::uint32_t ServiceCost = 1;
+
+// Headers that belong to one connection, or are set anew by the HTTP library.
+constexpr std::array<const char *, 11> HopHeaders {
+    "connection",       "keep-alive", "proxy-connection", "transfer-encoding", "te", "trailer",
+    "upgrade",          "host",       "content-length",   "expect",            "date"
+};
+
+bool isHopHeader(const std::string &name)
+{
+    for (const char *hop : HopHeaders) {
+        if (absl::EqualsIgnoreCase(name, hop))
+            return true;
+    }
+    return false;
+}
+
+bool isOwnHeader(const std::string &name)
+{
+    return absl::StartsWithIgnoreCase(name, "zinniadoor-");
+}
+
+bool carriesKey(const std::string &name)
+{
+    return absl::EqualsIgnoreCase(name, "authorization")
+        || absl::EqualsIgnoreCase(name, "proxy-authorization")
+        || absl::EqualsIgnoreCase(name, "cookie") || absl::EqualsIgnoreCase(name, "x-api-key");
+}
+
+} // namespace
+
+std::vector<ports::HttpHeader> headersForService(const ports::CallerRequest &request,
+                                                 const base::RequestId &id)
+{
+    std::vector<ports::HttpHeader> headers;
+    for (const ports::HttpHeader &header : request.headers) {
+        const bool dropped
+            = isHopHeader(header.name) || isOwnHeader(header.name) || carriesKey(header.name);
+        if (!dropped)
+            headers.push_back(header);
+    }
+    headers.push_back({ "Zinniadoor-Request", id.str() });
+    return headers;
+}
+
+std::vector<ports::HttpHeader> headersForCaller(const std::vector<ports::HttpHeader> &headers,
+                                                const base::RequestId &id)
+{
+    std::vector<ports::HttpHeader> result;
+    for (const ports::HttpHeader &header : headers) {
+        if (!isHopHeader(header.name) && !isOwnHeader(header.name))
+            result.push_back(header);
+    }
+    result.push_back({ "Zinniadoor-Request", id.str() });
+    return result;
+}
+
+ports::EndpointRequest serviceCall(const ports::CallerRequest &request,
+                                   const control::Endpoint &endpoint, const base::RequestId &id)
+{
+    ports::EndpointRequest call;
+    call.method = request.method;
+    call.url = absl::StrCat("http://", endpoint.address, request.path,
+                            request.query.empty() ? "" : "?", request.query);
+    call.headers = headersForService(request, id);
+    call.body = request.body;
+    call.totalTimeout = ServiceTimeout;
+    call.silenceTimeout = ServiceTimeout;
+    return call;
+}
+
+ServiceRequest::ServiceRequest(RequestServices &services,
+                               std::shared_ptr<ports::CallerExchange> exchange, base::RequestId id,
+                               Caller caller, control::Route route)
+    : Request(services, std::move(exchange), id, std::move(caller))
+    , route_(std::move(route))
+{
+    facts_.id = std::move(id);
+    facts_.organisation = this->caller().organisation;
+    facts_.promptTokens = ServiceCost;
+    start(arrivedAt());
+}
+
+ServiceRequest::~ServiceRequest()
+{
+    if (running_)
+        services().calls.cancel(*running_);
+}
+
+void ServiceRequest::start(absl::Time now)
+{
+    serving::RouteQuery query { facts_, serving::Phase::Whole, failedOn_, route_.endpoints, true };
+    const serving::RouteChoice choice
+        = services().router.choose(query, services().endpoints, now, services().random());
+    const serving::EndpointView *view
+        = choice.endpoint ? services().endpoints.find(*choice.endpoint) : nullptr;
+    if (view == nullptr) {
+        endWithFault(choice.refusal.reason, choice.refusal.retryAfter);
+        return;
+    }
+    const base::Outcome<CallToken> call = services().calls.start(
+        serviceCall(exchange()->request(), view->endpoint, id()), *this);
+    if (!call) {
+        endWithFault(call.lastReason(), absl::Seconds(1));
+        return;
+    }
+    if (attempts_ == 0)
+        services().retries.noteCall();
+    else
+        services().metrics.countRetry();
+    ++attempts_;
+    sentAt_ = now;
+    endpoint_ = choice.endpoint;
+    running_ = *call;
+    services().endpoints.noteSent(*endpoint_, facts_, now);
+}
+
+void ServiceRequest::onCallNews(CallToken call, const CallNews &news)
+{
+    if (!running_ || *running_ != call)
+        return;
+    if (news.head)
+        onHead(*news.head);
+    if (!news.bytes.empty())
+        onBytes(news.bytes);
+    if (news.end)
+        onCallEnd(*news.end);
+}
+
+void ServiceRequest::onHead(const AnswerHead &head)
+{
+    begun_ = true;
+    const absl::Time now = services().clock.now();
+    services().ejection.noteSuccess(*endpoint_, now - sentAt_, now);
+    exchange()->beginStream(head.status, headersForCaller(head.headers, id()));
+}
+
+void ServiceRequest::onBytes(const std::string &bytes)
+{
+    exchange()->write(bytes);
+    const std::size_t limit = services().settings.limits.pendingBytesPerStream;
+    if (exchange()->pendingBytes() > limit && running_) {
+        held_ = true;
+        services().calls.hold(*running_);
+    }
+}
+
+void ServiceRequest::onCallEnd(const ports::EndpointCallEnd &end)
+{
+    running_.reset();
+    services().metrics.countEndpointCall(*endpoint_, end.complete);
+    if (!end.complete) {
+        onCallFailed(end.reason, end.mayHaveRun);
+        return;
+    }
+    leaveEndpoint();
+    exchange()->endStream(true);
+    markDone();
+}
+
+void ServiceRequest::onCallFailed(const base::Reason &reason, bool mayHaveRun)
+{
+    const absl::Time now = services().clock.now();
+    mayHaveRun_ = mayHaveRun_ || mayHaveRun;
+    services().ejection.noteFailure(*endpoint_, now);
+    failedOn_.push_back(*endpoint_);
+    leaveEndpoint();
+    serving::FailedCall failed;
+    failed.attempts = attempts_;
+    failed.mayHaveRun = mayHaveRun;
+    failed.idempotent = route_.idempotent;
+    const serving::RetryDecision decision
+        = services().retries.decide(failed, now, services().random());
+    if (begun_ || !decision.retry) {
+        endWithFault(reason, absl::Seconds(1));
+        return;
+    }
+    notBefore_ = now + decision.backoff;
+}
+
+void ServiceRequest::endWithFault(const base::Reason &reason, absl::Duration retryAfter)
+{
+    if (begun_) {
+        exchange()->endStream(false);
+        markDone();
+        return;
+    }
+    const RunState run = mayHaveRun_ ? RunState::Unknown : RunState::NotRun;
+    refuse(errorAnswerOf(reason, run, retryAfter));
+}
+
+void ServiceRequest::leaveEndpoint()
+{
+    if (endpoint_)
+        services().endpoints.noteFinished(id(), services().clock.now());
+    endpoint_.reset();
+}
+
+void ServiceRequest::onCallerProgress()
+{
+    const std::size_t limit = services().settings.limits.pendingBytesPerStream;
+    if (!held_ || exchange()->pendingBytes() > limit / 2 || !running_)
+        return;
+    held_ = false;
+    services().calls.release(*running_);
+}
+
+void ServiceRequest::onCallerGone()
+{
+    if (isDone())
+        return;
+    if (running_)
+        services().calls.cancel(*running_);
+    running_.reset();
+    leaveEndpoint();
+    if (begun_)
+        exchange()->endStream(false);
+    markDone();
+}
+
+void ServiceRequest::cut(const base::Reason &reason)
+{
+    if (isDone())
+        return;
+    mayHaveRun_ = mayHaveRun_ || running_.has_value();
+    if (running_)
+        services().calls.cancel(*running_);
+    running_.reset();
+    leaveEndpoint();
+    endWithFault(reason, absl::ZeroDuration());
+}
+
+void ServiceRequest::onTick(absl::Time now)
+{
+    const bool waitsToRetry = !isDone() && !running_ && attempts_ > 0;
+    if (waitsToRetry && now >= notBefore_)
+        start(now);
+}
+
+void ServiceRequest::onProbed(const base::EndpointId &, bool) { }
+
+} // namespace zinniadoor::daemon
