Peer messages and rate shares: parts of rate and burst that owners lend

Cause: requests within an organisation's rate were to be admitted whichever instance they reach, and never more than rate and burst over all instances together.

--- /dev/null
+++ b/include/zinniadoor/control/stable_hash.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace zinniadoor::control {
+
+/// 64-bit hash that is the same in every process, for rendezvous hashing and compact names.
+inline std::uint64_t stableHash(const std::string &text, std::uint64_t seed = 0)
+{
+    constexpr std::uint64_t FnvOffset = 14695981039346656037ULL;
+    constexpr std::uint64_t FnvPrime = 1099511628211ULL;
+    std::uint64_t hash = FnvOffset ^ seed;
+    for (const char c : text) {
+        hash ^= static_cast<unsigned char>(c);
+        hash *= FnvPrime;
+    }
+    // The finaliser of MurmurHash3; FNV alone spreads its last bytes badly.
+    hash ^= hash >> 33;
+    hash *= 0xff51afd7ed558ccdULL;
+    hash ^= hash >> 33;
+    hash *= 0xc4ceb9fe1a85ec53ULL;
+    hash ^= hash >> 33;
+    return hash;
+}
+
+/// Weight of `candidate` for `item`; the candidate with the highest weight is preferred.
+inline std::uint64_t rendezvousWeight(const std::string &item, const std::string &candidate)
+{
+    return stableHash(candidate, stableHash(item));
+}
+
+/// Compact name used in heartbeats.
+inline std::uint32_t shortName(const std::string &text)
+{
+    return static_cast<std::uint32_t>(stableHash(text));
+}
+
+} // namespace zinniadoor::control
--- /dev/null
+++ b/src/zinniadoor/control/peer_messages.cpp
@@ -0,0 +1,80 @@
+#include "zinniadoor/control/peer_messages.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+#include "zinniadoor/base/codec.hpp"
+
+namespace zinniadoor::control {
+
+namespace {
+
+// Numbers that reach the arithmetic of the share accounts must be finite and not negative: one
+// NaN would make every later comparison false.
+bool isAmount(double value)
+{
+    constexpr double MaxAmount = 1e12;
+    return std::isfinite(value) && value >= 0 && value <= MaxAmount;
+}
+
+struct RangeCheck
+{
+    bool operator()(const Heartbeat &message) const
+    {
+        const auto &loads = message.organisations;
+        return std::all_of(loads.begin(), loads.end(), [](const OrganisationLoad &load) {
+            return isAmount(load.demandPerSecond) && isAmount(load.spareTokens);
+        });
+    }
+
+    bool operator()(const BorrowAsk &message) const
+    {
+        return std::all_of(message.items.begin(), message.items.end(), [](const BorrowItem &item) {
+            return item.kind <= LoanKind::Share && isAmount(item.neededTokens)
+                && isAmount(item.wantedTokens);
+        });
+    }
+
+    bool operator()(const BorrowAnswer &message) const
+    {
+        return std::all_of(message.items.begin(), message.items.end(), [](const LoanItem &item) {
+            return isAmount(item.tokens) && isAmount(item.spareTokens);
+        });
+    }
+
+    bool operator()(const LoanReturn &message) const
+    {
+        return std::all_of(message.items.begin(), message.items.end(),
+                           [](const ReturnItem &item) { return isAmount(item.tokens); });
+    }
+
+    bool operator()(const StateAnswer &message) const
+    {
+        return message.bytes.size() <= MaxStatePartBytes && message.part <= message.parts;
+    }
+
+    template <typename Message>
+    bool operator()(const Message &) const
+    {
+        return true;
+    }
+};
+
+} // namespace
+
+std::string encodePeerMessage(const PeerMessage &message)
+{
+    return base::encode(message);
+}
+
+base::Outcome<PeerMessage> decodePeerMessage(const std::string &bytes)
+{
+    if (bytes.size() > MaxPeerMessageBytes)
+        return base::Reason { base::ReasonCode::InvalidArgument, "peer message too long" };
+    base::Outcome<PeerMessage> message = base::decode<PeerMessage>(bytes);
+    if (message && !std::visit(RangeCheck {}, *message))
+        return base::Reason { base::ReasonCode::InvalidArgument, "number out of range" };
+    return message;
+}
+
+} // namespace zinniadoor::control
--- /dev/null
+++ b/src/zinniadoor/control/rate_shares.cpp
@@ -0,0 +1,305 @@
+#include "zinniadoor/control/rate_shares.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+#include "zinniadoor/control/stable_hash.hpp"
+
+namespace zinniadoor::control {
+
+namespace {
+
+constexpr std::size_t MaxWaitingPerOrganisation = 256;
+constexpr absl::Duration LongestRetryAfter = absl::Hours(1);
+
+} // namespace
+
+const char *nameOf(Verdict verdict)
+{
+    switch (verdict) {
+    case Verdict::Admitted:
+        return "admitted";
+    case Verdict::Refused:
+        return "refused";
+    case Verdict::Waiting:
+        return "waiting";
+    }
+    return "unknown";
+}
+
+std::vector<std::uint32_t> slotsOf(const base::OrganisationId &organisation,
+                                   std::uint32_t shareSlots)
+{
+    std::vector<std::pair<std::uint64_t, std::uint32_t>> weighted;
+    for (std::uint32_t slot = 0; slot < shareSlots; ++slot)
+        weighted.emplace_back(rendezvousWeight(organisation.str(), std::to_string(slot)), slot);
+    std::sort(weighted.rbegin(), weighted.rend());
+    if (weighted.size() > MaxSlotsPerOrganisation)
+        weighted.resize(MaxSlotsPerOrganisation);
+    std::vector<std::uint32_t> slots;
+    for (const auto &[weight, slot] : weighted)
+        slots.push_back(slot);
+    return slots;
+}
+
+RateShares::RateShares(RateSharesOptions options)
+    : options_(std::move(options))
+    , random_(options_.seed)
+{ }
+
+const ShareAccount *RateShares::account(const base::OrganisationId &organisation) const
+{
+    const auto found = entries_.find(organisation);
+    return found == entries_.end() ? nullptr : &found->second.account;
+}
+
+RateShares::Entry *RateShares::find(const base::OrganisationId &organisation)
+{
+    const auto found = entries_.find(organisation);
+    return found == entries_.end() ? nullptr : &found->second;
+}
+
+// An organisation that leaves the bundle keeps its account with rate and burst 0: loans that
+// stand run out as always, so that its return cannot count a part twice.
+void RateShares::setOrganisations(const std::vector<Organisation> &organisations, absl::Time now)
+{
+    std::set<base::OrganisationId> present;
+    for (const Organisation &organisation : organisations) {
+        present.insert(organisation.id);
+        const auto [place, added] = entries_.try_emplace(organisation.id, now);
+        Entry &entry = place->second;
+        if (added) {
+            entry.id = organisation.id;
+            entry.slots = slotsOf(organisation.id, options_.shareSlots);
+            shortNames_[shortName(organisation.id.str())] = organisation.id;
+        }
+        configure(entry, organisation, now);
+    }
+    for (auto &[id, entry] : entries_) {
+        if (present.count(id) == 0)
+            configure(entry, Organisation {}, now);
+    }
+}
+
+void RateShares::configure(Entry &entry, const Organisation &organisation, absl::Time now)
+{
+    const auto units = static_cast<std::int64_t>(entry.slots.size()) * UnitsPerSlot;
+    entry.account.setLimits(organisation.ratePerSecond, organisation.burst, units, now);
+    std::int64_t own = 0;
+    for (const std::uint32_t slot : entry.slots)
+        own += ownedSlots_.count(slot) > 0 ? UnitsPerSlot : 0;
+    entry.account.setOwn(own, ownedUntil_, now);
+}
+
+void RateShares::setOwnedSlots(const std::set<std::uint32_t> &slots, absl::Time mayUseUntil,
+                               absl::Time now)
+{
+    ownedSlots_ = slots;
+    ownedUntil_ = mayUseUntil;
+    for (auto &[id, entry] : entries_) {
+        std::int64_t own = 0;
+        for (const std::uint32_t slot : entry.slots)
+            own += slots.count(slot) > 0 ? UnitsPerSlot : 0;
+        entry.account.setOwn(own, mayUseUntil, now);
+    }
+}
+
+void RateShares::setSlotOwners(const std::map<std::uint32_t, base::InstanceId> &owners)
+{
+    slotOwners_ = owners;
+}
+
+Admission RateShares::admit(const base::OrganisationId &organisation, double cost, absl::Time now)
+{
+    Admission admission;
+    Entry *entry = find(organisation);
+    if (entry == nullptr || cost > entry->account.totalBurst()) {
+        admission.retryAfter = LongestRetryAfter;
+        return admission;
+    }
+    noteDemand(*entry, cost, now);
+    if (entry->waiting.empty() && entry->account.spend(cost, now)) {
+        admission.verdict = Verdict::Admitted;
+        return admission;
+    }
+    admission.retryAfter = retryAfter(*entry, cost);
+    if (entry->waiting.size() >= MaxWaitingPerOrganisation)
+        return admission;
+
+    const Ticket ticket = nextTicket_++;
+    entry->waiting.push_back(WaitingRequest { ticket, cost, now + options_.askWait });
+    entry->waitingCost += cost;
+    tickets_[ticket] = organisation;
+    Outbox outbox;
+    goOn(*entry, now, outbox);
+    admission.verdict = Verdict::Waiting;
+    admission.ticket = ticket;
+    admission.waitAtMost = options_.askWait;
+    const auto decided
+        = std::find_if(outbox.decisions.begin(), outbox.decisions.end(),
+                       [ticket](const Decision &decision) { return decision.ticket == ticket; });
+    if (decided != outbox.decisions.end()) {
+        admission.verdict = decided->verdict;
+        admission.retryAfter = decided->retryAfter;
+        outbox.decisions.erase(decided);
+    }
+    admission.effects = effectsOf(std::move(outbox));
+    return admission;
+}
+
+void RateShares::cancel(Ticket ticket)
+{
+    const auto found = tickets_.find(ticket);
+    if (found == tickets_.end())
+        return;
+    Entry *entry = find(found->second);
+    tickets_.erase(found);
+    auto &waiting = entry->waiting;
+    const auto place = std::find_if(waiting.begin(), waiting.end(),
+                                    [ticket](const auto &one) { return one.ticket == ticket; });
+    if (place == waiting.end())
+        return;
+    entry->waitingCost -= place->cost;
+    waiting.erase(place);
+}
+
+Effects RateShares::onMessage(const base::InstanceId &from, const PeerMessage &message,
+                              absl::Time now)
+{
+    Outbox outbox;
+    if (const auto *ask = std::get_if<BorrowAsk>(&message))
+        onAsk(from, *ask, now, outbox);
+    else if (const auto *answer = std::get_if<BorrowAnswer>(&message))
+        onAnswer(from, *answer, now, outbox);
+    else if (const auto *loanReturn = std::get_if<LoanReturn>(&message))
+        onReturn(from, *loanReturn, now);
+    else if (const auto *heartbeat = std::get_if<Heartbeat>(&message))
+        onHeartbeat(from, *heartbeat, now);
+    return effectsOf(std::move(outbox));
+}
+
+Effects RateShares::tick(absl::Time now)
+{
+    Outbox outbox;
+    expireAsks(now);
+    std::set<base::OrganisationId> waiting;
+    for (const auto &[ticket, organisation] : tickets_)
+        waiting.insert(organisation);
+    for (const base::OrganisationId &organisation : waiting)
+        goOn(*find(organisation), now, outbox);
+    if (now >= nextPlan_) {
+        nextPlan_ = now + options_.planInterval;
+        for (auto &[id, entry] : entries_)
+            plan(entry, now, outbox);
+    }
+    return effectsOf(std::move(outbox));
+}
+
+double RateShares::demandOf(const Entry &entry, absl::Time now) const
+{
+    if (entry.demand <= 0)
+        return 0;
+    const double age = absl::ToDoubleSeconds(now - entry.demandAt);
+    return entry.demand * std::exp(-age / absl::ToDoubleSeconds(options_.demandWindow));
+}
+
+void RateShares::noteDemand(Entry &entry, double cost, absl::Time now) const
+{
+    const double window = absl::ToDoubleSeconds(options_.demandWindow);
+    entry.demand = demandOf(entry, now) + cost / window;
+    entry.demandAt = now;
+}
+
+bool RateShares::refillsInTime(const Entry &entry, double missing, absl::Duration time) const
+{
+    return missing <= entry.account.ratePerSecond() * absl::ToDoubleSeconds(time);
+}
+
+/// Admits waiting requests in their order as far as the tokens go.
+void RateShares::serve(Entry &entry, absl::Time now, Outbox &outbox)
+{
+    while (!entry.waiting.empty() && entry.account.spend(entry.waiting.front().cost, now)) {
+        const WaitingRequest request = entry.waiting.front();
+        entry.waiting.pop_front();
+        entry.waitingCost -= request.cost;
+        tickets_.erase(request.ticket);
+        outbox.decisions.push_back(Decision { request.ticket, Verdict::Admitted, {} });
+    }
+    if (entry.waiting.empty()) {
+        entry.waitingCost = 0;
+        entry.asked.clear();
+    }
+}
+
+/// Refuses waiting requests that neither pending answers nor the refill can help in time.
+void RateShares::refuseHopeless(Entry &entry, absl::Time now, Outbox &outbox)
+{
+    const bool answersToCome = hasPendingTokens(entry);
+    double before = 0;
+    std::deque<WaitingRequest> kept;
+    for (const WaitingRequest &request : entry.waiting) {
+        const double missing = before + request.cost - entry.account.level();
+        const absl::Duration left = request.deadline - now;
+        if (left > absl::ZeroDuration() && (answersToCome || refillsInTime(entry, missing, left))) {
+            before += request.cost;
+            kept.push_back(request);
+            continue;
+        }
+        tickets_.erase(request.ticket);
+        outbox.decisions.push_back(
+            Decision { request.ticket, Verdict::Refused, retryAfter(entry, request.cost) });
+    }
+    entry.waiting = std::move(kept);
+    entry.waitingCost = before;
+    if (entry.waiting.empty())
+        entry.asked.clear();
+}
+
+/// The next step for the requests that wait: admit, wait, ask further peers, or refuse.
+void RateShares::goOn(Entry &entry, absl::Time now, Outbox &outbox)
+{
+    serve(entry, now, outbox);
+    if (entry.waiting.empty())
+        return;
+    const double missing = entry.waitingCost - entry.account.level();
+    const absl::Duration left = entry.waiting.front().deadline - now;
+    if (!refillsInTime(entry, missing, left))
+        askForTokens(entry, now, outbox);
+    refuseHopeless(entry, now, outbox);
+}
+
+absl::Duration RateShares::retryAfter(const Entry &entry, double cost) const
+{
+    const double total = entry.account.totalRate();
+    if (total <= 0)
+        return LongestRetryAfter;
+    const double own = std::max(entry.account.ratePerSecond(), total / 64);
+    const double missing = std::max(0.0, cost - entry.account.level());
+    return std::min(LongestRetryAfter, absl::Seconds(missing / own));
+}
+
+std::vector<Outgoing> RateShares::messagesOf(Outbox &&outbox) const
+{
+    std::vector<Outgoing> messages = std::move(outbox.others);
+    for (auto &[peer, message] : outbox.returns) {
+        message.borrower = options_.instance;
+        message.incarnation = options_.incarnation;
+        messages.push_back(Outgoing { peer, std::move(message) });
+    }
+    for (auto &[peer, message] : outbox.asks) {
+        message.borrower = options_.instance;
+        message.incarnation = options_.incarnation;
+        messages.push_back(Outgoing { peer, std::move(message) });
+    }
+    return messages;
+}
+
+Effects RateShares::effectsOf(Outbox &&outbox) const
+{
+    Effects effects;
+    effects.decisions = std::move(outbox.decisions);
+    effects.messages = messagesOf(std::move(outbox));
+    return effects;
+}
+
+} // namespace zinniadoor::control
