Replay state of the log: configuration, instances, leases, orders, actions, usage

One pure function of frames in log order, in small tables with one job each. The high-water sequence of a writer suffices to count a frame once, since a writer sends frame n+1 only once n is in the log. Added OrderResult::Fenced and ActionFinished::bodyKept.

--- /dev/null
+++ b/include/zinniadoor/control/configuration_chain.hpp
@@ -0,0 +1,102 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <cereal/types/deque.hpp>
+#include <cereal/types/set.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
+
+#include "zinniadoor/base/ids.hpp"
+#include "zinniadoor/base/outcome.hpp"
+#include "zinniadoor/control/records.hpp"
+
+namespace zinniadoor::control {
+
+/// A configuration record that did not count, kept for the operator who wrote it.
+struct Rejection
+{
+    base::Offset offset = 0;
+    base::InstanceId writer;
+    std::string reason;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(offset, writer, reason);
+    }
+};
+
+/// How many rejections are kept.
+constexpr std::size_t MaxRejections = 32;
+
+/// What an operator signs to withdraw a key.
+std::string withdrawalText(const base::KeyId &key, const std::string &digestInForce);
+
+/// The configuration in force: a chain of signed bundles, each naming the one before by digest,
+/// and the keys withdrawn since. The first valid successor in log order counts, so the chain
+/// never forks and never goes back.
+class ConfigurationChain
+{
+public:
+    base::Status apply(const BundlePublished &record, const base::InstanceId &writer,
+                       base::Offset offset);
+    base::Status apply(const KeyWithdrawn &record, const base::InstanceId &writer,
+                       base::Offset offset);
+
+    /// Null while nothing has been published.
+    const std::shared_ptr<const Bundle> &bundle() const { return bundle_; }
+
+    /// What was published, for a peer that cannot read the log.
+    const BundlePublished &published() const { return published_; }
+
+    /// 0 while nothing has been published.
+    std::uint64_t version() const { return bundle_ ? bundle_->version : 0; }
+
+    /// Digest of the bundle in force (hex); empty while there is none.
+    const std::string &digest() const { return digest_; }
+
+    /// Offset of the bundle in force.
+    base::Offset publishedAt() const { return publishedAt_; }
+
+    bool isWithdrawn(const base::KeyId &key) const { return withdrawn_.count(key) != 0; }
+    const std::set<base::KeyId> &withdrawnKeys() const { return withdrawn_; }
+    const std::deque<Rejection> &rejections() const { return rejections_; }
+
+    const Endpoint *findEndpoint(const base::EndpointId &id) const;
+
+    template <typename Archive>
+    void save(Archive &archive) const
+    {
+        archive(published_, publishedAt_, withdrawn_, rejections_);
+    }
+
+    /// Throws cereal::Exception if the bundle read is no bundle.
+    template <typename Archive>
+    void load(Archive &archive)
+    {
+        archive(published_, publishedAt_, withdrawn_, rejections_);
+        if (!restore())
+            throw cereal::Exception("the bundle in force is malformed");
+    }
+
+private:
+    base::Status accept(const BundlePublished &record, base::Offset offset);
+    base::Status accept(const KeyWithdrawn &record);
+    base::Status note(base::Status status, const base::InstanceId &writer, base::Offset offset);
+    bool restore();
+
+    BundlePublished published_;
+    base::Offset publishedAt_ = 0;
+    std::set<base::KeyId> withdrawn_;
+    std::deque<Rejection> rejections_;
+    std::shared_ptr<const Bundle> bundle_;
+    std::string digest_;
+};
+
+} // namespace zinniadoor::control
--- a/include/zinniadoor/control/records.hpp
+++ b/include/zinniadoor/control/records.hpp
@@ -60,6 +60,7 @@
     }
 };
 
+/// The last record of a process; frees its leases, and later frames of it do not count.
 struct InstanceStopped
 {
     base::InstanceId instance;
@@ -83,9 +84,10 @@
 /// A scope of authority held by one instance at a time. Names: "orders/<data centre>",
 /// "usage/<shard>", "share/<slot>", "snapshot".
 /// Every later frame of the holder's incarnation renews the lease. A claim counts if
-/// `supersedes` is the offset of the scope's last claim or release that counted or of the
-/// holder's last frame, whichever is later (0 for a scope never claimed). The scope's epoch is
-/// the offset of the claim that counted.
+/// `supersedes` is the offset of the release if the scope is free (0 if it was never claimed),
+/// and else of the last claim that counted or of the holder's last frame, whichever is later; for
+/// a share scope with basis Lapsed also not before the last withdrawal of a vouch. The scope's
+/// epoch is the offset of the claim that counted.
 struct LeaseClaimed
 {
     std::string scope;
@@ -146,9 +148,17 @@
     }
 };
 
-enum class OrderResult : std::uint8_t { Done, Refused, NeverSent, EndpointReplaced, SenderGone };
+enum class OrderResult : std::uint8_t {
+    Done,
+    Refused,
+    NeverSent,
+    EndpointReplaced,
+    SenderGone,
+    Fenced, ///< Given up under a newer epoch; the receiver refuses the older one.
+};
 
-/// Closes an open slot; the first one counts.
+/// Closes an open slot; the first one counts. The sender closes with Done, Refused or NeverSent,
+/// the scope's current holder with one of the others where the log bears it out.
 struct OrderClosed
 {
     base::EndpointId endpoint;
@@ -189,12 +199,13 @@
     ActionResult result = ActionResult::Unknown;
     std::uint16_t status = 0;
     std::string contentType;
-    std::string body; ///< Bounded; see MaxRecordedAnswerBytes.
+    std::string body; ///< At most MaxRecordedAnswerBytes.
+    bool bodyKept = true; ///< False: the body was longer and is not recorded.
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(organisation, idempotencyKey, result, status, contentType, body);
+        archive(organisation, idempotencyKey, result, status, contentType, body, bodyKept);
     }
 };
 
@@ -231,7 +242,8 @@
 };
 
 /// Closes the open usage window: its figures are what precedes this record in the log since
-/// the last closing. Counts if `window` is the next one and `epoch` is current for the shard.
+/// the last closing. Counts if `window` is later than the last one closed and `epoch` is current
+/// for the shard.
 struct WindowClosed
 {
     std::int64_t window = 0; ///< Seconds since 1970 at the window's start.
--- /dev/null
+++ b/include/zinniadoor/control/usage_ledger.hpp
@@ -0,0 +1,131 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <vector>
+
+#include <cereal/types/deque.hpp>
+#include <cereal/types/map.hpp>
+#include <cereal/types/vector.hpp>
+
+#include "zinniadoor/base/ids.hpp"
+#include "zinniadoor/base/outcome.hpp"
+#include "zinniadoor/control/instance_table.hpp"
+#include "zinniadoor/control/lease_table.hpp"
+#include "zinniadoor/control/records.hpp"
+
+namespace zinniadoor::control {
+
+/// Usage reports are split among this many leases.
+constexpr std::uint32_t UsageShards = 16;
+
+/// The shard of an organisation, the same at every instance and in every version.
+std::uint32_t usageShardOf(const base::OrganisationId &organisation);
+
+/// Sequence numbers already counted, as ranges.
+class SequenceSet
+{
+public:
+    /// False if the number was there already.
+    bool insert(std::uint64_t sequence);
+    bool contains(std::uint64_t sequence) const;
+    std::size_t ranges() const { return ranges_.size(); }
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(ranges_);
+    }
+
+private:
+    std::map<std::uint64_t, std::uint64_t> ranges_; ///< First to last number of each range.
+};
+
+/// What an organisation used.
+struct Usage
+{
+    std::uint64_t requests = 0;
+    std::uint64_t promptTokens = 0;
+    std::uint64_t outputTokens = 0;
+
+    void add(const UsageItem &item);
+    friend bool operator==(const Usage &a, const Usage &b)
+    {
+        return a.requests == b.requests && a.promptTokens == b.promptTokens
+            && a.outputTokens == b.outputTokens;
+    }
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(requests, promptTokens, outputTokens);
+    }
+};
+
+using UsageByOrganisation = std::map<base::OrganisationId, Usage>;
+
+/// A window whose figures are fixed and wait to be reported.
+struct ClosedWindow
+{
+    std::int64_t window = 0; ///< Seconds since 1970 at the window's start.
+    UsageByOrganisation usage;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(window, usage);
+    }
+};
+
+/// The windows of one shard.
+struct UsageShard
+{
+    std::int64_t lastClosed = -1; ///< Start of the last window closed; -1 for none.
+    UsageByOrganisation open; ///< Counted since then.
+    std::deque<ClosedWindow> closed; ///< Not reported yet, oldest first; none is empty.
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(lastClosed, open, closed);
+    }
+};
+
+/// Counts every usage item once and fixes each window's figures by log order.
+class UsageLedger
+{
+public:
+    UsageLedger()
+        : shards_(UsageShards)
+    { }
+
+    /// Counts the items not counted before; those of a process that is not known do not count.
+    base::Status apply(const UsageCounted &record, const InstanceTable &instances);
+
+    /// Counts for a window later than the last one closed; windows in between stay empty.
+    base::Status apply(const WindowClosed &record, const Process &writer, const LeaseTable &leases);
+    base::Status apply(const WindowReported &record, const Process &writer,
+                       const LeaseTable &leases);
+
+    bool isCounted(const Process &process, std::uint64_t sequence) const;
+    const UsageShard &shard(std::uint32_t index) const { return shards_[index]; }
+    bool hasShard(std::uint32_t index) const { return index < shards_.size(); }
+
+    /// Forgets the numbers of a process that the instance table has forgotten.
+    void forget(const Process &process);
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(shards_, counted_);
+        if (shards_.size() != UsageShards)
+            throw cereal::Exception("another number of usage shards");
+    }
+
+private:
+    std::vector<UsageShard> shards_;
+    std::map<Process, SequenceSet> counted_;
+};
+
+} // namespace zinniadoor::control
--- /dev/null
+++ b/src/zinniadoor/control/configuration_chain.cpp
@@ -0,0 +1,112 @@
+#include "zinniadoor/control/configuration_chain.hpp"
+
+#include "absl/strings/str_cat.h"
+
+namespace zinniadoor::control {
+
+namespace {
+
+constexpr const char *BundleName = "bundle";
+
+base::Reason conflict(std::string text)
+{
+    return { base::ReasonCode::Conflict, std::move(text) };
+}
+
+} // namespace
+
+std::string withdrawalText(const base::KeyId &key, const std::string &digestInForce)
+{
+    return absl::StrCat("withdraw ", key.str(), " after ", digestInForce);
+}
+
+base::Status ConfigurationChain::apply(const BundlePublished &record,
+                                       const base::InstanceId &writer, base::Offset offset)
+{
+    return note(accept(record, offset), writer, offset);
+}
+
+base::Status ConfigurationChain::apply(const KeyWithdrawn &record, const base::InstanceId &writer,
+                                       base::Offset offset)
+{
+    return note(accept(record), writer, offset);
+}
+
+base::Status ConfigurationChain::accept(const BundlePublished &record, base::Offset offset)
+{
+    // Signatures go first: what no operator signed is not worth parsing.
+    if (bundle_
+        && countValidSignatures(record.yaml, record.signatures, bundle_->operators)
+            < bundle_->signaturesNeeded)
+        return conflict("too few operators of the version in force signed it");
+    base::Outcome<Bundle> parsed = parseBundle(record.yaml, BundleName);
+    if (!parsed)
+        return parsed.lastReason();
+    if (parsed->predecessor != digest_)
+        return conflict(absl::StrCat("its predecessor is not the version in force, ", version(),
+                                     " with digest ", digest_));
+    if (parsed->version != version() + 1)
+        return conflict(absl::StrCat("its version is not ", version() + 1));
+    if (!bundle_
+        && countValidSignatures(record.yaml, record.signatures, parsed->operators)
+            < parsed->signaturesNeeded)
+        return conflict("too few of its own operators signed it");
+    published_ = record;
+    publishedAt_ = offset;
+    digest_ = bundleDigest(record.yaml);
+    bundle_ = std::make_shared<const Bundle>(std::move(*parsed));
+    return base::Done {};
+}
+
+base::Status ConfigurationChain::accept(const KeyWithdrawn &record)
+{
+    if (!bundle_)
+        return conflict("no version is in force");
+    if (record.text != withdrawalText(record.key, digest_))
+        return conflict(absl::StrCat("it does not name the version in force, ", version(),
+                                     " with digest ", digest_));
+    if (countValidSignatures(record.text, record.signatures, bundle_->operators)
+        < bundle_->signaturesNeeded)
+        return conflict("too few operators of the version in force signed it");
+    // Never taken out again: a later bundle made from an old draft must not revive the key.
+    withdrawn_.insert(record.key);
+    return base::Done {};
+}
+
+base::Status ConfigurationChain::note(base::Status status, const base::InstanceId &writer,
+                                      base::Offset offset)
+{
+    if (!status) {
+        rejections_.push_back({ offset, writer, status.lastReason().text });
+        if (rejections_.size() > MaxRejections)
+            rejections_.pop_front();
+    }
+    return status;
+}
+
+const Endpoint *ConfigurationChain::findEndpoint(const base::EndpointId &id) const
+{
+    if (!bundle_)
+        return nullptr;
+    for (const Endpoint &endpoint : bundle_->endpoints) {
+        if (endpoint.id == id)
+            return &endpoint;
+    }
+    return nullptr;
+}
+
+bool ConfigurationChain::restore()
+{
+    bundle_.reset();
+    digest_.clear();
+    if (published_.yaml.empty())
+        return true;
+    base::Outcome<Bundle> parsed = parseBundle(published_.yaml, BundleName);
+    if (!parsed)
+        return false;
+    bundle_ = std::make_shared<const Bundle>(std::move(*parsed));
+    digest_ = bundleDigest(published_.yaml);
+    return true;
+}
+
+} // namespace zinniadoor::control
--- /dev/null
+++ b/src/zinniadoor/control/instance_table.cpp
@@ -0,0 +1,175 @@
+#include "zinniadoor/control/instance_table.hpp"
+
+#include <algorithm>
+#include <limits>
+
+namespace zinniadoor::control {
+
+namespace {
+
+const std::string ToolPrefix = "tool/";
+
+base::Reason conflict(const char *text)
+{
+    return { base::ReasonCode::Conflict, text };
+}
+
+bool startsItself(const Frame &frame)
+{
+    if (frame.records.empty())
+        return false;
+    const auto *started = std::get_if<InstanceStarted>(&frame.records.front());
+    return started != nullptr && started->instance == frame.writer
+        && started->incarnation == frame.incarnation;
+}
+
+} // namespace
+
+bool isTool(const base::InstanceId &writer)
+{
+    return writer.str().rfind(ToolPrefix, 0) == 0;
+}
+
+base::Status InstanceTable::admit(const Frame &frame, base::Offset offset)
+{
+    const Process writer { frame.writer, frame.incarnation };
+    auto found = processes_.find(writer);
+    if (found == processes_.end()) {
+        if (!isTool(frame.writer) && !startsItself(frame))
+            return conflict("the writer is not known to have started");
+        if (frame.incarnation <= newestIncarnation(frame.writer))
+            return conflict("a newer process of the instance has started");
+        found = processes_.emplace(writer, ProcessInfo {}).first;
+        found->second.startedAt = offset;
+    }
+    ProcessInfo &info = found->second;
+    // A writer sends frame n+1 only once n is in the log, so the highest number tells all.
+    if (frame.sequence <= info.lastSequence)
+        return conflict("the frame counted before");
+    if (info.stopped)
+        return conflict("the writer has stopped");
+    info.lastSequence = frame.sequence;
+    info.lastFrame = offset;
+    info.bundleVersion = frame.bundleVersion;
+    return base::Done {};
+}
+
+base::Status InstanceTable::apply(const InstanceStarted &record, const Process &writer,
+                                  base::Offset offset)
+{
+    ProcessInfo &info = processes_[writer];
+    if (Process { record.instance, record.incarnation } != writer)
+        return conflict("only a process itself says that it started");
+    if (info.startedAt != offset)
+        return conflict("the process has started before");
+    info.dataCentre = record.dataCentre;
+    info.peerAddress = record.peerAddress;
+    info.vouchers = record.vouchers;
+    return base::Done {};
+}
+
+base::Status InstanceTable::apply(const InstanceStopped &record, const Process &writer)
+{
+    if (Process { record.instance, record.incarnation } != writer)
+        return conflict("only a process itself says that it stopped");
+    processes_[writer].stopped = true;
+    return base::Done {};
+}
+
+base::Status InstanceTable::apply(const VouchWithdrawn &record, const Process &writer,
+                                  base::Offset offset)
+{
+    if (record.voucher != writer.instance)
+        return conflict("only a voucher itself withdraws");
+    const auto found = processes_.find({ record.instance, record.incarnation });
+    if (found == processes_.end())
+        return conflict("the process vouched for is not known");
+    const std::vector<base::InstanceId> &vouchers = found->second.vouchers;
+    if (std::find(vouchers.begin(), vouchers.end(), record.voucher) == vouchers.end())
+        return conflict("the process never named this voucher");
+    if (!found->second.vouchesWithdrawn.emplace(record.voucher, offset).second)
+        return conflict("the vouch was withdrawn before");
+    return base::Done {};
+}
+
+const ProcessInfo *InstanceTable::find(const Process &process) const
+{
+    const auto found = processes_.find(process);
+    return found == processes_.end() ? nullptr : &found->second;
+}
+
+base::Incarnation InstanceTable::newestIncarnation(const base::InstanceId &instance) const
+{
+    auto after
+        = processes_.upper_bound({ instance, std::numeric_limits<base::Incarnation>::max() });
+    if (after == processes_.begin())
+        return 0;
+    --after;
+    return after->first.instance == instance ? after->first.incarnation : 0;
+}
+
+std::vector<Process> InstanceTable::running() const
+{
+    std::vector<Process> result;
+    for (const auto &[process, info] : processes_) {
+        const bool newest = newestIncarnation(process.instance) == process.incarnation;
+        if (newest && !info.stopped && !isTool(process.instance))
+            result.push_back(process);
+    }
+    return result;
+}
+
+bool InstanceTable::restartedAtSameAddress(const Process &process) const
+{
+    const ProcessInfo *info = find(process);
+    if (info == nullptr)
+        return false;
+    for (auto later = processes_.upper_bound(process);
+         later != processes_.end() && later->first.instance == process.instance; ++later) {
+        if (later->second.peerAddress == info->peerAddress)
+            return true;
+    }
+    return false;
+}
+
+bool InstanceTable::isGone(const Process &process) const
+{
+    const ProcessInfo *info = find(process);
+    return info == nullptr || info->stopped || restartedAtSameAddress(process);
+}
+
+bool InstanceTable::allVouchesWithdrawn(const Process &process) const
+{
+    const ProcessInfo *info = find(process);
+    if (info == nullptr)
+        return true;
+    for (const base::InstanceId &voucher : info->vouchers) {
+        if (info->vouchesWithdrawn.count(voucher) == 0)
+            return false;
+    }
+    return true;
+}
+
+base::Offset InstanceTable::lastWithdrawal(const Process &process) const
+{
+    base::Offset last = 0;
+    if (const ProcessInfo *info = find(process)) {
+        for (const auto &[voucher, offset] : info->vouchesWithdrawn)
+            last = std::max(last, offset);
+    }
+    return last;
+}
+
+void InstanceTable::forgetSilent(base::Offset offset,
+                                 const std::function<bool(const Process &)> &isNeeded)
+{
+    for (auto row = processes_.begin(); row != processes_.end();) {
+        const bool silent = row->second.lastFrame + ForgottenAfterFrames < offset;
+        if (silent && !isNeeded(row->first))
+            row = processes_.erase(row);
+        else
+            ++row;
+    }
+}
+
+} // namespace zinniadoor::control
--- /dev/null
+++ b/src/zinniadoor/control/state.cpp
@@ -0,0 +1,202 @@
+#include "zinniadoor/control/state.hpp"
+
+#include "zinniadoor/base/codec.hpp"
+
+namespace zinniadoor::control {
+
+namespace {
+
+/// Changes with every change of what a state's bytes mean.
+constexpr std::uint32_t StateFormat = 1;
+
+/// Silent processes are looked for at every offset divisible by this: rarely, and at the same
+/// offsets for every reader.
+constexpr base::Offset ForgetEveryFrames = 1024;
+
+/// A state as written; does not copy it.
+struct StateToWrite
+{
+    const State &state;
+
+    template <typename Archive>
+    void save(Archive &archive) const
+    {
+        archive(StateFormat, state);
+    }
+};
+
+struct StateRead
+{
+    State state;
+
+    template <typename Archive>
+    void load(Archive &archive)
+    {
+        std::uint32_t format = 0;
+        archive(format);
+        if (format != StateFormat)
+            throw cereal::Exception("a state of another format");
+        archive(state);
+    }
+};
+
+bool isConfiguration(const Record &record)
+{
+    return std::holds_alternative<BundlePublished>(record)
+        || std::holds_alternative<KeyWithdrawn>(record);
+}
+
+} // namespace
+
+/// Hands each kind of record to the part of the state that decides on it.
+class RecordApplier
+{
+public:
+    RecordApplier(State &state, Process writer)
+        : state_(state)
+        , writer_(std::move(writer))
+        , offset_(state.appliedThrough_)
+    { }
+
+    base::Status operator()(const BundlePublished &record)
+    {
+        return state_.configuration_.apply(record, writer_.instance, offset_);
+    }
+    base::Status operator()(const KeyWithdrawn &record)
+    {
+        return state_.configuration_.apply(record, writer_.instance, offset_);
+    }
+    base::Status operator()(const InstanceStarted &record)
+    {
+        return state_.instances_.apply(record, writer_, offset_);
+    }
+    base::Status operator()(const InstanceStopped &record)
+    {
+        base::Status status = state_.instances_.apply(record, writer_);
+        if (status) {
+            state_.leases_.releaseAll(writer_, offset_);
+            state_.actions_.forgetClock(writer_.instance);
+        }
+        return status;
+    }
+    base::Status operator()(const VouchWithdrawn &record)
+    {
+        return state_.instances_.apply(record, writer_, offset_);
+    }
+    base::Status operator()(const LeaseClaimed &record)
+    {
+        return state_.leases_.apply(record, writer_, offset_, state_.instances_);
+    }
+    base::Status operator()(const LeaseReleased &record)
+    {
+        return state_.leases_.apply(record, writer_, offset_);
+    }
+    base::Status operator()(const OrderOpened &record)
+    {
+        return state_.orders_.apply(record, writer_, orderRules());
+    }
+    base::Status operator()(const OrderClosed &record)
+    {
+        return state_.orders_.apply(record, writer_, orderRules());
+    }
+    base::Status operator()(const ActionClaimed &record)
+    {
+        const auto &bundle = state_.configuration_.bundle();
+        const std::int64_t retention
+            = bundle ? bundle->actionRetentionSeconds : Bundle {}.actionRetentionSeconds;
+        return state_.actions_.apply(record, writer_, offset_, retention);
+    }
+    base::Status operator()(const ActionFinished &record)
+    {
+        return state_.actions_.apply(record, writer_);
+    }
+    base::Status operator()(const UsageCounted &record)
+    {
+        return state_.usage_.apply(record, state_.instances_);
+    }
+    base::Status operator()(const WindowClosed &record)
+    {
+        return state_.usage_.apply(record, writer_, state_.leases_);
+    }
+    base::Status operator()(const WindowReported &record)
+    {
+        return state_.usage_.apply(record, writer_, state_.leases_);
+    }
+    base::Status operator()(const SnapshotPart &record)
+    {
+        return state_.snapshots_.apply(record, writer_, offset_);
+    }
+
+private:
+    OrderRules orderRules() const
+    {
+        return { state_.configuration_, state_.instances_, state_.leases_ };
+    }
+
+    State &state_;
+    Process writer_;
+    base::Offset offset_;
+};
+
+ApplyResult State::apply(const Frame &frame, base::Offset offset)
+{
+    ApplyResult result;
+    if (offset <= appliedThrough_) {
+        result.frame = base::Reason { base::ReasonCode::Conflict, "the offset was applied before" };
+        return result;
+    }
+    advance(offset);
+    result.frame = instances_.admit(frame, offset);
+    if (!result.frame)
+        return result;
+    RecordApplier applier(*this, { frame.writer, frame.incarnation });
+    const bool fromTool = isTool(frame.writer);
+    for (const Record &record : frame.records) {
+        if (fromTool && !isConfiguration(record))
+            result.records.emplace_back(base::Reason { base::ReasonCode::Forbidden,
+                                                       "a tool only publishes configuration" });
+        else
+            result.records.push_back(std::visit(applier, record));
+    }
+    return result;
+}
+
+void State::advance(base::Offset offset)
+{
+    appliedThrough_ = offset;
+    if (offset % ForgetEveryFrames == 0)
+        forgetSilent();
+}
+
+void State::forgetSilent()
+{
+    std::vector<Process> before;
+    for (const auto &[process, info] : instances_.processes())
+        before.push_back(process);
+    instances_.forgetSilent(appliedThrough_, [this](const Process &process) {
+        return leases_.holdsAny(process) || orders_.hasOpenOrderOf(process);
+    });
+    for (const Process &process : before) {
+        if (instances_.find(process) != nullptr)
+            continue;
+        usage_.forget(process);
+        snapshots_.forget(process);
+        if (instances_.newestIncarnation(process.instance) == 0)
+            actions_.forgetClock(process.instance);
+    }
+}
+
+std::string encodeState(const State &state)
+{
+    return base::encode(StateToWrite { state });
+}
+
+base::Outcome<State> decodeState(const std::string &bytes)
+{
+    base::Outcome<StateRead> read = base::decode<StateRead>(bytes);
+    if (!read)
+        return read.lastReason();
+    return std::move(read->state);
+}
+
+} // namespace zinniadoor::control
--- /dev/null
+++ b/src/zinniadoor/control/usage_ledger.cpp
@@ -0,0 +1,117 @@
+#include "zinniadoor/control/usage_ledger.hpp"
+
+namespace zinniadoor::control {
+
+namespace {
+
+// FNV-1a, which stays the same across processes and versions; absl::Hash does not.
+constexpr std::uint64_t FnvBasis = 14695981039346656037ULL;
+constexpr std::uint64_t FnvPrime = 1099511628211ULL;
+
+base::Reason conflict(const char *text)
+{
+    return { base::ReasonCode::Conflict, text };
+}
+
+} // namespace
+
+std::uint32_t usageShardOf(const base::OrganisationId &organisation)
+{
+    std::uint64_t hash = FnvBasis;
+    for (const char c : organisation.str()) {
+        hash ^= static_cast<unsigned char>(c);
+        hash *= FnvPrime;
+    }
+    return static_cast<std::uint32_t>((hash ^ (hash >> 32)) % UsageShards);
+}
+
+bool SequenceSet::contains(std::uint64_t sequence) const
+{
+    auto after = ranges_.upper_bound(sequence);
+    return after != ranges_.begin() && (--after)->second >= sequence;
+}
+
+bool SequenceSet::insert(std::uint64_t sequence)
+{
+    if (contains(sequence))
+        return false;
+    auto after = ranges_.upper_bound(sequence);
+    auto range = ranges_.end();
+    if (after != ranges_.begin()) {
+        const auto before = std::prev(after);
+        if (before->second + 1 == sequence)
+            range = before;
+    }
+    if (range == ranges_.end())
+        range = ranges_.emplace(sequence, sequence).first;
+    range->second = sequence;
+    if (after != ranges_.end() && after->first == sequence + 1) {
+        range->second = after->second;
+        ranges_.erase(after);
+    }
+    return true;
+}
+
+void Usage::add(const UsageItem &item)
+{
+    requests += 1;
+    promptTokens += item.promptTokens;
+    outputTokens += item.outputTokens;
+}
+
+base::Status UsageLedger::apply(const UsageCounted &record, const InstanceTable &instances)
+{
+    const Process process { record.instance, record.incarnation };
+    if (instances.find(process) == nullptr)
+        return conflict("the counting process is not known");
+    SequenceSet &counted = counted_[process];
+    for (const UsageItem &item : record.items) {
+        if (counted.insert(item.sequence))
+            shards_[usageShardOf(item.organisation)].open[item.organisation].add(item);
+    }
+    return base::Done {};
+}
+
+base::Status UsageLedger::apply(const WindowClosed &record, const Process &writer,
+                                const LeaseTable &leases)
+{
+    if (!hasShard(record.shard))
+        return conflict("there is no such shard");
+    if (!leases.isHolder(usageScope(record.shard), writer, record.epoch))
+        return conflict("the writer does not hold the shard in that epoch");
+    UsageShard &shard = shards_[record.shard];
+    if (record.window <= shard.lastClosed)
+        return conflict("the window was closed before");
+    shard.lastClosed = record.window;
+    if (!shard.open.empty())
+        shard.closed.push_back({ record.window, std::move(shard.open) });
+    shard.open.clear();
+    return base::Done {};
+}
+
+base::Status UsageLedger::apply(const WindowReported &record, const Process &writer,
+                                const LeaseTable &leases)
+{
+    if (!hasShard(record.shard))
+        return conflict("there is no such shard");
+    if (!leases.isHolder(usageScope(record.shard), writer, record.epoch))
+        return conflict("the writer does not hold the shard in that epoch");
+    std::deque<ClosedWindow> &closed = shards_[record.shard].closed;
+    if (closed.empty() || closed.front().window != record.window)
+        return conflict("the window is not the oldest one to report");
+    closed.pop_front();
+    return base::Done {};
+}
+
+bool UsageLedger::isCounted(const Process &process, std::uint64_t sequence) const
+{
+    const auto found = counted_.find(process);
+    return found != counted_.end() && found->second.contains(sequence);
+}
+
+void UsageLedger::forget(const Process &process)
+{
+    counted_.erase(process);
+}
+
+} // namespace zinniadoor::control
