--- a/include/zinniadoor/daemon/answers.hpp
+++ b/include/zinniadoor/daemon/answers.hpp
@@ -5,6 +5,7 @@
 
 #include "absl/time/time.h"
 
+#include "zinniadoor/base/ids.hpp"
 #include "zinniadoor/base/outcome.hpp"
 #include "zinniadoor/ports/caller_server.hpp"
 
--- a/src/zinniadoor/daemon/request_loop.cpp
+++ b/src/zinniadoor/daemon/request_loop.cpp
@@ -343,8 +343,8 @@
     for (auto &[id, request] : modelRequests_) {
         if (request->isDone() || !request->hasStarted() || !request->needsEndpoint(now))
             continue;
-        serving::RouteQuery query { request->facts(), serving::Phase::Whole, request->failedOn(),
-                                    {}, true };
+        serving::RouteQuery query(request->facts());
+        query.excluded = request->failedOn();
         serving::RouteChoice choice
             = services_.router.choose(query, services_.endpoints, now, services_.random());
         if (!choice.endpoint) {
@@ -363,7 +363,7 @@
 {
     std::optional<base::EndpointId> chosen;
     const auto canStart = [&](const serving::RequestFacts &facts) {
-        const serving::RouteQuery query { facts, serving::Phase::Whole, {}, {}, true };
+        const serving::RouteQuery query(facts);
         chosen = services_.router.choose(query, services_.endpoints, now, services_.random())
                      .endpoint;
         return chosen.has_value();
--- a/src/zinniadoor/daemon/service_request.cpp
+++ b/src/zinniadoor/daemon/service_request.cpp
@@ -103,7 +103,9 @@
 
 void ServiceRequest::start(absl::Time now)
 {
-    serving::RouteQuery query { facts_, serving::Phase::Whole, failedOn_, route_.endpoints, true };
+    serving::RouteQuery query(facts_);
+    query.excluded = failedOn_;
+    query.among = route_.endpoints;
     const serving::RouteChoice choice
         = services().router.choose(query, services().endpoints, now, services().random());
     const serving::EndpointView *view
