Serving: queue, endpoint table, routers, retries, ejection, crash list, stream check

Cause: the daemon needs its decisions per request as pure code, each beside a plain baseline. Change: request facts; FIFO and fair admission queues whose refusals come with a retry time from the drain rate; a table of endpoints that adds what no instance is known to have sent to the known work; round robin, least in-flight and first-token routers; retry budget; outlier ejection with a slow return; the list of crashing bodies; SSE splitting and checking of engine streams. Ruled out: failing a stream whose end mark alone is lost, since its usage proves it whole; a hard cap of urgent work on reclaimable endpoints, which would refuse work while they stand idle.

--- /dev/null
+++ b/include/zinniadoor/serving/router.hpp
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "absl/time/time.h"
+
+#include "zinniadoor/base/ids.hpp"
+#include "zinniadoor/serving/admission_queue.hpp"
+#include "zinniadoor/serving/endpoint_table.hpp"
+#include "zinniadoor/serving/request_facts.hpp"
+
+namespace zinniadoor::serving {
+
+/// Part of a request that an endpoint is asked to run.
+enum class Phase : std::uint8_t { Whole, Prefill, Decode };
+
+struct RouterOptions
+{
+    base::InstanceId instance; ///< Chooses this instance's subset of a large fleet.
+    base::DataCentreId dataCentre; ///< Of this instance.
+    std::size_t subsetSize = 64; ///< Endpoints considered first.
+    absl::Duration distancePenalty = absl::Milliseconds(2); ///< To another data centre.
+    double urgentReserve = 0.25; ///< Share of an endpoint's slots closed to deferable work.
+    double urgentOnReclaimable = 0.5; ///< Share of urgent work above which the rest is preferred.
+    double affinitySlack = 1.25; ///< Load over the mean up to which a cached prefix attracts.
+    double priceTie = 0.1; ///< Relative difference of estimates within which price decides.
+    absl::Duration priceTieFloor = absl::Milliseconds(50);
+};
+
+/// What is to be placed.
+struct RouteQuery
+{
+    /// `facts` must outlive the query.
+    explicit RouteQuery(const RequestFacts &facts)
+        : request(facts)
+    { }
+
+    const RequestFacts &request;
+    Phase phase = Phase::Whole;
+    std::vector<base::EndpointId> excluded; ///< Tried already.
+    std::vector<base::EndpointId> among; ///< A route's services; empty: engines by model.
+    bool survivesLoss = true; ///< Can be resumed or run again when the endpoint vanishes.
+};
+
+struct RouteChoice
+{
+    std::optional<base::EndpointId> endpoint;
+    absl::Duration firstToken; ///< Estimated; meaningful with an endpoint.
+    Refusal refusal; ///< Why there is none now; meaningful without an endpoint.
+};
+
+/// Chooses endpoints for requests. For one thread.
+class Router
+{
+public:
+    virtual ~Router() = default;
+
+    /// `seed`: any number, another one for each call.
+    virtual RouteChoice choose(const RouteQuery &query, const EndpointTable &table, absl::Time now,
+                               std::uint64_t seed)
+        = 0;
+};
+
+/// Endpoints with room, one after another.
+std::unique_ptr<Router> roundRobinRouter(const RouterOptions &options);
+
+/// The endpoint that reports the least work together with this instance's own.
+std::unique_ptr<Router> leastInFlightRouter(const RouterOptions &options);
+
+/// The better of two random endpoints (and of the one that holds the prompt's prefix) by
+/// estimated time to first token, with regard to roles, memory, reclaimable endpoints and price.
+std::unique_ptr<Router> firstTokenRouter(const RouterOptions &options);
+
+} // namespace zinniadoor::serving
