--- a/include/zinniadoor/daemon/answers.hpp
+++ b/include/zinniadoor/daemon/answers.hpp
@@ -34,11 +34,11 @@
 
 /// A refusal with the status that suits its reason.
 ErrorAnswer errorAnswerOf(base::Reason reason, RunState run,
-                  absl::Duration retryAfter = absl::ZeroDuration());
+                          absl::Duration retryAfter = absl::ZeroDuration());
 
 /// Answers with the JSON error body and headers of docs/INTERFACES.md.
 void sendError(ports::CallerExchange &exchange, const base::RequestId &request,
-                 const ErrorAnswer &answer);
+               const ErrorAnswer &answer);
 
 /// The JSON body of an error, also used as the last event of a broken stream.
 std::string errorBody(const base::Reason &reason);
--- a/include/zinniadoor/daemon/core.hpp
+++ b/include/zinniadoor/daemon/core.hpp
@@ -26,7 +26,10 @@
 };
 
 /// Owns all serving and control state and runs it on one thread.
-class Core : private ControlObserver, private RateGate, private ActionStarter, private CrashListener,
+class Core : private ControlObserver,
+             private RateGate,
+             private ActionStarter,
+             private CrashListener,
              private UsageSink
 {
 public:
--- a/include/zinniadoor/daemon/core_messages.hpp
+++ b/include/zinniadoor/daemon/core_messages.hpp
@@ -91,8 +91,7 @@
 };
 
 struct StopRequested
-{
-};
+{ };
 
 using CoreMessage = std::variant<CallerArrived, CallerProgressed, EndpointNews, LogRead,
                                  LogUnreadable, AppendEnded, PeerDatagram, PeerCalled, PeerAnswered,
--- a/scripts/packages.sh
+++ b/scripts/packages.sh
@@ -5,7 +5,7 @@
   g++ cmake ninja-build ccache lld pkg-config clang-format clang-tidy
   libabsl-dev libcereal-dev libmicrohttpd-dev libcurl4-openssl-dev prometheus-cpp-dev
   libyaml-cpp-dev libtclap-dev liblog4cplus-dev nlohmann-json3-dev libsodium-dev
-  libboost-dev libboost-test-dev librapidcheck-dev spin gcc
+  libboost-dev libboost-test-dev librapidcheck-dev spin gcc curl
 )
 if dpkg -s "${packages[@]}" >/dev/null 2>&1; then
   exit 0
--- a/src/zinniadoor/ctl/log_client.cpp
+++ b/src/zinniadoor/ctl/log_client.cpp
@@ -30,8 +30,7 @@
 
 LogClient::LogClient(std::unique_ptr<ports::Log> log)
     : log_(std::move(log))
-{
-}
+{ }
 
 AppendResult LogClient::append(const control::Record &record, absl::Duration patience)
 {
--- a/src/zinniadoor/daemon/admin_handler.cpp
+++ b/src/zinniadoor/daemon/admin_handler.cpp
@@ -37,8 +37,7 @@
 
 AdminHandler::AdminHandler(Options options)
     : options_(std::move(options))
-{
-}
+{ }
 
 void AdminHandler::onRequest(std::shared_ptr<ports::CallerExchange> exchange)
 {
--- a/src/zinniadoor/daemon/answers.cpp
+++ b/src/zinniadoor/daemon/answers.cpp
@@ -60,12 +60,13 @@
 std::string errorBody(const base::Reason &reason)
 {
     using Json = nlohmann::json;
-    const Json body = { { "error", { { "code", nameOf(reason.code) }, { "message", reason.text } } } };
+    const Json body
+        = { { "error", { { "code", nameOf(reason.code) }, { "message", reason.text } } } };
     return body.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
 void sendError(ports::CallerExchange &exchange, const base::RequestId &request,
-                 const ErrorAnswer &answer)
+               const ErrorAnswer &answer)
 {
     std::vector<ports::HttpHeader> headers { { "Content-Type", "application/json" },
                                              { "Zinniadoor-Run", nameOf(answer.run) },
--- a/src/zinniadoor/daemon/authenticator.cpp
+++ b/src/zinniadoor/daemon/authenticator.cpp
@@ -30,11 +30,11 @@
 
 base::Outcome<Caller> Authenticator::authenticate(const std::string *authorization) const
 {
-    const base::Reason refused { base::ReasonCode::Unauthorized, "the key is missing or not valid" };
+    const base::Reason refused { base::ReasonCode::Unauthorized,
+                                 "the key is missing or not valid" };
     if (authorization == nullptr || !absl::StartsWithIgnoreCase(*authorization, BearerPrefix))
         return refused;
-    const std::string token(
-        absl::StripAsciiWhitespace(authorization->substr(BearerPrefixLength)));
+    const std::string token(absl::StripAsciiWhitespace(authorization->substr(BearerPrefixLength)));
     const base::Outcome<control::CallerKey> key = control::parseCallerKey(token);
     if (!key)
         return refused;
--- a/src/zinniadoor/daemon/call_buffer.cpp
+++ b/src/zinniadoor/daemon/call_buffer.cpp
@@ -8,8 +8,7 @@
     : call_(call)
     , capacity_(capacity)
     , core_(core)
-{
-}
+{ }
 
 void CallBuffer::onHeaders(int status, const std::vector<ports::HttpHeader> &headers)
 {
--- a/src/zinniadoor/daemon/call_table.cpp
+++ b/src/zinniadoor/daemon/call_table.cpp
@@ -9,8 +9,7 @@
     : client_(client)
     , core_(core)
     , bufferBytes_(bufferBytes)
-{
-}
+{ }
 
 base::Outcome<CallToken> CallTable::start(ports::EndpointRequest request, CallListener &listener)
 {
--- a/src/zinniadoor/daemon/control_loop.cpp
+++ b/src/zinniadoor/daemon/control_loop.cpp
@@ -41,8 +41,7 @@
     started.instance = self_.instance;
     started.incarnation = self_.incarnation;
     started.dataCentre = parts_.settings.dataCentre;
-    started.peerAddress
-        = absl::StrCat(parts_.settings.peers.ip, ":", parts_.settings.peers.port);
+    started.peerAddress = absl::StrCat(parts_.settings.peers.ip, ":", parts_.settings.peers.port);
     return started;
 }
 
@@ -87,9 +86,9 @@
     state_.apply(*frame, entry.offset);
     if (state_.configuration().rejections().size() > rejectionsBefore) {
         const control::Rejection &rejection = state_.configuration().rejections().back();
-        base::logEvent(base::EventId::BundleRejected,
-                       { { "offset", absl::StrCat(rejection.offset) },
-                         { "reason", rejection.reason } });
+        base::logEvent(
+            base::EventId::BundleRejected,
+            { { "offset", absl::StrCat(rejection.offset) }, { "reason", rejection.reason } });
     }
     noticeOwn(*frame);
 }
@@ -139,8 +138,7 @@
     if (flight_) {
         const bool again = !flight_->sending && now >= flight_->sendAgainAt;
         if (again)
-            flight_->sending
-                = parts_.appender.append({ flight_->frame.sequence, flight_->bytes });
+            flight_->sending = parts_.appender.append({ flight_->frame.sequence, flight_->bytes });
         return;
     }
     if (!waiting_.empty() || now >= nextFrameAt_)
--- a/src/zinniadoor/daemon/core.cpp
+++ b/src/zinniadoor/daemon/core.cpp
@@ -35,14 +35,13 @@
     , crashes_({})
     , rate_(std::make_unique<control::FixedSplit>(
           static_cast<std::uint32_t>(parts.settings.knownPeers.size() + 1)))
-    , services_ { parts.clock, parts.settings, calls_,    parts.metrics, endpoints_, *router_,
-                  *retries_,   ejection_,      crashes_,  *this,         random_ }
+    , services_ { parts.clock, parts.settings, calls_,   parts.metrics, endpoints_, *router_,
+                  *retries_,   ejection_,      crashes_, *this,         random_ }
     , requests_({ services_, *queue_, *this, *this, *this })
     , poller_({}, parts.clock, calls_, endpoints_)
     , control_({ parts.settings, parts.clock, parts.tail, parts.appender, parts.metrics, *this },
                { parts.settings.instance, parts.incarnation })
-{
-}
+{ }
 
 Core::~Core() = default;
 
@@ -151,9 +150,9 @@
     const absl::MutexLock lock(&statusMutex_);
     const Readiness readiness = judgeReadiness(parts_.clock.now());
     if (readiness.ready != status_.readiness.ready) {
-        base::logEvent(base::EventId::ReadinessChanged,
-                       { { "ready", readiness.ready ? "true" : "false" },
-                         { "reason", readiness.reason } });
+        base::logEvent(
+            base::EventId::ReadinessChanged,
+            { { "ready", readiness.ready ? "true" : "false" }, { "reason", readiness.reason } });
         parts_.metrics.setReady(readiness.ready);
     }
     status_.readiness = readiness;
--- a/src/zinniadoor/daemon/daemon.cpp
+++ b/src/zinniadoor/daemon/daemon.cpp
@@ -27,8 +27,7 @@
 public:
     explicit FrontHandler(CoreRing &ring)
         : ring_(ring)
-    {
-    }
+    { }
 
     void onRequest(std::shared_ptr<ports::CallerExchange> exchange) override
     {
@@ -95,8 +94,7 @@
         , core_({ settings_, *clock_, ring_, *endpoints_, tail_, appender_, metrics_,
                   randomNumber(), newIncarnation() })
         , admin_({ metrics_, [this] { return core_.status(); }, settings.log })
-    {
-    }
+    { }
 
     ~RunningDaemon() override
     {
--- a/src/zinniadoor/daemon/endpoint_poller.cpp
+++ b/src/zinniadoor/daemon/endpoint_poller.cpp
@@ -40,8 +40,7 @@
     , clock_(clock)
     , calls_(calls)
     , table_(table)
-{
-}
+{ }
 
 EndpointPoller::~EndpointPoller()
 {
--- a/src/zinniadoor/daemon/endpoint_prober.cpp
+++ b/src/zinniadoor/daemon/endpoint_prober.cpp
@@ -15,8 +15,7 @@
 EndpointProber::EndpointProber(CallTable &calls, Done done)
     : calls_(calls)
     , done_(std::move(done))
-{
-}
+{ }
 
 EndpointProber::~EndpointProber()
 {
@@ -58,8 +57,8 @@
         done_(probe.endpoint, ProbeResult::Alive);
         return;
     }
-    const bool refused = !news.end->mayHaveRun
-        && news.end->reason.code == base::ReasonCode::Unavailable;
+    const bool refused
+        = !news.end->mayHaveRun && news.end->reason.code == base::ReasonCode::Unavailable;
     done_(probe.endpoint, refused ? ProbeResult::Refused : ProbeResult::Silent);
 }
 
--- a/src/zinniadoor/daemon/log_threads.cpp
+++ b/src/zinniadoor/daemon/log_threads.cpp
@@ -28,8 +28,7 @@
     , core_(core)
     , requests_(RequestRingCapacity)
     , thread_([this] { run(); })
-{
-}
+{ }
 
 LogTail::~LogTail()
 {
@@ -70,8 +69,7 @@
     , core_(core)
     , requests_(RequestRingCapacity)
     , thread_([this] { run(); })
-{
-}
+{ }
 
 LogAppender::~LogAppender()
 {
--- a/src/zinniadoor/daemon/metrics.cpp
+++ b/src/zinniadoor/daemon/metrics.cpp
@@ -41,41 +41,38 @@
                    "Whole answers finished on reclaimable and on standing endpoints.");
     CounterFamily &refusals = counters(registry, "zinniadoor_refusals_total",
                                        "Refused requests, by organisation and last reason.");
-    CounterFamily &wrongful
-        = counters(registry, "zinniadoor_refusals_within_rate_total",
-                   "Requests refused although within the organisation's rate.");
+    CounterFamily &wrongful = counters(registry, "zinniadoor_refusals_within_rate_total",
+                                       "Requests refused although within the organisation's rate.");
     CounterFamily &calls = counters(registry, "zinniadoor_endpoint_calls_total",
                                     "Calls to endpoints, by endpoint and result.");
-    CounterFamily &retries
-        = counters(registry, "zinniadoor_endpoint_retries_total", "Calls that repeat a failed one.");
-    CounterFamily &roleOrders = counters(registry, "zinniadoor_role_orders_total",
-                                         "Role changes ordered, by result.");
+    CounterFamily &retries = counters(registry, "zinniadoor_endpoint_retries_total",
+                                      "Calls that repeat a failed one.");
+    CounterFamily &roleOrders
+        = counters(registry, "zinniadoor_role_orders_total", "Role changes ordered, by result.");
     CounterFamily &reports = counters(registry, "zinniadoor_usage_reports_total",
                                       "Usage reports to billing, by result.");
     CounterFamily &appends
         = counters(registry, "zinniadoor_log_appends_total", "Frames appended, by result.");
-    CounterFamily &appendBytes = counters(registry, "zinniadoor_log_append_bytes_total",
-                                          "Bytes of the frames appended.");
-    CounterFamily &peerBytes = counters(registry, "zinniadoor_peer_sent_bytes_total",
-                                        "Bytes sent to other instances.");
-    GaugeFamily &active = gauges(registry, "zinniadoor_active_requests",
-                                 "Requests held now, by phase.");
-    GaugeFamily &version = gauges(registry, "zinniadoor_bundle_version",
-                                  "Configuration version in force.");
+    CounterFamily &appendBytes
+        = counters(registry, "zinniadoor_log_append_bytes_total", "Bytes of the frames appended.");
+    CounterFamily &peerBytes
+        = counters(registry, "zinniadoor_peer_sent_bytes_total", "Bytes sent to other instances.");
+    GaugeFamily &active
+        = gauges(registry, "zinniadoor_active_requests", "Requests held now, by phase.");
+    GaugeFamily &version
+        = gauges(registry, "zinniadoor_bundle_version", "Configuration version in force.");
     GaugeFamily &ready = gauges(registry, "zinniadoor_ready", "1 while the instance takes work.");
     GaugeFamily &price = gauges(registry, "zinniadoor_endpoint_price_per_hour",
                                 "Price of each configured endpoint, by class.");
-    HistogramFamily &firstToken
-        = prometheus::BuildHistogram()
-              .Name("zinniadoor_first_token_seconds")
-              .Help("Time from arrival to the first token, by route.")
-              .Register(registry);
+    HistogramFamily &firstToken = prometheus::BuildHistogram()
+                                      .Name("zinniadoor_first_token_seconds")
+                                      .Help("Time from arrival to the first token, by route.")
+                                      .Register(registry);
 };
 
 Metrics::Metrics()
     : impl_(std::make_unique<Impl>())
-{
-}
+{ }
 
 Metrics::~Metrics() = default;
 
--- a/src/zinniadoor/daemon/model_call.cpp
+++ b/src/zinniadoor/daemon/model_call.cpp
@@ -84,10 +84,11 @@
     const auto maxTokens = document.find("max_tokens");
     call.maxTokens = DefaultMaxTokens;
     if (maxTokens != document.end() && !maxTokens->is_null()) {
-        const bool inRange = maxTokens->is_number_integer() && *maxTokens >= 1
-            && *maxTokens <= MostMaxTokens;
+        const bool inRange
+            = maxTokens->is_number_integer() && *maxTokens >= 1 && *maxTokens <= MostMaxTokens;
         if (!inRange)
-            return invalid(absl::StrCat("max_tokens: is not a whole number from 1 to ", MostMaxTokens));
+            return invalid(
+                absl::StrCat("max_tokens: is not a whole number from 1 to ", MostMaxTokens));
         call.maxTokens = maxTokens->get<std::uint32_t>();
     }
     const auto stream = document.find("stream");
@@ -133,9 +134,8 @@
     if (model == document->end() || !model->is_string())
         return invalid("model: is missing or not a string");
     call.model = base::ModelId(model->get<std::string>());
-    const std::optional<base::Reason> badPrompt = kind == ModelCallKind::Chat
-        ? readMessages(*document, call)
-        : readPrompt(*document, call);
+    const std::optional<base::Reason> badPrompt
+        = kind == ModelCallKind::Chat ? readMessages(*document, call) : readPrompt(*document, call);
     if (badPrompt)
         return *badPrompt;
     if (const std::optional<base::Reason> badOption = readOptions(*document, call))
--- a/src/zinniadoor/daemon/model_request.cpp
+++ b/src/zinniadoor/daemon/model_request.cpp
@@ -71,8 +71,7 @@
     , facts_(std::move(facts))
     , check_(id)
     , waitingSince_(arrivedAt())
-{
-}
+{ }
 
 ModelRequest::~ModelRequest()
 {
@@ -162,7 +161,8 @@
 {
     lastByteAt_ = services().clock.now();
     if (engineStatus_ != StatusOk) {
-        engineError_.append(bytes, 0, MostErrorBytes - std::min(MostErrorBytes, engineError_.size()));
+        engineError_.append(bytes, 0,
+                            MostErrorBytes - std::min(MostErrorBytes, engineError_.size()));
         return;
     }
     std::vector<serving::StreamItem> items;
@@ -339,8 +339,7 @@
 void ModelRequest::respondWhole()
 {
     exchange()->respond(
-        StatusOk,
-        { { "Content-Type", "application/json" }, { "Zinniadoor-Request", id().str() } },
+        StatusOk, { { "Content-Type", "application/json" }, { "Zinniadoor-Request", id().str() } },
         chatAnswer(call_, id(), wholeText_, check_));
 }
 
@@ -448,8 +447,8 @@
     if (state_ != State::Running || held_)
         return;
     const absl::Duration silence = now - lastByteAt_;
-    const absl::Duration limit = beforeFirstToken ? SilenceBeforeFirstToken
-                                                  : services().settings.limits.streamSilence;
+    const absl::Duration limit
+        = beforeFirstToken ? SilenceBeforeFirstToken : services().settings.limits.streamSilence;
     if (silence < limit)
         return;
     if (beforeFirstToken) {
--- a/src/zinniadoor/daemon/request.cpp
+++ b/src/zinniadoor/daemon/request.cpp
@@ -11,8 +11,7 @@
     , id_(std::move(id))
     , caller_(std::move(caller))
     , arrivedAt_(services.clock.now())
-{
-}
+{ }
 
 void Request::refuse(const ErrorAnswer &answer)
 {
--- a/src/zinniadoor/daemon/request_loop.cpp
+++ b/src/zinniadoor/daemon/request_loop.cpp
@@ -52,8 +52,7 @@
                   onProbed(endpoint, result);
               })
     , idPrefix_(parts.services.random())
-{
-}
+{ }
 
 base::RequestId RequestLoop::newRequestId()
 {
@@ -129,8 +128,7 @@
         sendError(*request.exchange, request.id, answer);
         return;
     }
-    const base::Outcome<Caller> caller
-        = authenticator_.authenticate(raw.header("Authorization"));
+    const base::Outcome<Caller> caller = authenticator_.authenticate(raw.header("Authorization"));
     if (!caller) {
         sendError(*request.exchange, request.id,
                   errorAnswerOf(caller.lastReason(), RunState::NotRun));
@@ -143,8 +141,7 @@
                   errorAnswerOf(call.lastReason(), RunState::NotRun));
         return;
     }
-    const auto sameModel
-        = [&call](const control::Model &model) { return model.id == call->model; };
+    const auto sameModel = [&call](const control::Model &model) { return model.id == call->model; };
     if (std::none_of(bundle_.models.begin(), bundle_.models.end(), sameModel)) {
         const base::Reason reason { base::ReasonCode::NotFound,
                                     absl::StrCat("model: no such model: ", call->model.str()) };
@@ -364,8 +361,8 @@
     std::optional<base::EndpointId> chosen;
     const auto canStart = [&](const serving::RequestFacts &facts) {
         const serving::RouteQuery query(facts);
-        chosen = services_.router.choose(query, services_.endpoints, now, services_.random())
-                     .endpoint;
+        chosen
+            = services_.router.choose(query, services_.endpoints, now, services_.random()).endpoint;
         return chosen.has_value();
     };
     while (const std::optional<serving::RequestFacts> facts = queue_.pop(now, canStart)) {
--- a/src/zinniadoor/daemon/service_request.cpp
+++ b/src/zinniadoor/daemon/service_request.cpp
@@ -15,10 +15,17 @@
 constexpr std::uint32_t ServiceCost = 1;
 
 // Headers that belong to one connection, or are set anew by the HTTP library.
-constexpr std::array<const char *, 11> HopHeaders {
-    "connection",       "keep-alive", "proxy-connection", "transfer-encoding", "te", "trailer",
-    "upgrade",          "host",       "content-length",   "expect",            "date"
-};
+constexpr std::array<const char *, 11> HopHeaders { "connection",
+                                                    "keep-alive",
+                                                    "proxy-connection",
+                                                    "transfer-encoding",
+                                                    "te",
+                                                    "trailer",
+                                                    "upgrade",
+                                                    "host",
+                                                    "content-length",
+                                                    "expect",
+                                                    "date" };
 
 bool isHopHeader(const std::string &name)
 {
@@ -114,8 +121,8 @@
         endWithFault(choice.refusal.reason, choice.refusal.retryAfter);
         return;
     }
-    const base::Outcome<CallToken> call = services().calls.start(
-        serviceCall(exchange()->request(), view->endpoint, id()), *this);
+    const base::Outcome<CallToken> call
+        = services().calls.start(serviceCall(exchange()->request(), view->endpoint, id()), *this);
     if (!call) {
         endWithFault(call.lastReason(), absl::Seconds(1));
         return;
--- a/src/zinniadoor/daemon/settings.cpp
+++ b/src/zinniadoor/daemon/settings.cpp
@@ -73,8 +73,8 @@
     platform.url = reader.string("url");
     if (!platform.url.empty() && !absl::StartsWith(platform.url, "http://"))
         reader.fault("url", "does not begin with http://");
-    platform.timeout = reader.durationOr("timeout", absl::Milliseconds(50), absl::Minutes(1),
-                                         absl::Seconds(2));
+    platform.timeout
+        = reader.durationOr("timeout", absl::Milliseconds(50), absl::Minutes(1), absl::Seconds(2));
     reader.finish();
     return platform;
 }
@@ -96,8 +96,8 @@
                                                absl::Hours(1), absl::Seconds(30));
     limits.streamSilence = reader.durationOr("stream_silence", absl::Milliseconds(100),
                                              absl::Minutes(10), absl::Milliseconds(2500));
-    limits.drainTimeout = reader.durationOr("drain_timeout", absl::Seconds(1), absl::Hours(1),
-                                            absl::Minutes(2));
+    limits.drainTimeout
+        = reader.durationOr("drain_timeout", absl::Seconds(1), absl::Hours(1), absl::Minutes(2));
     reader.finish();
     return limits;
 }
@@ -107,16 +107,16 @@
     ControlSettings control;
     control.heartbeat = reader.durationOr("heartbeat", absl::Milliseconds(20), absl::Minutes(1),
                                           absl::Seconds(1));
-    control.lease = reader.durationOr("lease", absl::Milliseconds(200), absl::Minutes(10),
-                                      absl::Seconds(6));
+    control.lease
+        = reader.durationOr("lease", absl::Milliseconds(200), absl::Minutes(10), absl::Seconds(6));
     control.leaseMargin = reader.durationOr("lease_margin", absl::Milliseconds(10),
                                             absl::Minutes(1), absl::Seconds(1));
     control.peerHeartbeat = reader.durationOr("peer_heartbeat", absl::Milliseconds(20),
                                               absl::Minutes(1), absl::Milliseconds(500));
     control.peerSilence = reader.durationOr("peer_silence", absl::Milliseconds(100),
                                             absl::Minutes(10), absl::Seconds(3));
-    control.vouch = reader.durationOr("vouch", absl::Milliseconds(200), absl::Minutes(10),
-                                      absl::Seconds(6));
+    control.vouch
+        = reader.durationOr("vouch", absl::Milliseconds(200), absl::Minutes(10), absl::Seconds(6));
     control.vouchLimit
         = reader.durationOr("vouch_limit", absl::Seconds(1), absl::Hours(72), absl::Hours(6));
     control.loan
@@ -124,8 +124,7 @@
     control.isolation
         = reader.durationOr("isolation", absl::Seconds(1), absl::Hours(1), absl::Seconds(8));
     control.appendsPerSecond = reader.integerOr("appends_per_second", 1, 100000, 300);
-    control.snapshotEveryRecords
-        = reader.integerOr("snapshot_every_records", 10, 10000000, 5000);
+    control.snapshotEveryRecords = reader.integerOr("snapshot_every_records", 10, 10000000, 5000);
     if (control.leaseMargin * 2 >= control.lease)
         reader.fault("lease_margin", "is not below half of the lease");
     if (control.heartbeat * 2 > control.lease - control.leaseMargin)
--- a/tests/e2e/fleet.cpp
+++ b/tests/e2e/fleet.cpp
@@ -138,6 +138,11 @@
     return urlOf(adminPort, path);
 }
 
+std::string daemonProgram()
+{
+    return ZINNIADOORD_PATH;
+}
+
 std::string writeTemporaryFile(const std::string &name, const std::string &content)
 {
     const std::filesystem::path path = temporaryFolder() / name;
--- a/tests/e2e/fleet.hpp
+++ b/tests/e2e/fleet.hpp
@@ -61,6 +61,9 @@
     std::string adminUrl(const std::string &path = {}) const;
 };
 
+/// Path of the zinniadoord under test.
+std::string daemonProgram();
+
 /// A file with `content` in the test's temporary folder, which goes when the program ends.
 std::string writeTemporaryFile(const std::string &name, const std::string &content);
 
