--- /dev/null
+++ b/include/zinniadoor/daemon/duty_managers.hpp
@@ -0,0 +1,105 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "absl/time/time.h"
+
+#include "zinniadoor/control/order_keeper.hpp"
+#include "zinniadoor/control/usage_keeper.hpp"
+#include "zinniadoor/daemon/control_loop.hpp"
+#include "zinniadoor/daemon/lease_manager.hpp"
+#include "zinniadoor/daemon/metrics.hpp"
+#include "zinniadoor/daemon/platform_workers.hpp"
+#include "zinniadoor/serving/endpoint_table.hpp"
+#include "zinniadoor/serving/role_plan.hpp"
+
+namespace zinniadoor::daemon {
+
+/// Closes usage windows and reports them for the shards whose lease this instance holds.
+/// For the core thread.
+class ReportManager
+{
+public:
+    ReportManager(ControlLoop &control, const LeaseManager &leases, ReportWorker &worker,
+                  Metrics &metrics);
+
+    void tick(absl::Time now, absl::Time wallTime);
+    void onEnded(const ReportEnded &ended, absl::Time now);
+
+private:
+    ControlLoop &control_;
+    const LeaseManager &leases_;
+    ReportWorker &worker_;
+    Metrics &metrics_;
+    std::vector<control::ReportKeeper> keepers_; ///< By shard.
+};
+
+/// Tokens a second that callers ask for, over all instances.
+struct TokenDemand
+{
+    double prefillPerSecond = 0;
+    double decodePerSecond = 0;
+};
+
+/// Plans roles and sends orders for the data centres whose lease this instance holds.
+/// For the core thread.
+class OrderManager
+{
+public:
+    struct Parts
+    {
+        ControlLoop &control;
+        const LeaseManager &leases;
+        OrderWorker &worker;
+        serving::EndpointTable &endpoints;
+        Metrics &metrics;
+    };
+
+    explicit OrderManager(Parts parts);
+
+    void setConfiguration(const control::Bundle &bundle);
+    void tick(const TokenDemand &demand, absl::Time now);
+    void onEnded(const OrderEnded &ended, absl::Time now);
+
+private:
+    struct Planned
+    {
+        control::Endpoint endpoint;
+        control::OrderKeeper keeper;
+        std::optional<control::WantedOrder> wanted;
+    };
+
+    const control::LeaseKeeper *leaseOf(const base::DataCentreId &dataCentre) const;
+    void plan(const TokenDemand &demand, absl::Time now);
+    void step(Planned &planned, absl::Time now);
+    bool isOpen(const base::EndpointId &endpoint) const;
+
+    Parts parts_;
+    std::unique_ptr<serving::RolePlanner> planner_;
+    std::map<base::EndpointId, Planned> planned_;
+    double prefillPace_ = 0;
+    double decodePace_ = 0;
+    absl::Time nextPlanAt_ = absl::InfinitePast();
+};
+
+/// Writes snapshots while this instance holds their lease. For the core thread.
+class SnapshotManager
+{
+public:
+    SnapshotManager(ControlLoop &control, const LeaseManager &leases, base::Offset everyRecords);
+
+    void tick();
+
+private:
+    ControlLoop &control_;
+    const LeaseManager &leases_;
+    base::Offset everyRecords_;
+    base::Offset writtenThrough_ = 0;
+};
+
+} // namespace zinniadoor::daemon
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -1,15 +1,26 @@
 #!/bin/bash
-# Runs clang-tidy over all sources that changed since they were last found clean.
-# Needs build/compile_commands.json.
+# Runs clang-tidy over the sources that changed, themselves or in a header they use, since they
+# were last found clean. Needs a finished build in build/.
 set -uo pipefail
 cd "$(dirname "$0")/.."
 cache="${XDG_CACHE_HOME:-$HOME/.cache}/zinniadoor-lint"
+work=$(mktemp -d)
+trap 'rm -rf "$work"' EXIT
 mkdir -p "$cache"
-export cache
+export cache work
+
+# One line per source: the source, then the project's headers that it uses.
+ninja -C build -t deps 2>/dev/null | awk '
+  /^[^ ].*: #deps/ { if (line != "") print line; line = ""; next }
+  /^    / { file = $1; sub(/^(\.\.\/)+/, "", file); sub(/^.*\/(include|src|tests)\//, "&", file)
+            if (file ~ /^(include|src|tests)\//) line = line " " file
+            else if (match(file, /\/(include\/zinniadoor|src\/zinniadoor|tests)\//)) line = line " " substr(file, RSTART + 1) }
+  END { if (line != "") print line }' | sort -u >"$work/deps"
 
 lint_one() {
-  local file=$1 key
-  key=$( { cat .clang-tidy "$file"; git ls-files 'include/*.hpp' 'tests/*.hpp' 'src/*.hpp' | sort | xargs cat; } | sha256sum | cut -d' ' -f1)
+  local file=$1 used key out
+  used=$(grep -F -m1 " $file" "$work/deps" | tr ' ' '\n' | sort -u | grep . || echo "$file")
+  key=$(cat .clang-tidy $used 2>/dev/null | sha256sum | cut -d' ' -f1)-$(basename "$file")
   [ -e "$cache/$key" ] && return 0
   if out=$(clang-tidy -p build --quiet "$file" 2>/dev/null); then
     touch "$cache/$key"
@@ -20,4 +31,4 @@
 }
 export -f lint_one
 
-git ls-files 'src/*.cpp' 'tests/*.cpp' | xargs -P "$(nproc)" -I{} bash -c 'lint_one {}'
+git ls-files 'src/*.cpp' 'tests/*.cpp' | xargs -P "${LINT_JOBS:-$(nproc)}" -I{} bash -c 'lint_one {}'
--- /dev/null
+++ b/src/zinniadoor/daemon/duty_managers.cpp
@@ -0,0 +1,208 @@
+#include "zinniadoor/daemon/duty_managers.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "zinniadoor/control/lease_table.hpp"
+#include "zinniadoor/control/snapshot.hpp"
+
+namespace zinniadoor::daemon {
+
+namespace {
+
+constexpr absl::Duration PlanInterval = absl::Seconds(1);
+
+} // namespace
+
+ReportManager::ReportManager(ControlLoop &control, const LeaseManager &leases,
+                             ReportWorker &worker, Metrics &metrics)
+    : control_(control)
+    , leases_(leases)
+    , worker_(worker)
+    , metrics_(metrics)
+{
+    for (std::uint32_t shard = 0; shard < control::UsageShards; ++shard)
+        keepers_.emplace_back(shard, control::ReportTimes {});
+}
+
+void ReportManager::tick(absl::Time now, absl::Time wallTime)
+{
+    for (std::uint32_t shard = 0; shard < control::UsageShards; ++shard) {
+        const control::LeaseKeeper *lease = leases_.find(control::usageScope(shard));
+        if (lease == nullptr || !lease->holds())
+            continue;
+        const control::ReportStep step
+            = keepers_[shard].next(control_.state(), *lease, now, wallTime);
+        if (step.record)
+            control_.append(*step.record);
+        if (!step.report)
+            continue;
+        if (!worker_.send({ *step.report, lease->mayActUntil() })) {
+            const base::Reason full { base::ReasonCode::Unavailable, "too many reports wait" };
+            keepers_[shard].onReported(*step.report, full, now);
+        }
+    }
+}
+
+void ReportManager::onEnded(const ReportEnded &ended, absl::Time now)
+{
+    const std::uint32_t shard = control::usageShardOf(ended.report.organisation);
+    keepers_[shard].onReported(ended.report, ended.status, now);
+    metrics_.countUsageReport(ended.status ? "ok" : nameOf(ended.status.lastReason().code));
+}
+
+OrderManager::OrderManager(Parts parts)
+    : parts_(parts)
+    , planner_(serving::forecastRolePlanner({}))
+{ }
+
+void OrderManager::setConfiguration(const control::Bundle &bundle)
+{
+    std::map<base::EndpointId, Planned> planned;
+    for (const control::Endpoint &endpoint : bundle.endpoints) {
+        const bool changesRole = endpoint.kind == control::EndpointKind::Engine
+            && endpoint.role != control::Role::Mixed;
+        if (!changesRole)
+            continue;
+        const auto old = planned_.find(endpoint.id);
+        if (old != planned_.end()) {
+            old->second.endpoint = endpoint;
+            planned.insert(planned_.extract(old));
+            continue;
+        }
+        control::OrderKeeper keeper(endpoint.id, endpoint.dataCentre, parts_.control.self(), {});
+        planned.emplace(endpoint.id, Planned { endpoint, std::move(keeper), std::nullopt });
+    }
+    planned_ = std::move(planned);
+    prefillPace_ = 0;
+    decodePace_ = 0;
+    for (const control::Model &model : bundle.models) {
+        const auto models = static_cast<double>(bundle.models.size());
+        prefillPace_ += model.prefillTokensPerSecond / models;
+        decodePace_ += model.decodeTokensPerSecond / models;
+    }
+}
+
+const control::LeaseKeeper *OrderManager::leaseOf(const base::DataCentreId &dataCentre) const
+{
+    const control::LeaseKeeper *lease = parts_.leases.find(control::ordersScope(dataCentre));
+    return lease != nullptr && lease->holds() ? lease : nullptr;
+}
+
+bool OrderManager::isOpen(const base::EndpointId &endpoint) const
+{
+    const control::EndpointSlots *slots = parts_.control.state().orders().find(endpoint);
+    return slots != nullptr && slots->open.has_value();
+}
+
+void OrderManager::tick(const TokenDemand &demand, absl::Time now)
+{
+    if (now >= nextPlanAt_) {
+        nextPlanAt_ = now + PlanInterval;
+        plan(demand, now);
+    }
+    for (auto &[id, planned] : planned_)
+        step(planned, now);
+}
+
+void OrderManager::plan(const TokenDemand &demand, absl::Time now)
+{
+    // Every instance plans for the whole fleet from the same figures, so that a new holder of a
+    // lease goes on where the old one stopped; only holders act on it.
+    serving::RoleInputs inputs;
+    inputs.prefillDemand = demand.prefillPerSecond * absl::ToDoubleSeconds(PlanInterval);
+    inputs.decodeDemand = demand.decodePerSecond * absl::ToDoubleSeconds(PlanInterval);
+    inputs.prefillPace = prefillPace_;
+    inputs.decodePace = decodePace_;
+    for (const auto &[id, planned] : planned_) {
+        const serving::EndpointView *view = parts_.endpoints.find(id);
+        if (view == nullptr)
+            continue;
+        serving::PlannedEngine engine;
+        engine.id = id;
+        engine.dataCentre = planned.endpoint.dataCentre;
+        engine.role = view->role;
+        engine.requests = static_cast<std::uint32_t>(std::max(0.0, view->requests(now)));
+        engine.isAvailable = view->state == serving::EndpointState::Live && !planned.wanted
+            && !isOpen(id);
+        inputs.engines.push_back(engine);
+    }
+    if (inputs.engines.empty())
+        return;
+    for (const serving::RoleOrder &order : planner_->plan(inputs, now)) {
+        const auto found = planned_.find(order.endpoint);
+        if (found == planned_.end() || leaseOf(order.dataCentre) == nullptr)
+            continue;
+        found->second.wanted = control::WantedOrder { ports::EndpointOrderKind::Role,
+                                                      control::nameOf(order.role) };
+    }
+}
+
+void OrderManager::step(Planned &planned, absl::Time now)
+{
+    const control::LeaseKeeper *lease = leaseOf(planned.endpoint.dataCentre);
+    if (lease == nullptr) {
+        planned.wanted.reset();
+        return;
+    }
+    const control::EndpointSlots *slots
+        = parts_.control.state().orders().find(planned.endpoint.id);
+    const bool fulfilled = planned.wanted && slots != nullptr && !slots->open
+        && slots->lastDoneArgument == planned.wanted->argument;
+    if (fulfilled) {
+        const base::Outcome<control::Role> role = control::roleFrom(planned.wanted->argument);
+        if (role)
+            parts_.endpoints.setRole(planned.endpoint.id, *role, now);
+        planned.wanted.reset();
+    }
+    const control::OrderStep next
+        = planned.keeper.next(parts_.control.state(), *lease, planned.wanted, now);
+    if (next.record)
+        parts_.control.append(*next.record);
+    if (next.send) {
+        ports::EndpointOrder order = *next.send;
+        order.address = planned.endpoint.address;
+        parts_.worker.send({ order, lease->mayActUntil() });
+    }
+}
+
+void OrderManager::onEnded(const OrderEnded &ended, absl::Time)
+{
+    const auto found = planned_.find(ended.order.endpoint);
+    if (found == planned_.end())
+        return;
+    const bool unknown
+        = !ended.status && ended.status.lastReason().code == base::ReasonCode::OutcomeUnknown;
+    parts_.metrics.countRoleOrder(ended.status ? "done" : nameOf(ended.status.lastReason().code));
+    // An order whose fate is not known keeps its slot open: it might still arrive.
+    if (unknown)
+        return;
+    found->second.keeper.onOutcome(
+        ended.order.slot, ended.status ? control::OrderResult::Done : control::OrderResult::Refused);
+    if (!ended.status)
+        found->second.wanted.reset();
+}
+
+SnapshotManager::SnapshotManager(ControlLoop &control, const LeaseManager &leases,
+                                 base::Offset everyRecords)
+    : control_(control)
+    , leases_(leases)
+    , everyRecords_(everyRecords)
+{ }
+
+void SnapshotManager::tick()
+{
+    const control::LeaseKeeper *lease = leases_.find(control::SnapshotScope);
+    if (lease == nullptr || !lease->holds())
+        return;
+    const control::State &state = control_.state();
+    const bool writing = writtenThrough_ > state.snapshots().newest().through
+        && state.appliedThrough() < writtenThrough_ + everyRecords_;
+    if (writing || !control::isSnapshotDue(state, everyRecords_))
+        return;
+    writtenThrough_ = state.appliedThrough();
+    for (const control::SnapshotPart &part : control::splitSnapshot(state))
+        control_.append(part);
+}
+
+} // namespace zinniadoor::daemon
--- /dev/null
+++ b/src/zinniadoor/daemon/platform_workers.cpp
@@ -0,0 +1,123 @@
+#include "zinniadoor/daemon/platform_workers.hpp"
+
+#include <utility>
+
+#include "absl/time/clock.h"
+
+#include "zinniadoor/adapters/lease_guard.hpp"
+
+namespace zinniadoor::daemon {
+
+namespace {
+
+constexpr std::size_t RingCapacity = 4096;
+constexpr absl::Duration IdleWait = absl::Milliseconds(200);
+constexpr absl::Duration FullRingPause = absl::Milliseconds(1);
+
+// The core never waits for these threads, so waiting for room in its ring cannot deadlock.
+void pushWaiting(CoreRing &core, CoreMessage message, const std::atomic<bool> &stopping)
+{
+    while (!core.tryPush(std::move(message)) && !stopping)
+        absl::SleepFor(FullRingPause);
+}
+
+} // namespace
+
+OrderWorker::OrderWorker(adapters::PlatformOptions platform, CoreRing &core)
+    : platform_(std::move(platform))
+    , core_(core)
+    , orders_(RingCapacity)
+    , thread_([this] { run(); })
+{ }
+
+OrderWorker::~OrderWorker()
+{
+    stopping_ = true;
+    orders_.wake();
+    thread_.join();
+}
+
+bool OrderWorker::send(GuardedOrder order)
+{
+    return orders_.tryPush(std::move(order));
+}
+
+void OrderWorker::run()
+{
+    // The guard's timer signals the thread that made it, so it is made here.
+    adapters::LeaseGuard guard;
+    const std::unique_ptr<ports::EndpointOrders> sender
+        = adapters::httpEndpointOrders(platform_, &guard);
+    while (!stopping_) {
+        const std::optional<GuardedOrder> order = orders_.pop(IdleWait);
+        if (!order)
+            continue;
+        guard.arm(order->validUntil);
+        OrderEnded ended { order->order, sender->send(order->order) };
+        guard.disarm();
+        pushWaiting(core_, std::move(ended), stopping_);
+    }
+}
+
+ReportWorker::ReportWorker(adapters::PlatformOptions platform, CoreRing &core)
+    : platform_(std::move(platform))
+    , core_(core)
+    , reports_(RingCapacity)
+    , thread_([this] { run(); })
+{ }
+
+ReportWorker::~ReportWorker()
+{
+    stopping_ = true;
+    reports_.wake();
+    thread_.join();
+}
+
+bool ReportWorker::send(GuardedReport report)
+{
+    return reports_.tryPush(std::move(report));
+}
+
+void ReportWorker::run()
+{
+    adapters::LeaseGuard guard;
+    const std::unique_ptr<ports::Billing> billing = adapters::httpBilling(platform_, &guard);
+    while (!stopping_) {
+        const std::optional<GuardedReport> report = reports_.pop(IdleWait);
+        if (!report)
+            continue;
+        guard.arm(report->validUntil);
+        ReportEnded ended { report->report, billing->report(report->report) };
+        guard.disarm();
+        pushWaiting(core_, std::move(ended), stopping_);
+    }
+}
+
+InstanceListWorker::InstanceListWorker(adapters::PlatformOptions platform, absl::Duration interval,
+                                       CoreRing &core)
+    : platform_(std::move(platform))
+    , interval_(interval)
+    , core_(core)
+    , wakeups_(1)
+    , thread_([this] { run(); })
+{ }
+
+InstanceListWorker::~InstanceListWorker()
+{
+    stopping_ = true;
+    wakeups_.wake();
+    thread_.join();
+}
+
+void InstanceListWorker::run()
+{
+    const std::unique_ptr<ports::InstanceList> list = adapters::httpInstanceList(platform_);
+    while (!stopping_) {
+        base::Outcome<std::vector<ports::ListedInstance>> instances = list->list();
+        if (instances)
+            pushWaiting(core_, InstancesListed { std::move(*instances) }, stopping_);
+        wakeups_.pop(interval_);
+    }
+}
+
+} // namespace zinniadoor::daemon
