--- a/tests/e2e/fleet.cpp
+++ b/tests/e2e/fleet.cpp
@@ -121,7 +121,7 @@
 {
     Process::Options options;
     options.program = program_;
-    options.arguments = joined({ "--port", std::to_string(port) }, arguments_);
+    options.arguments = joined({ "--port", std::to_string(port), "--exit-with-input" }, arguments_);
     process_ = std::make_unique<Process>(options);
     port_ = portOf(process_->waitForLine("port"));
     if (port_ == 0)
--- a/tests/e2e/process.cpp
+++ b/tests/e2e/process.cpp
@@ -36,10 +36,11 @@
     return out;
 }
 
-pid_t spawn(const Process::Options &options, int output)
+pid_t spawn(const Process::Options &options, int input, int output)
 {
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_adddup2(&actions, input, STDIN_FILENO);
     posix_spawn_file_actions_adddup2(&actions, output, STDOUT_FILENO);
     if (!options.errorFile.empty()) {
         posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, options.errorFile.c_str(),
@@ -92,18 +93,22 @@
 
 Process::Process(const Options &options)
 {
-    int ends[2];
-    if (pipe2(ends, O_CLOEXEC) != 0)
+    int input[2];
+    int output[2];
+    if (pipe2(input, O_CLOEXEC) != 0 || pipe2(output, O_CLOEXEC) != 0)
         fail("pipe2");
-    pid_ = spawn(options, ends[1]);
-    close(ends[1]);
-    reader_ = std::thread([this, end = ends[0]] { readOutput(end); });
+    pid_ = spawn(options, input[0], output[1]);
+    close(input[0]);
+    close(output[1]);
+    input_ = input[1];
+    reader_ = std::thread([this, end = output[0]] { readOutput(end); });
 }
 
 Process::~Process()
 {
     kill();
     wait();
+    closeInput();
     reader_.join();
 }
 
@@ -128,6 +133,13 @@
     return lines_;
 }
 
+void Process::closeInput()
+{
+    if (input_ >= 0)
+        close(input_);
+    input_ = -1;
+}
+
 void Process::terminate()
 {
     send(SIGTERM);
--- a/tests/e2e/process.hpp
+++ b/tests/e2e/process.hpp
@@ -26,7 +26,8 @@
     int signal = 0; ///< That ended the process; 0 for an ordinary exit.
 };
 
-/// A child process of the test. Its destruction kills the child.
+/// A child process of the test. Its destruction kills the child; its standard input ends when the
+/// test program does, however that ends.
 class Process
 {
 public:
@@ -53,6 +54,7 @@
     /// All lines of standard output so far.
     std::vector<std::string> output() const;
 
+    void closeInput(); ///< Ends the child's standard input.
     void terminate(); ///< SIGTERM
     void kill(); ///< SIGKILL
     void freeze(); ///< SIGSTOP; returns once the process has stopped.
@@ -68,6 +70,7 @@
     bool reap();
 
     pid_t pid_ = -1;
+    int input_ = -1; ///< The writing end of the child's standard input.
     std::thread reader_;
     mutable std::mutex mutex_;
     std::condition_variable changed_;
--- a/tests/standins/engine_main.cpp
+++ b/tests/standins/engine_main.cpp
@@ -14,6 +14,7 @@
 
 using zinniadoor::standins::Engine;
 using zinniadoor::standins::EngineOptions;
+using zinniadoor::standins::ServerOptions;
 using Number = TCLAP::ValueArg<std::int64_t>;
 using Text = TCLAP::ValueArg<std::string>;
 
@@ -60,6 +61,14 @@
         line
     };
 
+    TCLAP::SwitchArg exitWithInput { "", "exit-with-input", "Exit when standard input ends.",
+                                     line };
+
+    ServerOptions serverOptions()
+    {
+        return { static_cast<std::uint16_t>(port.getValue()), exitWithInput.getValue() };
+    }
+
     EngineOptions options()
     {
         EngineOptions out;
@@ -92,8 +101,7 @@
         EngineCommand command;
         command.line.parse(argc, argv);
         Engine engine(command.options());
-        return zinniadoor::standins::runServer(static_cast<std::uint16_t>(command.port.getValue()),
-                                               engine);
+        return zinniadoor::standins::runServer(command.serverOptions(), engine);
     } catch (const std::exception &error) {
         std::cerr << error.what() << "\n";
         return 2;
--- a/tests/standins/faults.cpp
+++ b/tests/standins/faults.cpp
@@ -101,6 +101,7 @@
     fault.method = value.value("method", std::string());
     fault.contains = value.value("contains", std::string());
     fault.delayMs = value.value("ms", std::int64_t { 0 });
+    fault.status = value.value("status", fault.status);
     fault.skip = value.value("skip", std::int64_t { 0 });
     fault.afterEffect = value.value("after_effect", false);
     fault.clean = value.value("clean", false);
--- a/tests/standins/faults.hpp
+++ b/tests/standins/faults.hpp
@@ -13,7 +13,7 @@
 namespace zinniadoor::standins {
 
 enum class FaultKind {
-    Refuse, ///< 503.
+    Refuse, ///< 503, or the status set.
     Delay,
     DropAnswer, ///< Takes effect, then closes without an answer.
     Silent, ///< Never answers.
@@ -35,6 +35,7 @@
     std::string method; ///< Empty: any.
     std::string contains; ///< Strikes only bodies that contain it; empty: any.
     FaultKind kind = FaultKind::Refuse;
+    int status = 503; ///< Refuse: the answer's status.
     std::int64_t delayMs = 0;
     std::optional<std::int64_t> count; ///< How many more calls; absent: until cleared.
     std::int64_t skip = 0; ///< How many more calls to let pass first.
--- a/tests/standins/platform_main.cpp
+++ b/tests/standins/platform_main.cpp
@@ -11,6 +11,7 @@
 
 using zinniadoor::standins::Platform;
 using zinniadoor::standins::PlatformOptions;
+using zinniadoor::standins::ServerOptions;
 using Number = TCLAP::ValueArg<std::int64_t>;
 
 constexpr std::int64_t DefaultWeightBytes = 1024;
@@ -32,6 +33,14 @@
     Number weights { "",  "weights-per-second", "Reads of weights; 0: unbounded.", false, 0, "n",
                      line };
 
+    TCLAP::SwitchArg exitWithInput { "", "exit-with-input", "Exit when standard input ends.",
+                                     line };
+
+    ServerOptions serverOptions()
+    {
+        return { static_cast<std::uint16_t>(port.getValue()), exitWithInput.getValue() };
+    }
+
     PlatformOptions options()
     {
         PlatformOptions out;
@@ -54,8 +63,7 @@
         PlatformCommand command;
         command.line.parse(argc, argv);
         Platform platform(command.options());
-        return zinniadoor::standins::runServer(static_cast<std::uint16_t>(command.port.getValue()),
-                                               platform);
+        return zinniadoor::standins::runServer(command.serverOptions(), platform);
     } catch (const std::exception &error) {
         std::cerr << error.what() << "\n";
         return 2;
--- a/tests/standins/service_main.cpp
+++ b/tests/standins/service_main.cpp
@@ -22,10 +22,12 @@
         TCLAP::ValueArg<std::string> id("", "id", "Name in answers.", false, "service", "text",
                                         line);
         Number delay("", "delay-ms", "From effect to answer.", false, 0, "ms", line);
+        TCLAP::SwitchArg exitWithInput("", "exit-with-input", "Exit when standard input ends.",
+                                       line);
         line.parse(argc, argv);
         Service service({ id.getValue(), delay.getValue() });
-        return zinniadoor::standins::runServer(static_cast<std::uint16_t>(port.getValue()),
-                                               service);
+        return zinniadoor::standins::runServer(
+            { static_cast<std::uint16_t>(port.getValue()), exitWithInput.getValue() }, service);
     } catch (const std::exception &error) {
         std::cerr << error.what() << "\n";
         return 2;
--- a/tests/standins/standin.cpp
+++ b/tests/standins/standin.cpp
@@ -32,6 +32,13 @@
     }
 }
 
+void exitWithInput()
+{
+    char block[64];
+    while (read(STDIN_FILENO, block, sizeof block) > 0) { }
+    _exit(0);
+}
+
 Response dropped()
 {
     Response response;
@@ -100,7 +107,7 @@
     const Fault &fault = *call.fault;
     switch (fault.kind) {
     case FaultKind::Refuse:
-        return errorResponse(503, "unavailable", "refused by a fault");
+        return errorResponse(fault.status, "unavailable", "refused by a fault");
     case FaultKind::DropAnswer:
         serve(call);
         return dropped();
@@ -136,7 +143,7 @@
     return true;
 }
 
-int runServer(std::uint16_t port, RequestHandler &handler)
+int runServer(const ServerOptions &options, RequestHandler &handler)
 {
     sigset_t signals;
     sigemptyset(&signals);
@@ -144,13 +151,15 @@
     sigaddset(&signals, SIGINT);
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
-    const HttpServer server(port, handler);
+    const HttpServer server(options.port, handler);
     if (server.port() == 0) {
-        std::fprintf(stderr, "cannot listen on port %u\n", static_cast<unsigned>(port));
+        std::fprintf(stderr, "cannot listen on port %u\n", static_cast<unsigned>(options.port));
         return 1;
     }
     std::printf("port %u\n", static_cast<unsigned>(server.port()));
     std::fflush(stdout);
+    if (options.exitWithInput)
+        std::thread(exitWithInput).detach();
     int received = 0;
     sigwait(&signals, &received);
     // Threads of silent connections never end, so the process leaves without joining them.
--- a/tests/standins/standin.hpp
+++ b/tests/standins/standin.hpp
@@ -51,7 +51,13 @@
 /// Ends this process at once, as a crash would.
 [[noreturn]] void crash();
 
+struct ServerOptions
+{
+    std::uint16_t port = 0; ///< 0 picks a free one.
+    bool exitWithInput = false; ///< Leave when standard input ends, as it does with its owner.
+};
+
 /// Serves until SIGTERM or SIGINT; prints `port <n>` first. Returns the exit code.
-int runServer(std::uint16_t port, RequestHandler &handler);
+int runServer(const ServerOptions &options, RequestHandler &handler);
 
 } // namespace zinniadoor::standins
