Peer link over UDP and TCP on one port

Cause: instances talk to each other by datagrams and calls. Change: one poll thread; length-prefixed frames with call ids over a kept connection a peer; a call that times out retires its connection, other calls on it keep their own time. Connections, waiting bytes, open calls and the time for one message are bounded; malformed lengths close the connection. Ruled out: closing a connection with other open calls at the first timeout (cuts healthy calls).

--- /dev/null
+++ b/src/zinniadoor/adapters/byte_queue.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+
+namespace zinniadoor::adapters::detail {
+
+/// Bytes added at the end and taken from the front.
+class ByteQueue
+{
+public:
+    void append(std::string_view bytes) { bytes_.append(bytes); }
+    std::string_view view() const { return std::string_view(bytes_).substr(taken_); }
+    std::size_t size() const { return bytes_.size() - taken_; }
+    bool empty() const { return size() == 0; }
+
+    void take(std::size_t count)
+    {
+        taken_ += count;
+        // Moving the rest only after half was taken keeps the copying linear.
+        if (taken_ * 2 < bytes_.size())
+            return;
+        bytes_.erase(0, taken_);
+        taken_ = 0;
+    }
+
+    void clear()
+    {
+        bytes_.clear();
+        taken_ = 0;
+    }
+
+private:
+    std::string bytes_;
+    std::size_t taken_ = 0;
+};
+
+} // namespace zinniadoor::adapters::detail
--- a/src/zinniadoor/adapters/http_exchange.cpp
+++ b/src/zinniadoor/adapters/http_exchange.cpp
@@ -41,9 +41,8 @@
         return;
     pending_.append(bytes);
     // The source ignores the back-pressure: better one cut stream than all of the memory.
-    if (pending_.size() - pendingOffset_ > maxPendingBytes_) {
+    if (pending_.size() > maxPendingBytes_) {
         pending_.clear();
-        pendingOffset_ = 0;
         ended_ = true;
         endedWhole_ = false;
     }
@@ -63,7 +62,7 @@
 std::size_t HttpExchange::pendingBytes() const
 {
     const absl::MutexLock lock(&mutex_);
-    return pending_.size() - pendingOffset_ + wholeBodyBytes_;
+    return pending_.size() + wholeBodyBytes_;
 }
 
 bool HttpExchange::callerGone() const
@@ -95,20 +94,15 @@
     const absl::MutexLock lock(&mutex_);
     ReadResult result;
     result.report = std::exchange(reportDue_, false);
-    const std::size_t waiting = pending_.size() - pendingOffset_;
+    const std::size_t waiting = pending_.size();
     if (abandoned_) {
         result.step = ReadStep::EndCut;
     } else if (waiting > 0) {
         result.step = ReadStep::Bytes;
         result.bytes = std::min(waiting, capacity);
-        std::memcpy(buffer, pending_.data() + pendingOffset_, result.bytes);
-        pendingOffset_ += result.bytes;
+        std::memcpy(buffer, pending_.view().data(), result.bytes);
+        pending_.take(result.bytes);
         takenSinceReport_ += result.bytes;
-        // Moving the rest forward only after half was taken keeps the copying linear.
-        if (pendingOffset_ * 2 >= pending_.size()) {
-            pending_.erase(0, pendingOffset_);
-            pendingOffset_ = 0;
-        }
     } else if (ended_) {
         result.step = endedWhole_ ? ReadStep::EndWhole : ReadStep::EndCut;
     } else {
@@ -137,7 +131,6 @@
     suspended_ = nullptr;
     finished_ = true;
     pending_.clear();
-    pendingOffset_ = 0;
     wholeBodyBytes_ = 0;
     if (!whole)
         callerGone_ = true;
--- a/src/zinniadoor/adapters/http_exchange.hpp
+++ b/src/zinniadoor/adapters/http_exchange.hpp
@@ -9,6 +9,8 @@
 
 #include "zinniadoor/ports/caller_server.hpp"
 
+#include "byte_queue.hpp"
+
 namespace zinniadoor::adapters::detail {
 
 /// What the server's thread does next for an exchange.
@@ -74,8 +76,7 @@
     AnswerHead head_ ABSL_GUARDED_BY(mutex_);
     bool headReady_ ABSL_GUARDED_BY(mutex_) = false;
     bool headTaken_ ABSL_GUARDED_BY(mutex_) = false;
-    std::string pending_ ABSL_GUARDED_BY(mutex_);
-    std::size_t pendingOffset_ ABSL_GUARDED_BY(mutex_) = 0; ///< Taken bytes of `pending_`.
+    ByteQueue pending_ ABSL_GUARDED_BY(mutex_);
     std::size_t wholeBodyBytes_ ABSL_GUARDED_BY(mutex_) = 0;
     std::size_t takenSinceReport_ ABSL_GUARDED_BY(mutex_) = 0;
     bool ended_ ABSL_GUARDED_BY(mutex_) = false;
--- /dev/null
+++ b/src/zinniadoor/adapters/peer_port.cpp
@@ -0,0 +1,52 @@
+#include "peer_port.hpp"
+
+#include <unistd.h>
+
+namespace zinniadoor::adapters::detail {
+
+namespace {
+
+using Bound = base::Outcome<std::unique_ptr<PeerPort>>;
+
+constexpr int PortAttempts = 50;
+
+Bound bindBoth(const SocketAddress &address)
+{
+    const auto listener = listenTcp(address);
+    if (!listener)
+        return listener.lastReason();
+    const SocketAddress bound = boundAddress(*listener);
+    const int datagrams
+        = socket(bound.storage.ss_family, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (datagrams >= 0 && bind(datagrams, bound.data(), bound.length) == 0)
+        return std::make_unique<PeerPort>(datagrams, *listener);
+    const base::Reason reason = systemReason("binding UDP on " + bound.text());
+    close(*listener);
+    if (datagrams >= 0)
+        close(datagrams);
+    return reason;
+}
+
+} // namespace
+
+PeerPort::~PeerPort()
+{
+    close(datagrams_);
+    close(listener_);
+}
+
+// A port that TCP finds free may be taken for UDP.
+Bound bindPeerPort(const PeerSocketOptions &options)
+{
+    const auto address = parseAddress(options.address, options.port);
+    if (!address)
+        return base::Reason { base::ReasonCode::InvalidArgument,
+                              "not an IP number and port: " + options.address };
+    const int attempts = options.port == 0 ? PortAttempts : 1;
+    Bound bound = bindBoth(*address);
+    for (int i = 1; i < attempts && !bound; ++i)
+        bound = bindBoth(*address);
+    return bound;
+}
+
+} // namespace zinniadoor::adapters::detail
--- /dev/null
+++ b/src/zinniadoor/adapters/peer_socket.cpp
@@ -0,0 +1,445 @@
+#include "zinniadoor/adapters/peer_socket.hpp"
+
+#include <algorithm>
+#include <atomic>
+#include <map>
+#include <set>
+#include <thread>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "zinniadoor/base/clock.hpp"
+
+#include "peer_inbox.hpp"
+#include "peer_port.hpp"
+#include "socket_address.hpp"
+
+namespace zinniadoor::adapters {
+
+namespace {
+
+using base::Reason;
+using base::ReasonCode;
+using detail::PeerCallCommand;
+using detail::PeerConnection;
+using detail::PeerConnectionId;
+using detail::PeerReplyCommand;
+
+constexpr int DatagramsPerTurn = 256;
+constexpr int AcceptsPerTurn = 32;
+constexpr const char *LinkCloses = "the link closes";
+constexpr absl::Duration LongestPoll = absl::Seconds(1);
+
+/// A call that was sent, or waits to be.
+struct OpenCall
+{
+    PeerConnectionId connection = 0;
+    std::uint64_t position = 0; ///< Of its first byte on the connection.
+    absl::Time deadline;
+    ports::PeerLink::CallDone done;
+};
+
+class PeerSocket : public ports::PeerLink
+{
+public:
+    PeerSocket(const PeerSocketOptions &options, std::unique_ptr<detail::PeerPort> bound,
+               ports::PeerHandler &handler)
+        : options_(options)
+        , bound_(std::move(bound))
+        , handler_(handler)
+        , inbox_(std::make_shared<detail::PeerInbox>(options.maxCalls))
+        , thread_([this] { run(); })
+    { }
+
+    ~PeerSocket() override
+    {
+        stopping_ = true;
+        inbox_->wake();
+        thread_.join();
+    }
+
+    int port() const override { return bound_->number(); }
+    void sendDatagram(const std::string &address, const std::string &bytes) override;
+    void call(const std::string &address, std::string bytes, absl::Duration timeout,
+              CallDone done) override;
+
+private:
+    using Connections = std::map<PeerConnectionId, std::unique_ptr<PeerConnection>>;
+
+    void run();
+    void waitForEvents();
+    int pollMilliseconds() const;
+    void receiveDatagrams();
+    void acceptConnections();
+    void obeyCommands();
+    void obey(PeerCallCommand command);
+    void obey(PeerReplyCommand command);
+    void proceed(PeerConnectionId id, short events);
+    bool receiveFrames(PeerConnection &connection);
+    void receiveAnswer(const PeerConnection &connection, detail::PeerFrame frame);
+    bool receiveCall(PeerConnection &connection, detail::PeerFrame frame);
+    void expire();
+    void endCall(std::uint64_t callId, base::Outcome<std::string> outcome);
+    void retire(PeerConnection &connection);
+    void closeConnection(PeerConnectionId id, const char *why);
+    void endAll();
+
+    PeerConnection *find(PeerConnectionId id) const;
+    base::Outcome<PeerConnection *> connectionTo(const std::string &address);
+    PeerConnection &addConnection(int socket);
+    bool makeRoom(bool accepted);
+
+    const PeerSocketOptions options_;
+    const std::unique_ptr<detail::PeerPort> bound_;
+    ports::PeerHandler &handler_;
+    const std::unique_ptr<base::Clock> clock_ = base::systemClock();
+    std::atomic<bool> stopping_ { false };
+
+    // Of the link's thread:
+    Connections connections_;
+    std::unordered_map<std::string, PeerConnectionId> byAddress_; ///< For new calls.
+    std::unordered_map<std::uint64_t, OpenCall> calls_;
+    std::set<std::pair<absl::Time, std::uint64_t>> deadlines_; ///< Of `calls_`.
+    PeerConnectionId lastConnection_ = 0;
+    std::uint64_t lastCall_ = 0;
+    std::size_t openReceived_ = 0; ///< Calls of peers without a reply so far.
+
+    const std::shared_ptr<detail::PeerInbox> inbox_;
+    std::thread thread_; ///< Last, so that it finds all other members ready.
+};
+
+// Straight from the calling thread: a UDP socket takes datagrams from any thread at once.
+void PeerSocket::sendDatagram(const std::string &address, const std::string &bytes)
+{
+    const auto to = detail::parseAddressAndPort(address);
+    if (!to || bytes.size() > MaxDatagramBytes)
+        return;
+    sendto(bound_->datagrams(), bytes.data(), bytes.size(), MSG_DONTWAIT | MSG_NOSIGNAL, to->data(),
+           to->length);
+}
+
+void PeerSocket::call(const std::string &address, std::string bytes, absl::Duration timeout,
+                      CallDone done)
+{
+    inbox_->push(
+        PeerCallCommand { address, std::move(bytes), clock_->now() + timeout, std::move(done) });
+}
+
+void PeerSocket::run()
+{
+    while (!stopping_) {
+        waitForEvents();
+        obeyCommands();
+        expire();
+    }
+    endAll();
+}
+
+void PeerSocket::waitForEvents()
+{
+    std::vector<pollfd> sockets { { inbox_->event(), POLLIN, 0 },
+                                  { bound_->datagrams(), POLLIN, 0 },
+                                  { bound_->listener(), POLLIN, 0 } };
+    const std::size_t first = sockets.size();
+    std::vector<PeerConnectionId> ids;
+    for (const auto &entry : connections_) {
+        sockets.push_back({ entry.second->socket(), entry.second->pollEvents(), 0 });
+        ids.push_back(entry.first);
+    }
+    if (poll(sockets.data(), sockets.size(), pollMilliseconds()) <= 0)
+        return;
+    if (sockets[0].revents != 0)
+        inbox_->clearWake();
+    if (sockets[1].revents != 0)
+        receiveDatagrams();
+    for (std::size_t i = 0; i < ids.size(); ++i) {
+        if (sockets[first + i].revents != 0)
+            proceed(ids[i], sockets[first + i].revents);
+    }
+    if (sockets[2].revents != 0)
+        acceptConnections();
+}
+
+int PeerSocket::pollMilliseconds() const
+{
+    absl::Duration wait = LongestPoll;
+    if (!deadlines_.empty())
+        wait = std::min(wait, deadlines_.begin()->first - clock_->now());
+    const absl::Duration rounding = absl::Milliseconds(1) - absl::Nanoseconds(1);
+    return static_cast<int>(std::max<std::int64_t>(0, absl::ToInt64Milliseconds(wait + rounding)));
+}
+
+void PeerSocket::receiveDatagrams()
+{
+    char buffer[MaxDatagramBytes];
+    for (int i = 0; i < DatagramsPerTurn; ++i) {
+        detail::SocketAddress from;
+        from.length = sizeof(from.storage);
+        const ssize_t got = recvfrom(bound_->datagrams(), buffer, sizeof(buffer), MSG_TRUNC,
+                                     reinterpret_cast<sockaddr *>(&from.storage), &from.length);
+        if (got < 0)
+            return;
+        const auto size = static_cast<std::size_t>(got);
+        if (size <= sizeof(buffer))
+            handler_.onDatagram(from.text(), std::string(buffer, size));
+    }
+}
+
+void PeerSocket::acceptConnections()
+{
+    for (int i = 0; i < AcceptsPerTurn; ++i) {
+        const int socket
+            = accept4(bound_->listener(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (socket < 0)
+            return;
+        if (makeRoom(true))
+            addConnection(socket);
+        else
+            close(socket);
+    }
+}
+
+void PeerSocket::obeyCommands()
+{
+    while (auto command = inbox_->pop())
+        std::visit([this](auto &taken) { obey(std::move(taken)); }, *command);
+    for (const CallDone &done : inbox_->takeRefused())
+        done(Reason { ReasonCode::Overloaded, "too many calls to peers" });
+}
+
+void PeerSocket::obey(PeerCallCommand command)
+{
+    const auto refuse = [&](ReasonCode code, const char *text) {
+        command.done(Reason { code, text });
+    };
+    if (command.bytes.size() > MaxPeerMessageBytes)
+        return refuse(ReasonCode::InvalidArgument, "the message is too long");
+    if (calls_.size() >= options_.maxCalls)
+        return refuse(ReasonCode::Overloaded, "too many calls to peers");
+    const auto found = connectionTo(command.address);
+    if (!found)
+        return command.done(found.lastReason());
+    PeerConnection *connection = *found;
+    if (connection->outgoingBytes() + command.bytes.size() > options_.maxOutgoingBytes)
+        return refuse(ReasonCode::Overloaded, "too many bytes wait for the peer");
+    const std::uint64_t id = ++lastCall_;
+    const std::uint64_t position = connection->send(id, command.bytes);
+    ++connection->openCalls;
+    deadlines_.emplace(command.deadline, id);
+    calls_.emplace(
+        id, OpenCall { connection->id(), position, command.deadline, std::move(command.done) });
+    proceed(connection->id(), POLLOUT);
+}
+
+void PeerSocket::obey(PeerReplyCommand command)
+{
+    --openReceived_;
+    PeerConnection *connection = find(command.connection);
+    if (connection == nullptr)
+        return;
+    --connection->openCalls;
+    if (!command.bytes)
+        return;
+    const std::size_t size = command.bytes->size();
+    const bool fits = size <= MaxPeerMessageBytes
+        && connection->outgoingBytes() + size <= options_.maxOutgoingBytes;
+    if (!fits) {
+        closeConnection(command.connection, "");
+        return;
+    }
+    connection->send(command.callId, *command.bytes);
+    proceed(command.connection, POLLOUT);
+}
+
+// Handlers and ends of calls only add to the inbox, so `connection` lives through them.
+void PeerSocket::proceed(PeerConnectionId id, short events)
+{
+    PeerConnection *connection = find(id);
+    if (connection == nullptr)
+        return;
+    const bool alive = connection->proceed(events, clock_->now());
+    const bool wellBehaved = receiveFrames(*connection);
+    if (!alive || !wellBehaved)
+        closeConnection(id, "the connection to the peer broke");
+    else if (connection->retired && connection->openCalls == 0)
+        closeConnection(id, "");
+}
+
+bool PeerSocket::receiveFrames(PeerConnection &connection)
+{
+    while (auto frame = connection.nextFrame(clock_->now())) {
+        const bool isAnswer = !connection.address.empty();
+        if (isAnswer)
+            receiveAnswer(connection, std::move(*frame));
+        else if (!receiveCall(connection, std::move(*frame)))
+            return false;
+    }
+    return !connection.malformed();
+}
+
+// An answer to a call that has already timed out, or that was never made, is ignored.
+void PeerSocket::receiveAnswer(const PeerConnection &connection, detail::PeerFrame frame)
+{
+    const auto found = calls_.find(frame.callId);
+    if (found != calls_.end() && found->second.connection == connection.id())
+        endCall(frame.callId, std::move(frame.payload));
+}
+
+bool PeerSocket::receiveCall(PeerConnection &connection, detail::PeerFrame frame)
+{
+    if (openReceived_ >= options_.maxCalls)
+        return false;
+    ++openReceived_;
+    ++connection.openCalls;
+    const auto ticket
+        = std::make_shared<detail::PeerReplyTicket>(inbox_, connection.id(), frame.callId);
+    handler_.onCall(std::move(frame.payload),
+                    [ticket](std::string bytes) { ticket->answer(std::move(bytes)); });
+    return true;
+}
+
+// A connection on which a call timed out may have gone silent for good, so the next call takes a
+// new one. Other calls on it keep their own time.
+void PeerSocket::expire()
+{
+    const absl::Time now = clock_->now();
+    while (!deadlines_.empty() && deadlines_.begin()->first <= now) {
+        const std::uint64_t callId = deadlines_.begin()->second;
+        const PeerConnectionId id = calls_.at(callId).connection;
+        PeerConnection *connection = find(id);
+        retire(*connection);
+        endCall(callId, Reason { ReasonCode::Timeout, "the peer did not answer in time" });
+        if (connection->openCalls == 0)
+            closeConnection(id, "");
+    }
+    std::vector<PeerConnectionId> slow;
+    for (const auto &entry : connections_) {
+        if (now - entry.second->frameBegan() > options_.messageTimeout)
+            slow.push_back(entry.first);
+    }
+    for (const PeerConnectionId id : slow)
+        closeConnection(id, "the peer sent too slowly");
+}
+
+void PeerSocket::endCall(std::uint64_t callId, base::Outcome<std::string> outcome)
+{
+    const auto found = calls_.find(callId);
+    const OpenCall ended = std::move(found->second);
+    calls_.erase(found);
+    deadlines_.erase({ ended.deadline, callId });
+    if (PeerConnection *connection = find(ended.connection))
+        --connection->openCalls;
+    ended.done(std::move(outcome));
+}
+
+void PeerSocket::retire(PeerConnection &connection)
+{
+    connection.retired = true;
+    const auto current = byAddress_.find(connection.address);
+    if (current != byAddress_.end() && current->second == connection.id())
+        byAddress_.erase(current);
+}
+
+void PeerSocket::closeConnection(PeerConnectionId id, const char *why)
+{
+    const auto found = connections_.find(id);
+    const std::unique_ptr<PeerConnection> closed = std::move(found->second);
+    connections_.erase(found);
+    retire(*closed);
+    std::vector<std::uint64_t> cut;
+    for (const auto &entry : calls_) {
+        if (entry.second.connection == id)
+            cut.push_back(entry.first);
+    }
+    for (const std::uint64_t callId : cut) {
+        const bool sent = closed->sentBytes() > calls_.at(callId).position;
+        endCall(callId,
+                Reason { sent ? ReasonCode::OutcomeUnknown : ReasonCode::Unavailable, why });
+    }
+}
+
+void PeerSocket::endAll()
+{
+    while (!connections_.empty())
+        closeConnection(connections_.begin()->first, LinkCloses);
+    while (auto command = inbox_->pop()) {
+        if (auto *call = std::get_if<PeerCallCommand>(&*command))
+            call->done(Reason { ReasonCode::Unavailable, LinkCloses });
+    }
+    for (const CallDone &done : inbox_->takeRefused())
+        done(Reason { ReasonCode::Unavailable, LinkCloses });
+}
+
+PeerConnection *PeerSocket::find(PeerConnectionId id) const
+{
+    const auto found = connections_.find(id);
+    return found == connections_.end() ? nullptr : found->second.get();
+}
+
+base::Outcome<PeerConnection *> PeerSocket::connectionTo(const std::string &address)
+{
+    const auto known = byAddress_.find(address);
+    if (known != byAddress_.end())
+        return find(known->second);
+    const auto target = detail::parseAddressAndPort(address);
+    if (!target)
+        return Reason { ReasonCode::InvalidArgument, "not IP:port: " + address };
+    if (!makeRoom(false))
+        return Reason { ReasonCode::Overloaded, "too many connections to peers" };
+    const auto socket = PeerConnection::beginConnect(*target);
+    if (!socket)
+        return socket.lastReason();
+    PeerConnection &added = addConnection(*socket);
+    added.address = address;
+    byAddress_[address] = added.id();
+    return &added;
+}
+
+PeerConnection &PeerSocket::addConnection(int socket)
+{
+    const PeerConnectionId id = ++lastConnection_;
+    auto added = std::make_unique<PeerConnection>(id, socket, clock_->now());
+    return *connections_.emplace(id, std::move(added)).first->second;
+}
+
+// Closes the connection that has been quiet for longest when that direction is at its limit.
+bool PeerSocket::makeRoom(bool accepted)
+{
+    std::size_t count = 0;
+    const PeerConnection *quietest = nullptr;
+    for (const auto &entry : connections_) {
+        const PeerConnection &connection = *entry.second;
+        if (connection.address.empty() != accepted)
+            continue;
+        ++count;
+        const bool quieter
+            = quietest == nullptr || connection.lastReceived() < quietest->lastReceived();
+        if (connection.openCalls == 0 && quieter)
+            quietest = &connection;
+    }
+    if (count < options_.maxConnections)
+        return true;
+    if (quietest == nullptr)
+        return false;
+    closeConnection(quietest->id(), "");
+    return true;
+}
+
+} // namespace
+
+base::Outcome<std::unique_ptr<ports::PeerLink>> openPeerSocket(const PeerSocketOptions &options,
+                                                               ports::PeerHandler &handler)
+{
+    auto bound = detail::bindPeerPort(options);
+    if (!bound)
+        return bound.lastReason();
+    return std::unique_ptr<ports::PeerLink>(
+        std::make_unique<PeerSocket>(options, std::move(*bound), handler));
+}
+
+} // namespace zinniadoor::adapters
