Lease guard, endpoint orders, billing and the instance list

Cause: a sender frozen between its check of the lease and its send must not send late. Change: LeaseGuard, a timer on CLOCK_BOOTTIME whose signal goes to the sending thread and puts a descriptor that is no socket in the place of the protected one (SO_LINGER 0: what waits is discarded, the connection reset). It fires TCP_USER_TIMEOUT before the lease's end, because the kernel goes on delivering for a frozen process. Orders and billing take a guard and then a fresh connection a call. Ruled out: closing the socket in the handler (its number may be used again under its owner), shutdown (what waits in the socket still goes out, and a socket not yet connected can still connect).

--- /dev/null
+++ b/src/zinniadoor/adapters/lease_guard.cpp
@@ -0,0 +1,199 @@
+#include "zinniadoor/adapters/lease_guard.hpp"
+
+#include <array>
+#include <atomic>
+#include <cerrno>
+#include <csignal>
+#include <cstdint>
+#include <limits>
+
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <pthread.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace zinniadoor::adapters {
+
+namespace {
+
+constexpr std::size_t MaxGuards = 64;
+constexpr int SignalAboveFirst = 5;
+constexpr std::int64_t NanosecondsPerSecond = 1'000'000'000;
+constexpr std::int64_t Never = std::numeric_limits<std::int64_t>::min();
+
+/// What the signal handler works on. In static storage: a signal may still be on its way when
+/// its guard is gone.
+struct Slot
+{
+    std::atomic<bool> used { false };
+    std::atomic<bool> expired { true };
+    std::atomic<std::int64_t> deadline { Never }; ///< Nanoseconds of CLOCK_BOOTTIME.
+    std::atomic<int> socket { -1 };
+    std::atomic<int> sink { -1 }; ///< Takes the place of the socket.
+};
+
+static_assert(std::atomic<std::int64_t>::is_always_lock_free, "used in a signal handler");
+
+std::array<Slot, MaxGuards> slots;
+
+int guardSignal()
+{
+    return SIGRTMIN + SignalAboveFirst;
+}
+
+std::int64_t bootNanoseconds()
+{
+    timespec now {};
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    return now.tv_sec * NanosecondsPerSecond + now.tv_nsec;
+}
+
+// Only async-signal-safe calls. The socket has SO_LINGER 0, so that replacing its descriptor by
+// one that is no socket discards what waits in it and resets the connection, and whatever the
+// thread does next with the descriptor (connect, send) fails. Closing it instead would let the
+// number be used again while its owner still holds it.
+//
+// A signal of an earlier lease finds a later deadline and does nothing.
+void onTimer(int, siginfo_t *info, void *)
+{
+    const int keptErrno = errno;
+    const auto number = static_cast<std::size_t>(info->si_value.sival_int);
+    if (info->si_code == SI_TIMER && number < MaxGuards) {
+        Slot &slot = slots[number];
+        if (bootNanoseconds() >= slot.deadline) {
+            slot.expired = true;
+            const int socket = slot.socket.exchange(-1);
+            if (socket >= 0)
+                dup2(slot.sink, socket);
+        }
+    }
+    errno = keptErrno;
+}
+
+bool installHandler()
+{
+    struct sigaction action
+    { };
+    action.sa_sigaction = &onTimer;
+    action.sa_flags = SA_SIGINFO | SA_RESTART;
+    sigemptyset(&action.sa_mask);
+    return sigaction(guardSignal(), &action, nullptr) == 0;
+}
+
+bool unblockSignal()
+{
+    sigset_t set;
+    sigemptyset(&set);
+    sigaddset(&set, guardSignal());
+    return pthread_sigmask(SIG_UNBLOCK, &set, nullptr) == 0;
+}
+
+std::size_t takeSlot()
+{
+    for (std::size_t number = 0; number < MaxGuards; ++number) {
+        if (!slots[number].used.exchange(true))
+            return number;
+    }
+    return MaxGuards;
+}
+
+// glibc has no public name for the thread id in a sigevent.
+bool createTimer(std::size_t slot, timer_t &timer)
+{
+    sigevent event {};
+    event.sigev_notify = SIGEV_THREAD_ID;
+    event.sigev_signo = guardSignal();
+    event.sigev_value.sival_int = static_cast<int>(slot);
+    event._sigev_un._tid = gettid();
+    return timer_create(CLOCK_BOOTTIME, &event, &timer) == 0;
+}
+
+} // namespace
+
+LeaseGuard::LeaseGuard(const LeaseGuardOptions &options)
+    : options_(options)
+    , slot_(takeSlot())
+{
+    static const bool installed = installHandler();
+    if (slot_ == MaxGuards)
+        return;
+    slots[slot_].sink = open("/dev/null", O_RDWR | O_CLOEXEC);
+    ready_ = installed && slots[slot_].sink >= 0 && unblockSignal() && createTimer(slot_, timer_);
+}
+
+LeaseGuard::~LeaseGuard()
+{
+    if (slot_ == MaxGuards)
+        return;
+    disarm();
+    Slot &slot = slots[slot_];
+    if (ready_)
+        timer_delete(timer_);
+    slot.socket = -1;
+    const int sink = slot.sink.exchange(-1);
+    if (sink >= 0)
+        close(sink);
+    slot.used = false;
+}
+
+void LeaseGuard::arm(absl::Time validUntil)
+{
+    if (!ready_)
+        return;
+    Slot &slot = slots[slot_];
+    const std::int64_t deadline = absl::ToUnixNanos(validUntil - options_.unacknowledgedLimit);
+    slot.deadline = deadline;
+    slot.expired = bootNanoseconds() >= deadline;
+    itimerspec when {};
+    when.it_value = absl::ToTimespec(validUntil - options_.unacknowledgedLimit);
+    const bool set = !slot.expired && timer_settime(timer_, TIMER_ABSTIME, &when, nullptr) == 0;
+    if (!set)
+        disarm();
+}
+
+void LeaseGuard::disarm()
+{
+    if (!ready_)
+        return;
+    Slot &slot = slots[slot_];
+    slot.deadline = Never;
+    slot.expired = true;
+    const itimerspec never {};
+    timer_settime(timer_, 0, &never, nullptr);
+}
+
+bool LeaseGuard::expired() const
+{
+    if (!ready_)
+        return true;
+    const Slot &slot = slots[slot_];
+    return slot.expired || bootNanoseconds() >= slot.deadline;
+}
+
+// The check comes after the socket is known to the handler: a lease that ends before this point
+// is seen here, one that ends later finds the socket.
+bool LeaseGuard::protect(int socket)
+{
+    if (!ready_ || slots[slot_].socket >= 0)
+        return false;
+    const linger reset { 1, 0 };
+    const int limit = static_cast<int>(absl::ToInt64Milliseconds(options_.unacknowledgedLimit));
+    if (setsockopt(socket, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset)) != 0
+        || setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &limit, sizeof(limit)) != 0)
+        return false;
+    slots[slot_].socket = socket;
+    if (!expired())
+        return true;
+    release();
+    return false;
+}
+
+void LeaseGuard::release()
+{
+    if (ready_)
+        slots[slot_].socket = -1;
+}
+
+} // namespace zinniadoor::adapters
--- /dev/null
+++ b/src/zinniadoor/adapters/lease_guard_sender_test.cpp
@@ -0,0 +1,84 @@
+// Started and frozen by lease_guard_test: sends under a lease that ends while it is frozen.
+// Usage: lease_guard_sender socket|order guarded|bare <port>
+
+#include <cstdio>
+#include <cstring>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include <sys/socket.h>
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+
+#include "zinniadoor/adapters/lease_guard.hpp"
+#include "zinniadoor/adapters/platform_http.hpp"
+#include "zinniadoor/base/clock.hpp"
+
+#include "socket_address.hpp"
+
+namespace {
+
+using namespace zinniadoor;
+
+constexpr absl::Duration Lease = absl::Milliseconds(60);
+constexpr absl::Duration UnacknowledgedLimit = absl::Milliseconds(20);
+constexpr absl::Duration Preparation = absl::Milliseconds(15); // between check and send
+
+void tellLeaseEnd(absl::Time end)
+{
+    std::printf("%lld\n", static_cast<long long>(absl::ToUnixNanos(end)));
+    std::fflush(stdout);
+}
+
+/// Checks, prepares, sends: the harness freezes it in the preparation.
+int sendOnSocket(const base::Clock &clock, adapters::LeaseGuard *guard, absl::Time leaseEnd,
+                 int port)
+{
+    const auto address = adapters::detail::parseAddress("127.0.0.1", port);
+    const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    if (guard != nullptr && !guard->protect(socket))
+        return 1;
+    if (connect(socket, address->data(), address->length) != 0)
+        return 1;
+    const bool mayStillSend
+        = guard != nullptr ? !guard->expired() : clock.now() < leaseEnd - UnacknowledgedLimit;
+    if (!mayStillSend)
+        return 1;
+    tellLeaseEnd(leaseEnd);
+    const absl::Time prepared = clock.now() + Preparation;
+    while (clock.now() < prepared) { }
+    return send(socket, "order", std::strlen("order"), MSG_NOSIGNAL) > 0 ? 0 : 1;
+}
+
+int sendOrder(adapters::LeaseGuard *guard, absl::Time leaseEnd, int port)
+{
+    adapters::PlatformOptions options;
+    options.baseUrl = "http://127.0.0.1:1";
+    const auto orders = adapters::httpEndpointOrders(options, guard);
+    ports::EndpointOrder order;
+    order.address = absl::StrCat("127.0.0.1:", port);
+    tellLeaseEnd(leaseEnd);
+    return orders->send(order).hasValue() ? 0 : 1;
+}
+
+} // namespace
+
+int main(int argumentCount, char **arguments)
+{
+    int port = 0;
+    if (argumentCount != 4 || !absl::SimpleAtoi(arguments[3], &port))
+        return 2;
+    const auto clock = base::systemClock();
+    std::unique_ptr<adapters::LeaseGuard> guard;
+    if (std::string(arguments[2]) == "guarded")
+        guard = std::make_unique<adapters::LeaseGuard>(
+            adapters::LeaseGuardOptions { UnacknowledgedLimit });
+    const absl::Time leaseEnd = clock->now() + Lease;
+    if (guard != nullptr)
+        guard->arm(leaseEnd);
+    if (std::string(arguments[1]) == "order")
+        return sendOrder(guard.get(), leaseEnd, port);
+    return sendOnSocket(*clock, guard.get(), leaseEnd, port);
+}
--- a/src/zinniadoor/adapters/platform_call.cpp
+++ b/src/zinniadoor/adapters/platform_call.cpp
@@ -1,5 +1,8 @@
 #include "platform_call.hpp"
 
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include "absl/strings/str_cat.h"
 
 #include "zinniadoor/adapters/sizes.hpp"
@@ -8,6 +11,10 @@
 
 namespace {
 
+constexpr int StatusConflict = 409;
+constexpr int StatusTooManyRequests = 429;
+constexpr int StatusServerError = 500;
+constexpr int StatusUnavailable = 503;
 constexpr std::size_t MaxAnswerBytes = 64 * MebiByte;
 
 std::size_t collect(char *data, std::size_t, std::size_t size, void *cls)
@@ -19,17 +26,58 @@
     return size;
 }
 
+curl_socket_t openProtected(void *cls, curlsocktype, curl_sockaddr *address)
+{
+    auto *guard = static_cast<LeaseGuard *>(cls);
+    const int opened = socket(address->family, address->socktype | SOCK_CLOEXEC, address->protocol);
+    if (opened < 0)
+        return CURL_SOCKET_BAD;
+    if (guard->protect(opened))
+        return opened;
+    close(opened);
+    return CURL_SOCKET_BAD;
+}
+
+int closeProtected(void *cls, curl_socket_t socket)
+{
+    static_cast<LeaseGuard *>(cls)->release();
+    return close(socket);
+}
+
 } // namespace
 
-PlatformCaller::PlatformCaller(const PlatformOptions &options)
+PlatformCaller::PlatformCaller(const PlatformOptions &options, LeaseGuard *guard)
     : options_(options)
+    , guard_(guard)
     , easy_(newHttpHandle())
-{ }
+{
+    if (guard_ != nullptr)
+        useGuard();
+}
+
+void PlatformCaller::useGuard()
+{
+    CURL *easy = easy_.get();
+    curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+    curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
+    curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION, &openProtected);
+    curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, guard_);
+    curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, &closeProtected);
+    curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, guard_);
+}
 
 base::Outcome<PlatformAnswer> PlatformCaller::call(const PlatformRequest &request)
 {
+    return callAt(options_.baseUrl, request);
+}
+
+base::Outcome<PlatformAnswer> PlatformCaller::callAt(const std::string &baseUrl,
+                                                     const PlatformRequest &request)
+{
+    if (guard_ != nullptr && guard_->expired())
+        return base::Reason { base::ReasonCode::Unavailable, "the lease has ended" };
     CURL *easy = easy_.get();
-    const std::string url = absl::StrCat(options_.baseUrl, request.path);
+    const std::string url = absl::StrCat(baseUrl, request.path);
     const absl::Duration total = options_.timeout + request.extraTime;
     std::vector<ports::HttpHeader> headers;
     if (!request.contentType.empty())
@@ -60,11 +108,11 @@
 base::Reason refusalReason(const PlatformAnswer &answer)
 {
     const std::string text = absl::StrCat("the platform answered ", answer.status);
-    if (answer.status == 503 || answer.status == 429)
+    if (answer.status == StatusUnavailable || answer.status == StatusTooManyRequests)
         return { base::ReasonCode::Unavailable, text };
-    if (answer.status == 409)
+    if (answer.status == StatusConflict)
         return { base::ReasonCode::Conflict, text };
-    if (answer.status >= 400 && answer.status < 500)
+    if (answer.status >= 400 && answer.status < StatusServerError)
         return { base::ReasonCode::InvalidArgument, text };
     return { base::ReasonCode::OutcomeUnknown, text };
 }
--- a/src/zinniadoor/adapters/platform_call.hpp
+++ b/src/zinniadoor/adapters/platform_call.hpp
@@ -2,6 +2,7 @@
 
 #include <string>
 
+#include "zinniadoor/adapters/lease_guard.hpp"
 #include "zinniadoor/adapters/platform_http.hpp"
 #include "zinniadoor/base/outcome.hpp"
 
@@ -15,7 +16,7 @@
     std::string path;
     std::string contentType; ///< Empty where there is no body.
     std::string body;
-    absl::Duration extraTime; ///< Longest time that the platform may wait on purpose.
+    absl::Duration extraTime {}; ///< Longest time that the platform may wait on purpose.
 };
 
 struct PlatformAnswer
@@ -24,18 +25,26 @@
     std::string body;
 };
 
-/// Blocking calls over one handle, with its connection kept between calls.
+/// Blocking calls over one handle.
 class PlatformCaller
 {
 public:
-    explicit PlatformCaller(const PlatformOptions &options);
+    /// With a guard each call takes a fresh connection that the guard protects.
+    explicit PlatformCaller(const PlatformOptions &options, LeaseGuard *guard = nullptr);
 
     /// Any answer of the platform. Without one: Unavailable when no byte of the request can
     /// have been sent, else OutcomeUnknown.
     base::Outcome<PlatformAnswer> call(const PlatformRequest &request);
 
+    /// The same to another server.
+    base::Outcome<PlatformAnswer> callAt(const std::string &baseUrl,
+                                         const PlatformRequest &request);
+
 private:
+    void useGuard();
+
     const PlatformOptions options_;
+    LeaseGuard *const guard_;
     CurlHandle easy_;
 };
 
--- a/src/zinniadoor/adapters/platform_http.cpp
+++ b/src/zinniadoor/adapters/platform_http.cpp
@@ -39,7 +39,7 @@
     base::Outcome<base::Offset> append(const std::string &data) override
     {
         const auto answer
-            = caller_.call({ "POST", "/log/records", "application/octet-stream", data, {} });
+            = caller_.call({ "POST", "/log/records", "application/octet-stream", data });
         if (!answer)
             return answer.lastReason();
         if (answer->status != StatusOk)
@@ -94,6 +94,133 @@
     detail::PlatformCaller caller_;
 };
 
+ports::InstanceState stateOf(const std::string &name)
+{
+    if (name == "live")
+        return ports::InstanceState::Live;
+    if (name == "leaving")
+        return ports::InstanceState::Leaving;
+    throw std::invalid_argument("state");
+}
+
+class HttpInstanceList : public ports::InstanceList
+{
+public:
+    explicit HttpInstanceList(const PlatformOptions &options)
+        : caller_(options)
+    { }
+
+    base::Outcome<std::vector<ports::ListedInstance>> list() override
+    {
+        const auto answer = caller_.call({ "GET", "/instances", "", "" });
+        if (!answer)
+            return detail::readReason(answer.lastReason());
+        if (answer->status != StatusOk)
+            return detail::readReason(detail::refusalReason(*answer));
+        try {
+            return parseList(Json::parse(answer->body));
+        } catch (const std::exception &) {
+            return malformed(base::ReasonCode::Unavailable);
+        }
+    }
+
+private:
+    static std::vector<ports::ListedInstance> parseList(const Json &body)
+    {
+        std::vector<ports::ListedInstance> list;
+        for (const Json &row : body.at("instances")) {
+            ports::ListedInstance instance;
+            instance.id = row.at("id").get<std::string>();
+            instance.dataCentre = base::DataCentreId(row.at("data_centre").get<std::string>());
+            instance.state = stateOf(row.at("state").get<std::string>());
+            list.push_back(std::move(instance));
+        }
+        return list;
+    }
+
+    detail::PlatformCaller caller_;
+};
+
+/// A JSON call that has an effect and whose answer's body doesn't matter.
+detail::PlatformRequest jsonPost(const std::string &path, const Json &body)
+{
+    const std::string text = body.dump(-1, ' ', false, Json::error_handler_t::replace);
+    return { "POST", path, "application/json", text };
+}
+
+base::Status statusOf(const base::Outcome<detail::PlatformAnswer> &answer)
+{
+    if (!answer)
+        return answer.lastReason();
+    if (answer->status != StatusOk)
+        return detail::refusalReason(*answer);
+    return base::Done {};
+}
+
+class HttpBilling : public ports::Billing
+{
+public:
+    HttpBilling(const PlatformOptions &options, LeaseGuard *guard)
+        : caller_(options, guard)
+    { }
+
+    base::Status report(const ports::UsageReport &report) override
+    {
+        const Json body = {
+            { "organisation", report.organisation.str() },
+            { "window", report.window },
+            { "requests", report.requests },
+            { "prompt_tokens", report.promptTokens },
+            { "output_tokens", report.outputTokens },
+            { "fencing", report.fencing },
+        };
+        return statusOf(caller_.call(jsonPost("/billing/reports", body)));
+    }
+
+private:
+    detail::PlatformCaller caller_;
+};
+
+class HttpEndpointOrders : public ports::EndpointOrders
+{
+public:
+    HttpEndpointOrders(const PlatformOptions &options, LeaseGuard *guard)
+        : caller_(options, guard)
+    { }
+
+    base::Status send(const ports::EndpointOrder &order) override
+    {
+        const bool toPlatform = order.kind == ports::EndpointOrderKind::Start
+            || order.kind == ports::EndpointOrderKind::Stop;
+        return statusOf(toPlatform ? sendToPlatform(order) : sendToEngine(order));
+    }
+
+private:
+    base::Outcome<detail::PlatformAnswer> sendToPlatform(const ports::EndpointOrder &order)
+    {
+        const Json body = {
+            { "kind", nameOf(order.kind) },
+            { "data_centre", order.dataCentre.str() },
+            { "endpoint", order.endpoint.str() },
+            { "fencing", order.fencing },
+        };
+        return caller_.call(jsonPost("/endpoint_orders", body));
+    }
+
+    base::Outcome<detail::PlatformAnswer> sendToEngine(const ports::EndpointOrder &order)
+    {
+        const Json body = {
+            { "kind", nameOf(order.kind) },
+            { "argument", order.argument },
+            { "fencing", order.fencing },
+            { "slot", order.slot },
+        };
+        return caller_.callAt("http://" + order.address, jsonPost("/orders", body));
+    }
+
+    detail::PlatformCaller caller_;
+};
+
 } // namespace
 
 std::unique_ptr<ports::Log> httpLog(const PlatformOptions &options)
@@ -101,4 +228,20 @@
     return std::make_unique<HttpLog>(options);
 }
 
+std::unique_ptr<ports::InstanceList> httpInstanceList(const PlatformOptions &options)
+{
+    return std::make_unique<HttpInstanceList>(options);
+}
+
+std::unique_ptr<ports::Billing> httpBilling(const PlatformOptions &options, LeaseGuard *guard)
+{
+    return std::make_unique<HttpBilling>(options, guard);
+}
+
+std::unique_ptr<ports::EndpointOrders> httpEndpointOrders(const PlatformOptions &options,
+                                                          LeaseGuard *guard)
+{
+    return std::make_unique<HttpEndpointOrders>(options, guard);
+}
+
 } // namespace zinniadoor::adapters
--- a/src/zinniadoor/adapters/platform_http_test.cpp
+++ b/src/zinniadoor/adapters/platform_http_test.cpp
@@ -6,6 +6,8 @@
 
 #include "absl/strings/str_cat.h"
 
+#include "zinniadoor/base/clock.hpp"
+
 #include "test_sockets.hpp"
 
 namespace {
@@ -117,6 +119,78 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(instanceList_list_readsRowsOrGivesReason)
+{
+    const auto list = adapters::httpInstanceList(options);
+    serve("\r\n\r\n", answer(200, R"({"instances": [{"id": "a", "data_centre": "kumasi",
+                                    "state": "leaving"}]})"));
+    const auto rows = list->list();
+    BOOST_REQUIRE(rows.hasValue());
+    BOOST_REQUIRE(rows->size() == 1u);
+    BOOST_TEST(rows->front().id == "a");
+    BOOST_TEST(rows->front().dataCentre.str() == "kumasi");
+    BOOST_TEST((rows->front().state == ports::InstanceState::Leaving));
+    serve("\r\n\r\n", answer(200, R"({"instances": [{"id": "a", "data_centre": "kumasi",
+                                    "state": "asleep"}]})"));
+    BOOST_TEST((list->list().lastReason().code == ReasonCode::Unavailable));
+}
+
+BOOST_AUTO_TEST_CASE(billing_report_sendsFiguresAndTellsConflict)
+{
+    const auto billing = adapters::httpBilling(options);
+    ports::UsageReport report;
+    report.organisation = base::OrganisationId("crew");
+    report.window = 3600;
+    report.outputTokens = 7;
+    serve("}", answer(200, "{}"));
+    BOOST_TEST(billing->report(report).hasValue());
+    server.join();
+    BOOST_TEST(received.find("POST /billing/reports ") == 0u);
+    BOOST_TEST(received.find("\"output_tokens\":7") != std::string::npos);
+    serve("}", answer(409, ""));
+    BOOST_TEST((billing->report(report).lastReason().code == ReasonCode::Conflict));
+    serve("}", "");
+    BOOST_TEST((billing->report(report).lastReason().code == ReasonCode::OutcomeUnknown));
+}
+
+BOOST_AUTO_TEST_CASE(endpointOrders_send_goesToPlatformOrEngine)
+{
+    const auto orders = adapters::httpEndpointOrders(options);
+    ports::EndpointOrder order;
+    order.kind = ports::EndpointOrderKind::Start;
+    order.endpoint = base::EndpointId("e1");
+    order.fencing = 12;
+    serve("}", answer(200, "{}"));
+    BOOST_TEST(orders->send(order).hasValue());
+    server.join();
+    BOOST_TEST(received.find("POST /endpoint_orders ") == 0u);
+    BOOST_TEST(received.find("\"endpoint\":\"e1\"") != std::string::npos);
+    order.kind = ports::EndpointOrderKind::Role;
+    order.address = absl::StrCat("127.0.0.1:", listener.port());
+    order.argument = "prefill";
+    serve("}", answer(409, ""));
+    BOOST_TEST((orders->send(order).lastReason().code == ReasonCode::Conflict));
+    server.join();
+    BOOST_TEST(received.find("POST /orders ") == 0u);
+    BOOST_TEST(received.find("\"argument\":\"prefill\",\"fencing\":12,\"kind\":\"role\"")
+               != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(endpointOrders_guard_decidesWhetherAnythingIsSent)
+{
+    adapters::LeaseGuard guard;
+    const auto orders = adapters::httpEndpointOrders(options, &guard);
+    ports::EndpointOrder order;
+    order.address = absl::StrCat("127.0.0.1:", listener.port());
+    BOOST_TEST((orders->send(order).lastReason().code == ReasonCode::Unavailable));
+    BOOST_TEST(!listener.accept(0).isOpen());
+    guard.arm(base::systemClock()->now() + absl::Hours(1));
+    for (int i = 0; i < 2; ++i) {
+        serve("}", answer(200, "{}"));
+        BOOST_TEST(orders->send(order).hasValue());
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
--- a/src/zinniadoor/adapters/test_sockets.hpp
+++ b/src/zinniadoor/adapters/test_sockets.hpp
@@ -116,6 +116,13 @@
         return (waiting.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
     }
 
+    /// Bytes wait to be received.
+    bool hasBytes() const
+    {
+        char byte = 0;
+        return recv(socket_, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+    }
+
     void shutdownSending() const { shutdown(socket_, SHUT_WR); }
     void closeNow()
     {
