--- /dev/null
+++ b/src/zinniadoor/control/snapshot.cpp
@@ -0,0 +1,234 @@
+#include "zinniadoor/control/snapshot.hpp"
+
+#include <algorithm>
+#include <variant>
+
+namespace zinniadoor::control {
+
+namespace {
+
+/// Beyond the end of any log, yet exact as a JSON number.
+constexpr base::Offset BeyondEnd = (base::Offset(1) << 53) - 1;
+constexpr std::size_t TailFrames = 64; ///< Newest frames looked at for the newest snapshot.
+constexpr std::size_t PageFrames = 1000;
+constexpr int MaxSnapshotAttempts = 3;
+
+base::Offset before(base::Offset offset)
+{
+    return offset == 0 ? 0 : offset - 1;
+}
+
+} // namespace
+
+std::vector<SnapshotPart> splitSnapshot(const State &state)
+{
+    const std::string bytes = encodeState(state);
+    const std::size_t count = (bytes.size() + SnapshotPartBytes - 1) / SnapshotPartBytes;
+    std::vector<SnapshotPart> parts;
+    for (std::size_t i = 0; i < count; ++i) {
+        SnapshotPart part;
+        part.through = state.appliedThrough();
+        part.part = static_cast<std::uint32_t>(i);
+        part.parts = static_cast<std::uint32_t>(count);
+        part.bytes = bytes.substr(i * SnapshotPartBytes, SnapshotPartBytes);
+        parts.push_back(std::move(part));
+    }
+    return parts;
+}
+
+bool isSnapshotDue(const State &state, base::Offset everyFrames)
+{
+    return state.appliedThrough() >= state.snapshots().newest().through + everyFrames;
+}
+
+std::optional<State> SnapshotCollector::add(const Frame &frame)
+{
+    std::optional<State> whole;
+    for (const Record &record : frame.records) {
+        const auto *part = std::get_if<SnapshotPart>(&record);
+        if (part == nullptr)
+            continue;
+        if (std::optional<State> state = add(*part, { frame.writer, frame.incarnation }))
+            whole = std::move(state);
+    }
+    return whole;
+}
+
+std::optional<State> SnapshotCollector::add(const SnapshotPart &part, const Process &writer)
+{
+    if (part.part >= part.parts)
+        return std::nullopt;
+    if (part.part == 0)
+        begun_[writer] = { part.through, part.parts, 0, "" };
+    const auto found = begun_.find(writer);
+    if (found == begun_.end())
+        return std::nullopt;
+    Parts &parts = found->second;
+    // A part read twice, or one of another snapshot, is passed over.
+    if (part.through != parts.through || part.parts != parts.count || part.part != parts.next)
+        return std::nullopt;
+    if (parts.bytes.size() + part.bytes.size() > MaxSnapshotBytes) {
+        begun_.erase(found);
+        return std::nullopt;
+    }
+    parts.bytes += part.bytes;
+    ++parts.next;
+    if (parts.next < parts.count)
+        return std::nullopt;
+    base::Outcome<State> state = decodeState(parts.bytes);
+    const base::Offset through = parts.through;
+    begun_.erase(found);
+    if (!state || state->appliedThrough() != through)
+        return std::nullopt;
+    return std::move(*state);
+}
+
+Replayer::Replayer(State start)
+    : phase_(start.appliedThrough() == 0 ? Phase::Locate : Phase::Apply)
+    , readAfter_(start.appliedThrough())
+    , state_(std::move(start))
+{ }
+
+ReplayRead Replayer::nextRead() const
+{
+    switch (phase_) {
+    case Phase::Locate:
+        return { BeyondEnd, 1, false };
+    case Phase::Tail:
+        return { readAfter_, TailFrames, false };
+    case Phase::Snapshot:
+    case Phase::Scan:
+        return { readAfter_, PageFrames, false };
+    case Phase::Apply:
+        break;
+    }
+    return { readAfter_, PageFrames, caughtUp_ };
+}
+
+void Replayer::onPage(const ports::LogPage &page, ReplayObserver &observer)
+{
+    recordsRead_ += page.entries.size();
+    for (const ports::LogEntry &entry : page.entries)
+        bytesRead_ += entry.data.size();
+    switch (phase_) {
+    case Phase::Locate:
+        return onLocated(page);
+    case Phase::Tail:
+        return onTail(page);
+    case Phase::Snapshot:
+    case Phase::Scan:
+        return onParts(page, observer);
+    case Phase::Apply:
+        return onEntries(page, observer);
+    }
+}
+
+void Replayer::onGone()
+{
+    phase_ = Phase::Locate;
+    caughtUp_ = false;
+}
+
+void Replayer::onLocated(const ports::LogPage &page)
+{
+    firstOffset_ = page.firstOffset;
+    if (page.lastOffset == 0) {
+        phase_ = Phase::Apply;
+        readAfter_ = state_.appliedThrough();
+        caughtUp_ = true;
+        return;
+    }
+    phase_ = Phase::Tail;
+    const base::Offset tail = page.lastOffset > TailFrames ? page.lastOffset - TailFrames : 0;
+    readAfter_ = std::max(tail, before(firstOffset_));
+}
+
+void Replayer::onTail(const ports::LogPage &page)
+{
+    base::Offset snapshot = 0;
+    for (const ports::LogEntry &entry : page.entries) {
+        const base::Outcome<Frame> frame = decodeFrame(entry.data);
+        if (frame && frame->snapshotOffset <= page.lastOffset)
+            snapshot = std::max(snapshot, frame->snapshotOffset);
+    }
+    ++attempts_;
+    if (snapshot >= firstOffset_ && snapshot != 0 && attempts_ <= MaxSnapshotAttempts)
+        beginCollecting(Phase::Snapshot, snapshot - 1);
+    else
+        beginWithoutSnapshot(firstOffset_);
+}
+
+void Replayer::beginCollecting(Phase phase, base::Offset after)
+{
+    phase_ = phase;
+    readAfter_ = after;
+    collector_ = SnapshotCollector();
+}
+
+void Replayer::beginWithoutSnapshot(base::Offset firstOffset)
+{
+    // Nothing is missing if the state reaches up to the oldest record kept.
+    if (state_.appliedThrough() + 1 >= firstOffset) {
+        phase_ = Phase::Apply;
+        readAfter_ = state_.appliedThrough();
+        return;
+    }
+    // The newest frames name no snapshot that is left, but an unnamed one may be there.
+    beginCollecting(Phase::Scan, before(firstOffset));
+}
+
+void Replayer::onParts(const ports::LogPage &page, ReplayObserver &observer)
+{
+    for (const ports::LogEntry &entry : page.entries) {
+        readAfter_ = entry.offset;
+        const base::Outcome<Frame> frame = decodeFrame(entry.data);
+        if (!frame)
+            continue;
+        std::optional<State> whole = collector_.add(*frame);
+        if (whole && whole->appliedThrough() >= state_.appliedThrough())
+            return load(std::move(*whole), observer);
+    }
+    if (readAfter_ < page.lastOffset && !page.entries.empty())
+        return;
+    if (phase_ == Phase::Snapshot)
+        return beginWithoutSnapshot(page.firstOffset);
+    historyLost_ = true;
+    state_ = State();
+    state_.skip(before(page.firstOffset));
+    observer.onSnapshotLoaded(state_);
+    phase_ = Phase::Apply;
+    readAfter_ = state_.appliedThrough();
+}
+
+void Replayer::load(State state, ReplayObserver &observer)
+{
+    state_ = std::move(state);
+    observer.onSnapshotLoaded(state_);
+    phase_ = Phase::Apply;
+    readAfter_ = state_.appliedThrough();
+    historyLost_ = false;
+    caughtUp_ = false;
+    collector_ = SnapshotCollector();
+}
+
+void Replayer::onEntries(const ports::LogPage &page, ReplayObserver &observer)
+{
+    for (const ports::LogEntry &entry : page.entries) {
+        if (entry.offset <= state_.appliedThrough())
+            continue;
+        if (entry.offset != state_.appliedThrough() + 1)
+            return onGone();
+        if (const base::Outcome<Frame> frame = decodeFrame(entry.data)) {
+            const ApplyResult result = state_.apply(*frame, entry.offset);
+            observer.onApplied(*frame, entry.offset, result);
+        } else {
+            state_.skip(entry.offset);
+        }
+    }
+    readAfter_ = state_.appliedThrough();
+    caughtUp_ = readAfter_ >= page.lastOffset;
+    if (caughtUp_)
+        attempts_ = 0;
+}
+
+} // namespace zinniadoor::control
