Membership by heartbeats, plan of share slots, release of parts without loans

A part is released only after its loans have ended, so that its next owner may claim it at once; waiting out the loan time after each release would leave the part unused.

--- a/include/zinniadoor/control/rate_shares.hpp
+++ b/include/zinniadoor/control/rate_shares.hpp
@@ -20,7 +20,8 @@
 std::vector<std::uint32_t> slotsOf(const base::OrganisationId &organisation,
                                    std::uint32_t shareSlots);
 
-/// Longest time for which a lender lends; a claimant of a released share waits it out.
+/// Longest time for which a lender lends; whoever claims a part from a holder that restarted waits
+/// it out first.
 constexpr absl::Duration ShareLoanTime = absl::Seconds(8);
 
 struct RateSharesOptions
@@ -52,6 +53,11 @@
     /// Who owns which slot according to the log, for choosing whom to ask.
     void setSlotOwners(const std::map<std::uint32_t, base::InstanceId> &owners);
 
+    /// Slots to be given up: they are no longer lent. Once `mayRelease` is true they may be left
+    /// out of setOwnedSlots and, after that, be released in the log.
+    void prepareRelease(const std::set<std::uint32_t> &slots);
+    bool mayRelease(absl::Time now);
+
     /// Peers that membership holds for lost; they are not asked.
     void setLostPeers(std::set<base::InstanceId> lost) { lost_ = std::move(lost); }
 
@@ -138,6 +144,7 @@
     };
 
     Entry *find(const base::OrganisationId &organisation);
+    void applySlots(Entry &entry, absl::Time now) const;
     void configure(Entry &entry, const Organisation &organisation, absl::Time now);
     std::vector<Outgoing> messagesOf(Outbox &&outbox) const;
     Effects effectsOf(Outbox &&outbox) const;
@@ -188,6 +195,7 @@
     std::map<base::OrganisationId, Entry> entries_;
     std::unordered_map<std::uint32_t, base::OrganisationId> shortNames_;
     std::set<std::uint32_t> ownedSlots_;
+    std::set<std::uint32_t> leavingSlots_;
     absl::Time ownedUntil_ = absl::InfinitePast();
     std::map<std::uint32_t, base::InstanceId> slotOwners_;
     std::set<base::InstanceId> lost_;
--- a/include/zinniadoor/control/share_account.hpp
+++ b/include/zinniadoor/control/share_account.hpp
@@ -62,6 +62,12 @@
     /// Own parts, usable before `until`. New parts bring no tokens.
     void setOwn(std::int64_t units, absl::Time until, absl::Time now);
 
+    /// Own parts of this size are to be released: they are no longer lent.
+    void setLeaving(std::int64_t units) { leavingUnits_ = units; }
+
+    /// True if what is lent fits into the own parts that stay.
+    bool mayRelease(absl::Time now);
+
     /// Ends what has ended and refills for the time that passed. All other calls do so first.
     void advance(absl::Time now);
 
@@ -131,6 +137,7 @@
     double rateOf(std::int64_t units) const;
     double capacityOf(std::int64_t units) const;
     std::int64_t freeOwnUnits() const;
+    std::int64_t stayingUnits() const;
     double ownCapacity() const;
     absl::Duration withinAuthority(absl::Duration duration, absl::Time now) const;
     void block(Lent &lent, Blocked blocked);
@@ -142,6 +149,7 @@
     double burst_ = 0;
     std::int64_t totalUnits_ = 0;
     std::int64_t ownUnits_ = 0;
+    std::int64_t leavingUnits_ = 0;
     absl::Time ownUntil_ = absl::InfinitePast();
     bool ownUsable_ = false;
     double level_ = 0;
--- /dev/null
+++ b/src/zinniadoor/control/membership.cpp
@@ -0,0 +1,396 @@
+#include "zinniadoor/control/membership.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+#include "zinniadoor/control/stable_hash.hpp"
+
+namespace zinniadoor::control {
+
+namespace {
+
+constexpr std::size_t UdpIpHeaderBytes = 28;
+constexpr std::size_t NewsBytes = 13;
+constexpr std::size_t InFlightBytes = 6;
+constexpr std::size_t LoadBytes = 16;
+constexpr std::size_t DigestBytes = 8;
+constexpr std::size_t MaxDigestsPerHeartbeat = 4;
+constexpr std::size_t MaxCrashes = 1024;
+constexpr absl::Duration CrashKept = absl::Minutes(10);
+
+std::uint32_t memberName(const base::InstanceId &instance, base::Incarnation incarnation)
+{
+    return shortName(instance.str() + "#" + std::to_string(incarnation));
+}
+
+} // namespace
+
+const char *nameOf(Liveness liveness)
+{
+    switch (liveness) {
+    case Liveness::Live:
+        return "live";
+    case Liveness::Suspect:
+        return "suspect";
+    case Liveness::Lost:
+        return "lost";
+    }
+    return "unknown";
+}
+
+Membership::Membership(MembershipOptions options)
+    : options_(std::move(options))
+    , random_(options_.seed)
+{ }
+
+void Membership::setMembers(const std::vector<KnownMember> &members, absl::Time now)
+{
+    std::set<base::InstanceId> named;
+    for (const KnownMember &known : members) {
+        if (known.instance == options_.instance)
+            continue;
+        named.insert(known.instance);
+        join(known.instance, known.incarnation, known.dataCentre, now).known = true;
+    }
+    for (auto &[instance, member] : members_)
+        member.known = named.count(instance) > 0;
+    dropLost(now);
+}
+
+void Membership::remove(const base::InstanceId &instance, base::Incarnation incarnation)
+{
+    const auto found = members_.find(instance);
+    if (found != members_.end() && found->second.view.incarnation == incarnation)
+        forget(instance);
+}
+
+/// The member's entry; begun anew if the incarnation is newer than the one known.
+Membership::Member &Membership::join(const base::InstanceId &instance,
+                                     base::Incarnation incarnation,
+                                     const base::DataCentreId &dataCentre, absl::Time now)
+{
+    const auto found = members_.find(instance);
+    if (found != members_.end()) {
+        if (found->second.view.incarnation >= incarnation)
+            return found->second;
+        forget(instance);
+    }
+    Member &member = members_[instance];
+    member.view.incarnation = incarnation;
+    member.view.dataCentre = dataCentre;
+    member.view.heardAt = now;
+    names_[memberName(instance, incarnation)] = instance;
+    return member;
+}
+
+void Membership::forget(const base::InstanceId &instance)
+{
+    const auto found = members_.find(instance);
+    if (found == members_.end())
+        return;
+    names_.erase(memberName(instance, found->second.view.incarnation));
+    members_.erase(found);
+}
+
+void Membership::dropLost(absl::Time now)
+{
+    std::vector<base::InstanceId> gone;
+    for (const auto &[instance, member] : members_) {
+        if (!member.known && livenessOf(instance, now) == Liveness::Lost)
+            gone.push_back(instance);
+    }
+    for (const base::InstanceId &instance : gone)
+        forget(instance);
+}
+
+// After a pause of this process its peers' heartbeats wait in the socket: the time that passed
+// meanwhile says nothing about them.
+void Membership::forgiveOwnPause(absl::Time now)
+{
+    const absl::Duration gap = now - lastTick_;
+    if (lastTick_ != absl::InfinitePast() && gap > 2 * options_.heartbeatInterval) {
+        for (auto &[instance, member] : members_)
+            member.view.heardAt = std::min(now, member.view.heardAt + gap);
+    }
+    lastTick_ = now;
+}
+
+std::vector<Outgoing> Membership::tick(const OwnStatus &own, absl::Time now)
+{
+    forgiveOwnPause(now);
+    std::vector<Outgoing> messages;
+    if (now < nextHeartbeat_)
+        return messages;
+    nextHeartbeat_ = now + options_.heartbeatInterval;
+    dropLost(now);
+    const std::vector<base::InstanceId> chosen = targets();
+    if (chosen.empty())
+        return messages;
+    const Heartbeat heartbeat = compose(own, roomFor(chosen.size()), now);
+    for (const base::InstanceId &target : chosen)
+        messages.push_back(Outgoing { target, heartbeat });
+    return messages;
+}
+
+/// All peers in a small group; else the next ones of a shuffled round over all of them, so that
+/// lost ones are tried as well and a healed partition is noticed.
+std::vector<base::InstanceId> Membership::targets()
+{
+    std::vector<base::InstanceId> all;
+    for (const auto &[instance, member] : members_)
+        all.push_back(instance);
+    if (!passesNewsOn())
+        return all;
+    std::vector<base::InstanceId> chosen;
+    while (chosen.size() < options_.fanOut) {
+        if (rotation_.empty()) {
+            rotation_ = all;
+            std::shuffle(rotation_.begin(), rotation_.end(), random_);
+        }
+        if (members_.count(rotation_.back()) > 0)
+            chosen.push_back(rotation_.back());
+        rotation_.pop_back();
+    }
+    return chosen;
+}
+
+std::size_t Membership::roomFor(std::size_t targetCount) const
+{
+    const double seconds = absl::ToDoubleSeconds(options_.heartbeatInterval);
+    const auto bytes = static_cast<std::size_t>(static_cast<double>(options_.sentBytesPerSecond)
+                                                * seconds / static_cast<double>(targetCount));
+    const std::size_t payload = bytes > UdpIpHeaderBytes ? bytes - UdpIpHeaderBytes : 0;
+    return std::min(payload, MaxHeartbeatBytes);
+}
+
+Heartbeat Membership::compose(const OwnStatus &own, std::size_t room, absl::Time now)
+{
+    Heartbeat heartbeat;
+    heartbeat.instance = options_.instance;
+    heartbeat.incarnation = options_.incarnation;
+    heartbeat.sequence = ++sequence_;
+    heartbeat.dataCentre = options_.dataCentre;
+    heartbeat.bundleVersion = own.bundleVersion;
+    heartbeat.logOffset = own.logOffset;
+    heartbeat.draining = own.draining ? 1 : 0;
+    for (auto it = crashes_.begin(); it != crashes_.end();)
+        it = now - it->second.at > CrashKept ? crashes_.erase(it) : std::next(it);
+
+    const std::size_t fixed = encodePeerMessage(heartbeat).size();
+    std::size_t left = room > fixed ? room - fixed : 0;
+    left -= addCrashes(heartbeat, left);
+    if (passesNewsOn())
+        left -= addNews(heartbeat, left / 2);
+    const std::size_t loads = std::min(own.organisations.size(), left / 2 / LoadBytes);
+    heartbeat.organisations.assign(own.organisations.begin(),
+                                   own.organisations.begin() + static_cast<std::ptrdiff_t>(loads));
+    left -= loads * LoadBytes;
+    addInFlight(heartbeat, own, left);
+    return heartbeat;
+}
+
+std::size_t Membership::addCrashes(Heartbeat &heartbeat, std::size_t room)
+{
+    const std::size_t most = std::min(MaxDigestsPerHeartbeat, room / DigestBytes);
+    for (auto &[digest, crash] : crashes_) {
+        if (heartbeat.crashDigests.size() >= most)
+            break;
+        if (crash.toSend <= 0)
+            continue;
+        --crash.toSend;
+        heartbeat.crashDigests.push_back(digest);
+    }
+    return heartbeat.crashDigests.size() * DigestBytes;
+}
+
+/// Passes on the news that has been passed on least, newest first.
+std::size_t Membership::addNews(Heartbeat &heartbeat, std::size_t room)
+{
+    std::vector<Member *> order;
+    for (auto &[instance, member] : members_) {
+        if (member.view.sequence > 0)
+            order.push_back(&member);
+    }
+    const std::size_t count = std::min(order.size(), room / NewsBytes);
+    std::partial_sort(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(count),
+                      order.end(), [](const Member *a, const Member *b) {
+                          if (a->newsSent != b->newsSent)
+                              return a->newsSent < b->newsSent;
+                          return a->view.heardAt > b->view.heardAt;
+                      });
+    order.resize(count);
+    const std::set<Member *> chosen(order.begin(), order.end());
+    for (auto &[instance, member] : members_) {
+        if (chosen.count(&member) == 0)
+            continue;
+        ++member.newsSent;
+        MemberNews news;
+        news.member = memberName(instance, member.view.incarnation);
+        news.sequence = member.view.sequence;
+        news.bundleVersion = static_cast<std::uint32_t>(member.view.bundleVersion);
+        news.draining = member.view.draining ? 1 : 0;
+        heartbeat.members.push_back(news);
+    }
+    return heartbeat.members.size() * NewsBytes;
+}
+
+std::size_t Membership::addInFlight(Heartbeat &heartbeat, const OwnStatus &own, std::size_t room)
+{
+    const std::size_t count = std::min(own.inFlight.size(), room / InFlightBytes);
+    auto it = own.inFlight.lower_bound(nextEndpoint_);
+    for (std::size_t i = 0; i < count; ++i) {
+        if (it == own.inFlight.end())
+            it = own.inFlight.begin();
+        heartbeat.inFlight.push_back(EndpointInFlight { shortName(it->first.str()), it->second });
+        ++it;
+    }
+    nextEndpoint_ = it == own.inFlight.end() ? base::EndpointId() : it->first;
+    return count * InFlightBytes;
+}
+
+void Membership::onHeartbeat(const Heartbeat &heartbeat, absl::Time now)
+{
+    if (heartbeat.instance == options_.instance)
+        return;
+    Member &member = join(heartbeat.instance, heartbeat.incarnation, heartbeat.dataCentre, now);
+    MemberView &view = member.view;
+    if (view.incarnation != heartbeat.incarnation)
+        return; // An older process of that instance.
+    view.heardDirectlyAt = now;
+    if (heartbeat.sequence > view.sequence) {
+        view.sequence = heartbeat.sequence;
+        view.heardAt = now;
+        view.bundleVersion = heartbeat.bundleVersion;
+        view.logOffset = heartbeat.logOffset;
+        view.draining = heartbeat.draining != 0;
+        member.newsSent = 0;
+        for (const EndpointInFlight &report : heartbeat.inFlight)
+            member.reports[report.endpoint] = Report { report.inFlight, now };
+    }
+    for (const MemberNews &news : heartbeat.members)
+        takeNews(news, now);
+    for (const std::uint64_t digest : heartbeat.crashDigests)
+        takeCrash(digest, now);
+}
+
+void Membership::takeNews(const MemberNews &news, absl::Time now)
+{
+    const auto name = names_.find(news.member);
+    if (name == names_.end())
+        return;
+    Member &member = members_[name->second];
+    if (news.sequence <= member.view.sequence)
+        return;
+    member.view.sequence = news.sequence;
+    member.view.bundleVersion = news.bundleVersion;
+    member.view.draining = news.draining != 0;
+    member.view.heardAt = now;
+    member.newsSent = 0;
+}
+
+void Membership::reportCrash(std::uint64_t digest, absl::Time now)
+{
+    takeCrash(digest, now);
+}
+
+// Each instance passes a new digest on a few times, as many as the logarithm of the group's size
+// asks for; so it reaches all without going round for ever.
+void Membership::takeCrash(std::uint64_t digest, absl::Time now)
+{
+    if (crashes_.count(digest) > 0 || crashes_.size() >= MaxCrashes)
+        return;
+    const int repeats = 2 + static_cast<int>(std::ceil(std::log2(static_cast<double>(size()))));
+    crashes_[digest] = Crash { now, repeats };
+}
+
+std::set<std::uint64_t> Membership::crashDigests(absl::Time now) const
+{
+    std::set<std::uint64_t> digests;
+    for (const auto &[digest, crash] : crashes_) {
+        if (now - crash.at <= CrashKept)
+            digests.insert(digest);
+    }
+    return digests;
+}
+
+Liveness Membership::livenessOf(const base::InstanceId &instance, absl::Time now) const
+{
+    const auto found = members_.find(instance);
+    if (found == members_.end())
+        return Liveness::Lost;
+    const absl::Duration silence = now - found->second.view.heardAt;
+    const bool relayed = passesNewsOn();
+    if (silence >= (relayed ? options_.relayedLostAfter : options_.lostAfter))
+        return Liveness::Lost;
+    if (silence >= (relayed ? options_.relayedSuspectAfter : options_.suspectAfter))
+        return Liveness::Suspect;
+    return Liveness::Live;
+}
+
+std::vector<base::InstanceId> Membership::present(absl::Time now) const
+{
+    std::vector<base::InstanceId> result;
+    for (const auto &[instance, member] : members_) {
+        if (livenessOf(instance, now) != Liveness::Lost)
+            result.push_back(instance);
+    }
+    return result;
+}
+
+std::set<base::InstanceId> Membership::lost(absl::Time now) const
+{
+    std::set<base::InstanceId> result;
+    for (const auto &[instance, member] : members_) {
+        if (livenessOf(instance, now) == Liveness::Lost)
+            result.insert(instance);
+    }
+    return result;
+}
+
+const MemberView *Membership::find(const base::InstanceId &instance) const
+{
+    const auto found = members_.find(instance);
+    return found == members_.end() ? nullptr : &found->second.view;
+}
+
+absl::Duration Membership::freshReport() const
+{
+    return 5 * options_.heartbeatInterval;
+}
+
+std::uint16_t Membership::inFlightOf(const base::InstanceId &instance,
+                                     const base::EndpointId &endpoint, absl::Time now) const
+{
+    const auto member = members_.find(instance);
+    if (member == members_.end())
+        return 0;
+    const auto report = member->second.reports.find(shortName(endpoint.str()));
+    if (report == member->second.reports.end() || now - report->second.at > freshReport())
+        return 0;
+    return report->second.inFlight;
+}
+
+std::unordered_map<std::uint32_t, double> Membership::inFlightOfPeers(absl::Time now) const
+{
+    std::unordered_map<std::uint32_t, double> totals;
+    std::size_t live = 0;
+    std::size_t heard = 0;
+    for (const auto &[instance, member] : members_) {
+        live += livenessOf(instance, now) != Liveness::Lost ? 1 : 0;
+        if (now - member.view.heardDirectlyAt > freshReport())
+            continue;
+        ++heard;
+        for (const auto &[endpoint, report] : member.reports) {
+            if (now - report.at <= freshReport())
+                totals[endpoint] += report.inFlight;
+        }
+    }
+    if (heard == 0 || live <= heard)
+        return totals;
+    const double scale = static_cast<double>(live) / static_cast<double>(heard);
+    for (auto &[endpoint, total] : totals)
+        total *= scale;
+    return totals;
+}
+
+} // namespace zinniadoor::control
--- a/src/zinniadoor/control/rate_shares.cpp
+++ b/src/zinniadoor/control/rate_shares.cpp
@@ -85,10 +85,21 @@
 {
     const auto units = static_cast<std::int64_t>(entry.slots.size()) * UnitsPerSlot;
     entry.account.setLimits(organisation.ratePerSecond, organisation.burst, units, now);
+    applySlots(entry, now);
+}
+
+void RateShares::applySlots(Entry &entry, absl::Time now) const
+{
     std::int64_t own = 0;
-    for (const std::uint32_t slot : entry.slots)
-        own += ownedSlots_.count(slot) > 0 ? UnitsPerSlot : 0;
+    std::int64_t leaving = 0;
+    for (const std::uint32_t slot : entry.slots) {
+        if (ownedSlots_.count(slot) == 0)
+            continue;
+        own += UnitsPerSlot;
+        leaving += leavingSlots_.count(slot) > 0 ? UnitsPerSlot : 0;
+    }
     entry.account.setOwn(own, ownedUntil_, now);
+    entry.account.setLeaving(leaving);
 }
 
 void RateShares::setOwnedSlots(const std::set<std::uint32_t> &slots, absl::Time mayUseUntil,
@@ -96,14 +107,28 @@
 {
     ownedSlots_ = slots;
     ownedUntil_ = mayUseUntil;
+    for (auto &[id, entry] : entries_)
+        applySlots(entry, now);
+}
+
+void RateShares::prepareRelease(const std::set<std::uint32_t> &slots)
+{
+    leavingSlots_ = slots;
     for (auto &[id, entry] : entries_) {
-        std::int64_t own = 0;
-        for (const std::uint32_t slot : entry.slots)
-            own += slots.count(slot) > 0 ? UnitsPerSlot : 0;
-        entry.account.setOwn(own, mayUseUntil, now);
+        const auto leaving
+            = std::count_if(entry.slots.begin(), entry.slots.end(), [this](std::uint32_t slot) {
+                  return ownedSlots_.count(slot) > 0 && leavingSlots_.count(slot) > 0;
+              });
+        entry.account.setLeaving(leaving * UnitsPerSlot);
     }
 }
 
+bool RateShares::mayRelease(absl::Time now)
+{
+    return std::all_of(entries_.begin(), entries_.end(),
+                       [now](auto &one) { return one.second.account.mayRelease(now); });
+}
+
 void RateShares::setSlotOwners(const std::map<std::uint32_t, base::InstanceId> &owners)
 {
     slotOwners_ = owners;
--- a/src/zinniadoor/control/share_account.cpp
+++ b/src/zinniadoor/control/share_account.cpp
@@ -1,6 +1,7 @@
 #include "zinniadoor/control/share_account.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 #include "zinniadoor/control/token_bucket.hpp"
 
@@ -62,7 +63,9 @@
 {
     advance(now);
     const absl::Duration granted = withinAuthority(duration, now);
-    const std::int64_t size = std::min(units, lentUnits(key) + lendableUnits());
+    // A part that is about to be released makes its loans shrink as they are renewed.
+    const std::int64_t more = std::min(stayingUnits(), lendableUnits());
+    const std::int64_t size = std::min(units, lentUnits(key) + more);
     if (size <= 0 || granted <= absl::ZeroDuration())
         return Grant {};
     const std::int64_t before = unitsInUse();
@@ -158,13 +161,27 @@
 {
     if (burst_ <= 0 || borrowedUnits_ > 0)
         return 0;
-    const double room = ownCapacity() / burst_ * static_cast<double>(totalUnits_);
-    return std::min(freeOwnUnits(), static_cast<std::int64_t>(room));
+    return std::max<std::int64_t>(0, stayingUnits());
 }
 
 double ShareAccount::lendableTokens() const
 {
-    return std::min(level_, ownCapacity());
+    return std::max(0.0, std::min(level_, capacityOf(stayingUnits())));
+}
+
+bool ShareAccount::mayRelease(absl::Time now)
+{
+    advance(now);
+    return stayingUnits() >= 0 || (lentUnits_ == 0 && lentRoom_ == 0);
+}
+
+/// Own units that stay and are neither lent nor blocked by token loans; negative if there are
+/// more loans than the units that stay can carry.
+std::int64_t ShareAccount::stayingUnits() const
+{
+    const double total = static_cast<double>(totalUnits_);
+    const double room = burst_ > 0 ? std::ceil(lentRoom_ / burst_ * total) : 0;
+    return ownUnits() - leavingUnits_ - lentUnits_ - static_cast<std::int64_t>(room);
 }
 
 double ShareAccount::rateOf(std::int64_t units) const
