--- a/src/zinniadoor/control/membership.cpp
+++ b/src/zinniadoor/control/membership.cpp
@@ -172,7 +172,7 @@
     heartbeat.dataCentre = options_.dataCentre;
     heartbeat.bundleVersion = own.bundleVersion;
     heartbeat.logOffset = own.logOffset;
-    heartbeat.draining = own.draining ? 1 : 0;
+    heartbeat.draining = own.draining;
     for (auto it = crashes_.begin(); it != crashes_.end();)
         it = now - it->second.at > CrashKept ? crashes_.erase(it) : std::next(it);
 
@@ -228,7 +228,7 @@
         news.member = memberName(instance, member.view.incarnation);
         news.sequence = member.view.sequence;
         news.bundleVersion = static_cast<std::uint32_t>(member.view.bundleVersion);
-        news.draining = member.view.draining ? 1 : 0;
+        news.draining = member.view.draining;
         heartbeat.members.push_back(news);
     }
     return heartbeat.members.size() * NewsBytes;
@@ -262,7 +262,7 @@
         view.heardAt = now;
         view.bundleVersion = heartbeat.bundleVersion;
         view.logOffset = heartbeat.logOffset;
-        view.draining = heartbeat.draining != 0;
+        view.draining = heartbeat.draining;
         member.newsSent = 0;
         for (const EndpointInFlight &report : heartbeat.inFlight)
             member.reports[report.endpoint] = Report { report.inFlight, now };
@@ -283,7 +283,7 @@
         return;
     member.view.sequence = news.sequence;
     member.view.bundleVersion = news.bundleVersion;
-    member.view.draining = news.draining != 0;
+    member.view.draining = news.draining;
     member.view.heardAt = now;
     member.newsSent = 0;
 }
