Vouching for share leases and the claimant's timing rule

A withdrawal counts only from the newest process of the voucher (instance_table): else a late frame of an ended process could withdraw while its successor, cut off from the log, still vouches, and the share would be claimed from a holder that spends it.

--- a/src/zinniadoor/control/instance_table.cpp
+++ b/src/zinniadoor/control/instance_table.cpp
@@ -81,6 +81,9 @@
 {
     if (record.voucher != writer.instance)
         return conflict("only a voucher itself withdraws");
+    // A late frame of an ended process must not withdraw what its successor goes on vouching for.
+    if (newestIncarnation(writer.instance) != writer.incarnation)
+        return conflict("a newer process of the voucher has started");
     const auto found = processes_.find({ record.instance, record.incarnation });
     if (found == processes_.end())
         return conflict("the process vouched for is not known");
