--- /dev/null
+++ b/src/zinniadoor/control/rate_shares_test.cpp
@@ -0,0 +1,123 @@
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+
+#include "support/share_world.hpp"
+
+using namespace zinniadoor;
+using namespace zinniadoor::control;
+using namespace zinniadoor::tests;
+
+namespace {
+
+Organisation organisation(const std::string &id, double rate, double burst)
+{
+    Organisation result;
+    result.id = base::OrganisationId(id);
+    result.ratePerSecond = rate;
+    result.burst = burst;
+    return result;
+}
+
+struct Fixture
+{
+    WorldOptions options;
+
+    Fixture() { options.organisations = { organisation("large", 40, 80) }; }
+};
+
+/// A random choice out of the seed, so that a failing case can be run again by its number.
+class Choice
+{
+public:
+    explicit Choice(std::uint64_t seed)
+        : random_(seed)
+    { }
+    int upTo(int most) { return std::uniform_int_distribution<int>(0, most)(random_); }
+    double fraction() { return std::uniform_real_distribution<double>(0, 1)(random_); }
+
+private:
+    std::mt19937_64 random_;
+};
+
+constexpr double LargestTestedDrift = 0.95 * MaxClockDrift;
+constexpr absl::Duration RunTime = absl::Seconds(90);
+
+void addFault(ShareWorld &world, Choice &choice, absl::Duration when)
+{
+    const int instance = choice.upTo(7);
+    const int other = choice.upTo(7);
+    const absl::Duration length = absl::Seconds(0.1 + 30 * choice.fraction() * choice.fraction());
+    switch (choice.upTo(6)) {
+    case 0:
+        world.at(when, [&world, instance] { world.kill(instance); });
+        world.at(when + length / 4, [&world, instance] { world.restart(instance); });
+        break;
+    case 1:
+    case 2:
+        world.at(when, [&world, instance, length] { world.freeze(instance, length); });
+        break;
+    case 3:
+        world.at(when, [&world, instance, other] { world.cut(instance, other, true); });
+        world.at(when + length, [&world, instance, other] { world.cut(instance, other, false); });
+        break;
+    case 4:
+        world.at(when, [&world, instance] { world.cutFromLog(instance, true); });
+        world.at(when + length, [&world, instance] { world.cutFromLog(instance, false); });
+        break;
+    case 5:
+        world.at(when, [&world] { world.setLog(false); });
+        world.at(when + length, [&world] { world.setLog(true); });
+        break;
+    default:
+        world.at(when,
+                 [&world, instance] { world.burst(instance, base::OrganisationId("large"), 200); });
+        break;
+    }
+}
+
+WorldOptions randomOptions(std::uint64_t seed, Choice &choice)
+{
+    WorldOptions options;
+    options.seed = seed;
+    options.step = absl::Milliseconds(10);
+    const double rate = 2 + 60 * choice.fraction();
+    options.organisations
+        = { organisation("large", rate, 5 + 150 * choice.fraction()), organisation("small", 4, 5) };
+    options.weights.clear();
+    for (int i = 0; i < 8; ++i)
+        options.weights.push_back(choice.upTo(3) == 0 ? 8 : 1);
+    options.offeredFraction = 0.3 + 3 * choice.fraction();
+    options.clockDrift = LargestTestedDrift;
+    options.lost = 0.2 * choice.fraction();
+    options.doubled = 0.3 * choice.fraction();
+    options.late = 0.1 * choice.fraction();
+    return options;
+}
+
+std::string runRandomWorld(std::uint64_t seed, int faults)
+{
+    Choice choice(seed);
+    ShareWorld world(randomOptions(seed, choice));
+    for (int i = 0; i < faults; ++i)
+        addFault(world, choice, RunTime * choice.fraction());
+    world.runUntil(RunTime);
+    return world.violation();
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(RateSharesTest, Fixture)
+
+BOOST_AUTO_TEST_CASE(admissions_randomTrafficAndFaults_neverAboveRateAndBurst)
+{
+    const bool passed = rc::check("admitted ≤ rate × t + burst in every interval", [] {
+        const auto seed = *rc::gen::inRange<std::uint64_t>(1, 1'000'000'000);
+        const auto faults = *rc::gen::inRange(0, 30);
+        const std::string violation = runRandomWorld(seed, faults);
+        RC_LOG() << "seed " << seed << " faults " << faults << ": " << violation << std::endl;
+        RC_ASSERT(violation.empty());
+    });
+    BOOST_TEST(passed);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/support/share_world.cpp
@@ -0,0 +1,579 @@
+#include "share_world.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+#include "zinniadoor/control/token_bucket.hpp"
+
+namespace zinniadoor::tests {
+
+using namespace control;
+
+namespace {
+
+const absl::Time WorldStart = absl::FromUnixSeconds(1'000'000);
+constexpr absl::Duration FrameInterval = absl::Seconds(1);
+constexpr absl::Duration FrameRetry = absl::Milliseconds(500);
+constexpr std::uint32_t Slots = 8;
+
+} // namespace
+
+struct ShareWorld::Node
+{
+    int index = 0;
+    Process self;
+    KnownMember known;
+    bool alive = false;
+    bool logCut = false;
+    absl::Time frozenUntil = absl::InfinitePast();
+    double clockRate = 1;
+    absl::Duration clockOffset;
+    std::uint64_t bytesSent = 0;
+    std::unique_ptr<RateLimiter> limiter;
+    RateShares *shares = nullptr; ///< Points to `limiter` if it is one.
+    std::unique_ptr<VouchKeeper> vouch;
+    std::unique_ptr<Membership> membership;
+    std::vector<std::pair<base::InstanceId, std::string>> inbox; ///< While frozen.
+    std::map<Ticket, std::pair<base::OrganisationId, bool>> tickets;
+
+    // The log as read, with instants on the own clock.
+    InstanceTable instances;
+    LeaseTable leases;
+    base::Offset applied = 0;
+    std::map<Process, absl::Time> frameReadAt;
+    std::map<Process, absl::Time> withdrawalReadAt;
+    std::map<base::InstanceId, absl::Time> startReadAt;
+    std::map<std::uint32_t, absl::Time> freeReadAt;
+
+    // Own frames.
+    std::optional<Frame> pending;
+    absl::Time pendingSentAt;
+    absl::Time retryAt;
+    absl::Time nextFrame;
+    std::uint64_t sequence = 0;
+    std::vector<Record> records;
+    std::optional<std::uint32_t> leaving;
+    std::set<std::uint32_t> releasing;
+};
+
+struct ShareWorld::Reference
+{
+    TokenBucket limit; ///< Takes what was really admitted; must never lack tokens.
+    TokenBucket global; ///< Takes all traffic.
+};
+
+ShareWorld::ShareWorld(WorldOptions options)
+    : options_(std::move(options))
+    , random_(options_.seed)
+    , traffic_(options_.seed + 1)
+    , now_(WorldStart)
+{
+    options_.weights.resize(static_cast<std::size_t>(options_.instances), 1);
+    for (int i = 0; i < options_.instances; ++i) {
+        auto node = std::make_unique<Node>();
+        node->index = i;
+        node->known.instance = base::InstanceId("entry-" + std::to_string(i));
+        node->known.dataCentre
+            = base::DataCentreId("zone-" + std::to_string(i % options_.dataCentres));
+        node->clockRate = 1 + options_.clockDrift * (2 * random() - 1);
+        node->clockOffset = absl::Seconds(1000 * random());
+        indices_[node->known.instance] = i;
+        nodes_.push_back(std::move(node));
+    }
+    for (const Organisation &organisation : options_.organisations) {
+        const double rate = organisation.ratePerSecond;
+        const double burst = organisation.burst;
+        references_[organisation.id] = std::make_unique<Reference>(
+            Reference { TokenBucket(rate, burst, burst, now_), TokenBucket(rate, burst, 0, now_) });
+        scheduleArrival(organisation);
+    }
+    for (auto &node : nodes_)
+        start(*node);
+}
+
+ShareWorld::~ShareWorld() = default;
+
+void ShareWorld::post(absl::Time when, std::function<void()> action)
+{
+    events_.push(Event { when, nextOrder_++, std::move(action) });
+}
+
+void ShareWorld::at(absl::Duration when, std::function<void()> action)
+{
+    post(WorldStart + when, std::move(action));
+}
+
+void ShareWorld::runUntil(absl::Duration end)
+{
+    while (!events_.empty() && events_.top().when <= WorldStart + end) {
+        Event event = events_.top();
+        events_.pop();
+        now_ = event.when;
+        event.action();
+    }
+    now_ = WorldStart + end;
+}
+
+absl::Time ShareWorld::localTime(const Node &node) const
+{
+    return WorldStart + node.clockOffset + node.clockRate * (now_ - WorldStart);
+}
+
+void ShareWorld::start(Node &node)
+{
+    const int index = node.index;
+    const auto incarnation = static_cast<base::Incarnation>(absl::ToUnixMillis(now_));
+    auto fresh = std::make_unique<Node>();
+    fresh->index = index;
+    fresh->known = node.known;
+    fresh->known.incarnation = incarnation;
+    fresh->self = Process { node.known.instance, incarnation };
+    fresh->clockRate = node.clockRate;
+    fresh->clockOffset = node.clockOffset;
+    fresh->bytesSent = node.bytesSent;
+    fresh->logCut = node.logCut;
+    fresh->alive = true;
+    Node &started = *fresh;
+    nodes_[static_cast<std::size_t>(index)] = std::move(fresh);
+
+    RateSharesOptions shares;
+    shares.instance = started.self.instance;
+    shares.incarnation = incarnation;
+    shares.shareSlots = Slots;
+    shares.seed = options_.seed * 100 + static_cast<std::uint64_t>(index);
+    if (options_.strategy == Strategy::Shares) {
+        auto limiter = std::make_unique<RateShares>(shares);
+        started.shares = limiter.get();
+        started.limiter = std::move(limiter);
+    } else {
+        started.limiter
+            = std::make_unique<FixedSplit>(static_cast<std::uint32_t>(options_.instances));
+    }
+    started.vouch = std::make_unique<VouchKeeper>(started.self, ShareTiming {});
+    MembershipOptions membership;
+    membership.instance = started.self.instance;
+    membership.incarnation = incarnation;
+    membership.dataCentre = started.known.dataCentre;
+    membership.seed = shares.seed;
+    started.membership = std::make_unique<Membership>(membership);
+    std::vector<KnownMember> members;
+    for (const auto &other : nodes_)
+        members.push_back(other->known);
+    const absl::Time local = localTime(started);
+    started.membership->setMembers(members, local);
+    started.limiter->setOrganisations(options_.organisations, local);
+    started.records.push_back(InstanceStarted {
+        started.self.instance, incarnation, started.known.dataCentre,
+        "10.0.0." + std::to_string(index) + ":7000", chooseVouchers(started.known, members) });
+    started.nextFrame = local;
+    post(now_ + options_.step * random(), [this, index, incarnation] {
+        if (nodes_[static_cast<std::size_t>(index)]->self.incarnation == incarnation)
+            step(index);
+    });
+}
+
+void ShareWorld::kill(int instance)
+{
+    Node &node = *nodes_[static_cast<std::size_t>(instance)];
+    total_.lostWithInstance += node.tickets.size();
+    node.tickets.clear();
+    node.alive = false;
+}
+
+void ShareWorld::restart(int instance)
+{
+    Node &node = *nodes_[static_cast<std::size_t>(instance)];
+    if (!node.alive)
+        start(node);
+}
+
+void ShareWorld::freeze(int instance, absl::Duration duration)
+{
+    nodes_[static_cast<std::size_t>(instance)]->frozenUntil = now_ + duration;
+}
+
+void ShareWorld::cut(int a, int b, bool isCut)
+{
+    const std::pair<int, int> pair = std::minmax(a, b);
+    if (isCut)
+        cuts_.insert(pair);
+    else
+        cuts_.erase(pair);
+}
+
+void ShareWorld::cutFromLog(int instance, bool isCut)
+{
+    nodes_[static_cast<std::size_t>(instance)]->logCut = isCut;
+}
+
+void ShareWorld::step(int index)
+{
+    Node &node = *nodes_[static_cast<std::size_t>(index)];
+    if (!node.alive)
+        return;
+    const base::Incarnation incarnation = node.self.incarnation;
+    const absl::Time next = std::max(now_ + options_.step, node.frozenUntil);
+    post(next, [this, index, incarnation] {
+        if (nodes_[static_cast<std::size_t>(index)]->self.incarnation == incarnation)
+            step(index);
+    });
+    if (now_ < node.frozenUntil)
+        return;
+    const absl::Time local = localTime(node);
+    // Messages that came during a freeze are taken in with a view that is still the old one.
+    std::vector<std::pair<base::InstanceId, std::string>> inbox;
+    inbox.swap(node.inbox);
+    for (const auto &[from, bytes] : inbox)
+        deliver(index, from, bytes);
+    take(node, node.limiter->tick(local));
+    readLog(node);
+    writeLog(node);
+    useSlots(node);
+
+    node.vouch->setCharges(chargesOf(node.self, node.instances), local);
+    VouchEffects vouch = node.vouch->tick(local);
+    for (const VouchWithdrawn &withdrawn : vouch.withdrawals)
+        node.records.emplace_back(withdrawn);
+    send(node, std::move(vouch.messages));
+
+    OwnStatus status;
+    if (node.shares != nullptr)
+        status.organisations = node.shares->loads(options_.organisations.size(), local);
+    std::vector<Outgoing> heartbeats = node.membership->tick(status, local);
+    for (const Outgoing &one : heartbeats)
+        heartbeatBytes_ += encodePeerMessage(one.message).size();
+    send(node, std::move(heartbeats));
+}
+
+void ShareWorld::readLog(Node &node)
+{
+    if (!logUp_ || node.logCut)
+        return;
+    while (node.applied < log_.size() && log_[node.applied].at <= now_) {
+        const Frame frame = log_[node.applied].frame;
+        applyFrame(node, frame, ++node.applied);
+    }
+}
+
+void ShareWorld::applyFrame(Node &node, const Frame &frame, base::Offset offset)
+{
+    const absl::Time local = localTime(node);
+    if (!node.instances.admit(frame, offset))
+        return;
+    const Process writer { frame.writer, frame.incarnation };
+    node.frameReadAt[writer] = local;
+    for (const Record &record : frame.records) {
+        if (const auto *started = std::get_if<InstanceStarted>(&record)) {
+            node.instances.apply(*started, writer, offset);
+            node.startReadAt[writer.instance] = local;
+        } else if (const auto *claimed = std::get_if<LeaseClaimed>(&record)) {
+            node.leases.apply(*claimed, writer, offset, node.instances);
+        } else if (const auto *released = std::get_if<LeaseReleased>(&record)) {
+            node.leases.apply(*released, writer, offset);
+        } else if (const auto *withdrawn = std::get_if<VouchWithdrawn>(&record)) {
+            node.instances.apply(*withdrawn, writer, offset);
+            node.withdrawalReadAt[{ withdrawn->instance, withdrawn->incarnation }] = local;
+        }
+    }
+    if (writer == node.self && node.pending && frame.sequence == node.pending->sequence) {
+        node.vouch->onOwnFrameSeen(node.pendingSentAt);
+        node.pending.reset();
+    }
+    if (const ProcessInfo *own = node.instances.find(node.self)) {
+        std::vector<base::InstanceId> vouchers;
+        for (const base::InstanceId &voucher : own->vouchers) {
+            if (own->vouchesWithdrawn.count(voucher) == 0)
+                vouchers.push_back(voucher);
+        }
+        node.vouch->setVouchers(vouchers);
+    }
+}
+
+/// One frame at a time, sent again under its own sequence until it is seen in the log.
+void ShareWorld::writeLog(Node &node)
+{
+    const absl::Time local = localTime(node);
+    if (!node.pending && local >= node.nextFrame) {
+        Frame frame;
+        frame.writer = node.self.instance;
+        frame.incarnation = node.self.incarnation;
+        frame.sequence = ++node.sequence;
+        frame.records = std::move(node.records);
+        node.records.clear();
+        if (node.instances.find(node.self) != nullptr)
+            planSlots(node, frame);
+        node.pending = std::move(frame);
+        node.pendingSentAt = local;
+        node.retryAt = local;
+        node.nextFrame = local + FrameInterval;
+    }
+    if (!node.pending || local < node.retryAt)
+        return;
+    node.retryAt = local + FrameRetry;
+    if (!logUp_ || node.logCut || random() < options_.lost)
+        return;
+    const Frame frame = *node.pending;
+    const absl::Duration delay
+        = random() < options_.late ? options_.longestDelay * random() : absl::Milliseconds(3);
+    post(now_ + delay, [this, frame] {
+        if (logUp_)
+            log_.push_back(Logged { frame, now_ + absl::Milliseconds(2) });
+    });
+}
+
+ShareSlotFacts ShareWorld::slotFacts(const Node &node, std::uint32_t slot) const
+{
+    ShareSlotFacts facts;
+    const Lease *lease = node.leases.find(shareScope(slot));
+    if (lease == nullptr || !lease->isHeld()) {
+        facts.freeReadAt = node.freeReadAt.at(slot);
+        return facts;
+    }
+    if (node.instances.restartedAtSameAddress(lease->holder))
+        facts.restartReadAt = node.startReadAt.at(lease->holder.instance);
+    facts.lastFrameReadAt = node.frameReadAt.at(lease->holder);
+    facts.allVouchesWithdrawn = node.instances.allVouchesWithdrawn(lease->holder);
+    const auto withdrawal = node.withdrawalReadAt.find(lease->holder);
+    if (withdrawal != node.withdrawalReadAt.end())
+        facts.lastWithdrawalReadAt = withdrawal->second;
+    return facts;
+}
+
+void ShareWorld::planSlots(Node &node, Frame &frame)
+{
+    const absl::Time local = localTime(node);
+    std::map<std::uint32_t, ShareSlotView> views;
+    std::map<std::uint32_t, ClaimBasis> bases;
+    for (std::uint32_t slot = 0; slot < Slots; ++slot) {
+        const Lease *lease = node.leases.find(shareScope(slot));
+        ShareSlotView &view = views[slot];
+        if (lease != nullptr && lease->isHeld()) {
+            view.holder = lease->holder.instance;
+            node.freeReadAt.erase(slot);
+            if (lease->holder == node.self)
+                continue;
+        } else {
+            node.freeReadAt.try_emplace(slot, local);
+        }
+        const ShareClaim claim = earliestShareClaim(slotFacts(node, slot), ShareTiming {});
+        bases[slot] = claim.basis;
+        if (local >= claim.notBefore)
+            view.claimableSince = claim.notBefore;
+    }
+    std::set<base::InstanceId> live { node.self.instance };
+    for (const base::InstanceId &peer : node.membership->present(local))
+        live.insert(peer);
+    const ShareSlotPlan plan = planShareSlots(node.self.instance, live, views, local);
+    for (const std::uint32_t slot : plan.claim) {
+        const std::string scope = shareScope(slot);
+        const base::Offset supersedes
+            = node.leases.claimMustSupersede(scope, bases[slot], node.instances);
+        frame.records.push_back(LeaseClaimed { scope, node.self.instance, node.self.incarnation,
+                                               supersedes, bases[slot] });
+    }
+    if (!plan.release.empty() && !node.leaving && node.shares != nullptr) {
+        node.leaving = plan.release.front();
+        node.shares->prepareRelease({ *node.leaving });
+    }
+}
+
+void ShareWorld::useSlots(Node &node)
+{
+    const absl::Time local = localTime(node);
+    std::set<std::uint32_t> owned;
+    std::map<std::uint32_t, base::InstanceId> owners;
+    for (std::uint32_t slot = 0; slot < Slots; ++slot) {
+        const Lease *lease = node.leases.find(shareScope(slot));
+        const bool own = lease != nullptr && lease->isHeld() && lease->holder == node.self;
+        if (!own)
+            node.releasing.erase(slot);
+        else if (node.releasing.count(slot) == 0)
+            owned.insert(slot);
+        if (lease != nullptr && lease->isHeld())
+            owners[slot] = lease->holder.instance;
+    }
+    if (node.leaving && owned.count(*node.leaving) == 0)
+        node.leaving.reset();
+    if (node.shares == nullptr)
+        return;
+    if (node.leaving && node.shares->mayRelease(local)) {
+        owned.erase(*node.leaving);
+        node.releasing.insert(*node.leaving);
+        const std::string scope = shareScope(*node.leaving);
+        node.records.emplace_back(LeaseReleased { scope, node.leases.find(scope)->epoch });
+        node.leaving.reset();
+        node.shares->prepareRelease({});
+    }
+    node.shares->setOwnedSlots(owned, node.vouch->mayUseUntil(), local);
+    node.shares->setSlotOwners(owners);
+    node.shares->setLostPeers(node.membership->lost(local));
+}
+
+void ShareWorld::send(Node &from, std::vector<Outgoing> messages)
+{
+    for (const Outgoing &message : messages) {
+        const auto found = indices_.find(message.to);
+        if (found == indices_.end())
+            continue;
+        const int to = found->second;
+        const std::string bytes = encodePeerMessage(message.message);
+        from.bytesSent += bytes.size();
+        const std::pair<int, int> pair = std::minmax(from.index, to);
+        const int copies = random() < options_.doubled ? 2 : 1;
+        for (int i = 0; i < copies; ++i) {
+            if (random() < options_.lost || cuts_.count(pair) > 0)
+                continue;
+            const absl::Duration delay = random() < options_.late
+                ? options_.longestDelay * random()
+                : absl::Microseconds(300 + 700 * random());
+            const base::InstanceId sender = from.self.instance;
+            post(now_ + delay, [this, to, sender, bytes] { deliver(to, sender, bytes); });
+        }
+    }
+}
+
+void ShareWorld::deliver(int to, const base::InstanceId &from, const std::string &bytes)
+{
+    Node &node = *nodes_[static_cast<std::size_t>(to)];
+    if (!node.alive)
+        return;
+    if (now_ < node.frozenUntil) {
+        node.inbox.emplace_back(from, bytes);
+        return;
+    }
+    const base::Outcome<PeerMessage> message = decodePeerMessage(bytes);
+    const absl::Time local = localTime(node);
+    if (!message) {
+        violation_ = "own message not read: " + message.lastReason().text;
+        return;
+    }
+    if (const auto *heartbeat = std::get_if<Heartbeat>(&*message))
+        node.membership->onHeartbeat(*heartbeat, local);
+    if (const auto *ask = std::get_if<VouchAsk>(&*message))
+        send(node, { node.vouch->onAsk(from, *ask, local) });
+    if (const auto *answer = std::get_if<VouchAnswer>(&*message))
+        node.vouch->onAnswer(from, *answer, local);
+    take(node, node.limiter->onMessage(from, *message, local));
+}
+
+void ShareWorld::take(Node &node, Effects effects)
+{
+    for (const Decision &decision : effects.decisions) {
+        const auto ticket = node.tickets.find(decision.ticket);
+        if (ticket == node.tickets.end()) {
+            violation_ = "a decision on an unknown ticket";
+            continue;
+        }
+        const auto [organisation, globally] = ticket->second;
+        node.tickets.erase(ticket);
+        if (decision.verdict == Verdict::Admitted) {
+            admitted(organisation, globally);
+            continue;
+        }
+        ++tallies_[organisation].refused;
+        ++total_.refused;
+        total_.wrongful += globally ? 1 : 0;
+        tallies_[organisation].wrongful += globally ? 1 : 0;
+    }
+    send(node, std::move(effects.messages));
+}
+
+void ShareWorld::scheduleArrival(const Organisation &organisation)
+{
+    const double rate = std::max(1e-3, organisation.ratePerSecond * options_.offeredFraction);
+    const double seconds = std::exponential_distribution<double>(rate)(traffic_);
+    post(now_ + absl::Seconds(seconds), [this, organisation] {
+        arrive(organisation.id);
+        scheduleArrival(organisation);
+    });
+}
+
+/// The balancer sends nothing to instances that are down, but goes on with frozen ones.
+void ShareWorld::arrive(const base::OrganisationId &organisation)
+{
+    std::vector<double> weights = options_.weights;
+    for (const auto &node : nodes_) {
+        if (!node->alive)
+            weights[static_cast<std::size_t>(node->index)] = 0;
+    }
+    offer(std::discrete_distribution<int>(weights.begin(), weights.end())(traffic_), organisation);
+}
+
+void ShareWorld::burst(int instance, const base::OrganisationId &organisation, int count)
+{
+    for (int i = 0; i < count; ++i)
+        offer(instance, organisation);
+}
+
+void ShareWorld::offer(int index, const base::OrganisationId &organisation)
+{
+    Node &node = *nodes_[static_cast<std::size_t>(index)];
+    if (!node.alive || now_ < node.frozenUntil)
+        return;
+    ++total_.offered;
+    ++tallies_[organisation].offered;
+    const bool globally = references_[organisation]->global.spend(1, now_);
+    total_.globalAdmitted += globally ? 1 : 0;
+    tallies_[organisation].globalAdmitted += globally ? 1 : 0;
+    Admission admission = node.limiter->admit(organisation, 1, localTime(node));
+    if (admission.verdict == Verdict::Admitted) {
+        admitted(organisation, globally);
+    } else if (admission.verdict == Verdict::Waiting) {
+        node.tickets[admission.ticket] = { organisation, globally };
+    } else {
+        ++total_.refused;
+        ++tallies_[organisation].refused;
+        total_.wrongful += globally ? 1 : 0;
+        tallies_[organisation].wrongful += globally ? 1 : 0;
+    }
+    take(node, std::move(admission.effects));
+}
+
+// Admissions are taken in order of true time by one bucket that starts full: it lacks tokens if
+// and only if some interval saw more than rate × t + burst.
+void ShareWorld::admitted(const base::OrganisationId &organisation, bool)
+{
+    constexpr double Rounding = 1e-6;
+    ++total_.admitted;
+    ++tallies_[organisation].admitted;
+    TokenBucket &limit = references_[organisation]->limit;
+    if (!limit.spend(1 - Rounding, now_) && violation_.empty()) {
+        violation_ = organisation.str() + " got more than rate and burst at "
+            + absl::FormatDuration(now_ - WorldStart) + "; level " + std::to_string(limit.level());
+    }
+}
+
+Tally ShareWorld::takeTally()
+{
+    const Tally tally = total_;
+    total_ = Tally {};
+    return tally;
+}
+
+int ShareWorld::slotsInUse() const
+{
+    int slots = 0;
+    for (const auto &node : nodes_) {
+        if (!node->alive || now_ < node->frozenUntil
+            || localTime(*node) >= node->vouch->mayUseUntil())
+            continue;
+        for (const auto &[scope, lease] : node->leases.leases())
+            slots += lease.isHeld() && lease.holder == node->self ? 1 : 0;
+    }
+    return slots;
+}
+
+std::uint64_t ShareWorld::bytesSent(int instance) const
+{
+    return nodes_[static_cast<std::size_t>(instance)]->bytesSent;
+}
+
+std::uint64_t ShareWorld::requestsInWait() const
+{
+    std::uint64_t count = 0;
+    for (const auto &node : nodes_)
+        count += node->tickets.size();
+    return count;
+}
+
+} // namespace zinniadoor::tests
