--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -10,11 +10,11 @@
 export cache work
 
 # One line per source: the source, then the project's headers that it uses.
-ninja -C build -t deps 2>/dev/null | awk '
+ninja -C build -t deps 2>/dev/null | awk -v root="$PWD/" '
   /^[^ ].*: #deps/ { if (line != "") print line; line = ""; next }
-  /^    / { file = $1; sub(/^(\.\.\/)+/, "", file); sub(/^.*\/(include|src|tests)\//, "&", file)
-            if (file ~ /^(include|src|tests)\//) line = line " " file
-            else if (match(file, /\/(include\/zinniadoor|src\/zinniadoor|tests)\//)) line = line " " substr(file, RSTART + 1) }
+  /^    / { file = $1; sub(/^(\.\.\/)+/, "", file)
+            if (index(file, root) == 1) file = substr(file, length(root) + 1)
+            if (file ~ /^(include|src|tests)\//) line = line " " file }
   END { if (line != "") print line }' | sort -u >"$work/deps"
 
 lint_one() {
