Serving: prefix digests and token estimates by words

Cause: engines name prefixes by the hash of their first words, 2,000 a page. Change: digests over words joined by blanks in blocks of 2,000; tokens estimated as words.

--- a/include/zinniadoor/serving/request_facts.hpp
+++ b/include/zinniadoor/serving/request_facts.hpp
@@ -20,10 +20,10 @@
 using PrefixDigest = std::uint64_t;
 
 /// Tokens covered by each further prefix digest.
-constexpr std::uint32_t PrefixBlockTokens = 256;
+constexpr std::uint32_t PrefixBlockTokens = 2000;
 
 /// Tokens held by one piece of engine memory.
-constexpr std::uint32_t KvPageTokens = 2048;
+constexpr std::uint32_t KvPageTokens = 2000;
 
 /// What the decisions need to know about one request.
 struct RequestFacts
@@ -49,7 +49,9 @@
 /// Rough number of tokens in a text; at least 1.
 std::uint32_t estimateTokens(std::string_view text);
 
-/// Digests of the leading blocks of a prompt; whole blocks only, `limit` at most.
+/// Digests of the leading blocks of a prompt: whole blocks only, `limit` at most. The digest of
+/// a block covers all words up to its end, joined by single blanks (64-bit FNV-1a), as engines
+/// name their prefixes.
 std::vector<PrefixDigest> prefixDigests(std::string_view prompt, std::size_t limit = 32);
 
 /// Name of a prefix in cache events: 16 hex digits.
--- a/src/zinniadoor/serving/request_facts.cpp
+++ b/src/zinniadoor/serving/request_facts.cpp
@@ -9,10 +9,21 @@
 
 namespace {
 
-constexpr std::size_t BytesPerToken = 4;
-constexpr std::size_t PrefixBlockBytes = PrefixBlockTokens * BytesPerToken;
+/// Text without blanks, as in other scripts, has about so many bytes a token at most.
+constexpr std::size_t MaxBytesPerToken = 8;
+constexpr std::string_view Blanks = " \t\r\n\v\f";
 constexpr std::size_t PrefixNameLength = 16;
 
+/// Takes the first word off a text; empty at its end.
+std::string_view nextWord(std::string_view &text)
+{
+    text.remove_prefix(std::min(text.find_first_not_of(Blanks), text.size()));
+    const std::size_t length = std::min(text.find_first_of(Blanks), text.size());
+    const std::string_view word = text.substr(0, length);
+    text.remove_prefix(length);
+    return word;
+}
+
 int hexValue(char digit)
 {
     if (digit >= '0' && digit <= '9')
@@ -42,18 +53,26 @@
 
 std::uint32_t estimateTokens(std::string_view text)
 {
-    return static_cast<std::uint32_t>(
-        std::min<std::size_t>(text.size() / BytesPerToken + 1, UINT32_MAX));
+    std::size_t tokens = 0;
+    for (std::string_view word = nextWord(text); !word.empty(); word = nextWord(text))
+        tokens += 1 + word.size() / MaxBytesPerToken;
+    return static_cast<std::uint32_t>(std::clamp<std::size_t>(tokens, 1, UINT32_MAX));
 }
 
 std::vector<PrefixDigest> prefixDigests(std::string_view prompt, std::size_t limit)
 {
     std::vector<PrefixDigest> digests;
     std::uint64_t digest = detail::EmptyDigest;
-    while (prompt.size() >= PrefixBlockBytes && digests.size() < limit) {
-        digest = detail::extendDigest(digest, prompt.substr(0, PrefixBlockBytes));
-        digests.push_back(digest);
-        prompt.remove_prefix(PrefixBlockBytes);
+    std::size_t words = 0;
+    while (digests.size() < limit) {
+        const std::string_view word = nextWord(prompt);
+        if (word.empty())
+            break;
+        if (words > 0)
+            digest = detail::extendDigest(digest, " ");
+        digest = detail::extendDigest(digest, word);
+        if (++words % PrefixBlockTokens == 0)
+            digests.push_back(digest);
     }
     return digests;
 }
