--- a/include/zinniadoor/base/events.hpp
+++ b/include/zinniadoor/base/events.hpp
@@ -17,6 +17,8 @@
     KeyWithdrawn = 203,
     LeaseGained = 210,
     LeaseLost = 211,
+    SnapshotLoaded = 220,
+    PeerStateAdopted = 221,
     LogReadFailed = 401,
     LogAppendFailed = 402,
     HttpServerFailed = 403,
--- a/include/zinniadoor/control/peer_messages.hpp
+++ b/include/zinniadoor/control/peer_messages.hpp
@@ -265,8 +265,36 @@
 
 constexpr std::size_t MaxStatePartBytes = 48UL * 1024;
 
-using PeerMessage = std::variant<Heartbeat, VouchAsk, VouchAnswer, BorrowAsk, BorrowAnswer,
-                                 LoanReturn, UsageCopy, UsageCopyAck, StateAsk, StateAnswer>;
+/// A request body was in flight on an endpoint that crashed.
+struct CrashReport
+{
+    std::string bodyDigest;
+    base::EndpointId endpoint;
+    std::uint32_t ageMilliseconds = 0;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(bodyDigest, endpoint, ageMilliseconds);
+    }
+};
+
+/// Told to all peers at once, so that a caller who tries elsewhere is recognised there.
+struct CrashNews
+{
+    base::InstanceId instance;
+    std::vector<CrashReport> crashes;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(instance, crashes);
+    }
+};
+
+using PeerMessage
+    = std::variant<Heartbeat, VouchAsk, VouchAnswer, BorrowAsk, BorrowAnswer, LoanReturn, UsageCopy,
+                   UsageCopyAck, StateAsk, StateAnswer, CrashNews>;
 
 /// A message and the instance it goes to.
 struct Outgoing
--- a/include/zinniadoor/daemon/action_request.hpp
+++ b/include/zinniadoor/daemon/action_request.hpp
@@ -27,9 +27,7 @@
                   Caller caller, control::Route route);
     ~ActionRequest() override;
 
-    /// Some frames were applied.
-    void onApplied();
-
+    void onApplied() override;
     void onCallerProgress() override { }
     void onCallerGone() override;
     void cut(const base::Reason &reason) override;
--- a/include/zinniadoor/daemon/control_loop.hpp
+++ b/include/zinniadoor/daemon/control_loop.hpp
@@ -1,8 +1,6 @@
 #pragma once
 
 #include <cstdint>
-#include <deque>
-#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -11,6 +9,9 @@
 #include "absl/time/time.h"
 
 #include "zinniadoor/base/clock.hpp"
+#include "zinniadoor/control/frame_watch.hpp"
+#include "zinniadoor/control/frame_writer.hpp"
+#include "zinniadoor/control/snapshot.hpp"
 #include "zinniadoor/control/state.hpp"
 #include "zinniadoor/daemon/core_messages.hpp"
 #include "zinniadoor/daemon/log_threads.hpp"
@@ -28,12 +29,12 @@
     /// The configuration in force without the keys withdrawn since.
     virtual void onConfiguration(const control::Bundle &bundle) = 0;
 
-    /// Some frames were applied.
-    virtual void onApplied() = 0;
+    /// Some frames were applied, read at `readAt`.
+    virtual void onApplied(absl::Time readAt) = 0;
 };
 
 /// Follows the platform's log and writes this instance's frames to it. For the core thread.
-class ControlLoop
+class ControlLoop : private control::ReplayObserver
 {
 public:
     struct Parts
@@ -44,6 +45,7 @@
         LogAppender &appender;
         Metrics &metrics;
         ControlObserver &observer;
+        std::string peerAddress; ///< Where peers reach this instance.
     };
 
     ControlLoop(Parts parts, control::Process self);
@@ -51,47 +53,48 @@
     /// Begins to read.
     void start();
 
-    /// The records are appended with the next frame.
-    void append(control::Record record);
+    /// The record is appended with the next frame. False while too much waits.
+    bool append(const control::Record &record);
 
     void onRead(const LogRead &read);
     void onUnreadable(const LogUnreadable &unreadable);
     void onAppended(const AppendEnded &ended);
     void tick(absl::Time now);
 
-    const control::State &state() const { return state_; }
+    /// Goes on from a state that a peer gave, if it is newer than what was read.
+    bool adopt(control::State state);
+
+    const control::State &state() const { return replayer_->state(); }
+    const control::FrameWatch &watch() const { return watch_; }
+    const control::SeenFrame &lastSeenFrame() const { return writer_.lastSeen(); }
     const control::Process &self() const { return self_; }
 
-    /// All that was in the log has been applied at least once.
-    bool hasCaughtUp() const { return caughtUp_; }
+    /// The log was read to its end a short time ago.
+    bool isCurrent(absl::Time now) const;
 
     /// When the log last answered a read; the past before the first.
     absl::Time lastContact() const { return lastContact_; }
 
-private:
-    struct Flight
-    {
-        control::Frame frame;
-        std::string bytes;
-        bool sending = false;
-        absl::Time sendAgainAt;
-    };
+    /// Nothing waits to be appended or read back.
+    bool isIdle() const { return writer_.isIdle(); }
 
-    void apply(const ports::LogEntry &entry);
-    void noticeOwn(const control::Frame &frame);
+private:
+    void onApplied(const control::Frame &frame, base::Offset offset,
+                   const control::ApplyResult &result) override;
+    void onSnapshotLoaded(const control::State &state) override;
+    void readNext();
+    void introduce();
     void tellConfiguration();
-    void sendFrame(absl::Time now);
-    control::InstanceStarted introduction() const;
 
     Parts parts_;
     control::Process self_;
-    control::State state_;
-    std::deque<control::Record> waiting_;
-    std::optional<Flight> flight_;
-    std::uint64_t lastSequence_ = 0;
-    absl::Time nextFrameAt_ = absl::InfinitePast();
-    bool caughtUp_ = false;
+    std::unique_ptr<control::Replayer> replayer_;
+    control::FrameWatch watch_;
+    control::FrameWriter writer_;
+    bool introduced_ = false;
+    absl::Time readSentAt_ = absl::InfinitePast();
     absl::Time lastContact_ = absl::InfinitePast();
+    absl::Time currentAt_ = absl::InfinitePast(); ///< When the log was last read to its end.
     std::string toldDigest_;
     std::size_t toldWithdrawn_ = 0;
 };
--- a/include/zinniadoor/daemon/core.hpp
+++ b/include/zinniadoor/daemon/core.hpp
@@ -8,11 +8,20 @@
 
 #include "absl/synchronization/mutex.h"
 
+#include "zinniadoor/control/membership.hpp"
+#include "zinniadoor/daemon/action_request.hpp"
 #include "zinniadoor/daemon/call_table.hpp"
 #include "zinniadoor/daemon/control_loop.hpp"
 #include "zinniadoor/daemon/core_messages.hpp"
+#include "zinniadoor/daemon/duty_managers.hpp"
 #include "zinniadoor/daemon/endpoint_poller.hpp"
+#include "zinniadoor/daemon/lease_manager.hpp"
+#include "zinniadoor/daemon/peer_messenger.hpp"
+#include "zinniadoor/daemon/platform_workers.hpp"
 #include "zinniadoor/daemon/request_loop.hpp"
+#include "zinniadoor/daemon/share_manager.hpp"
+#include "zinniadoor/daemon/state_transfer.hpp"
+#include "zinniadoor/daemon/usage_recorder.hpp"
 
 namespace zinniadoor::daemon {
 
@@ -21,16 +30,16 @@
 {
     Readiness readiness;
     std::uint64_t bundleVersion = 0;
+    std::string bundleDigest;
+    base::Offset logOffset = 0;
     std::size_t requests = 0;
-    bool drained = false; ///< A planned stop has let go of all work.
+    std::size_t shareSlots = 0; ///< Held by this instance.
+    bool logCurrent = false;
+    bool drained = false; ///< A planned stop has let go of all work and duties.
 };
 
 /// Owns all serving and control state and runs it on one thread.
-class Core : private ControlObserver,
-             private RateGate,
-             private ActionStarter,
-             private CrashListener,
-             private UsageSink
+class Core : private ControlObserver, private ActionStarter, private CrashListener
 {
 public:
     struct Parts
@@ -39,8 +48,11 @@
         const base::Clock &clock;
         CoreRing &ring;
         ports::EndpointClient &endpoints;
+        ports::PeerLink &peers;
         LogTail &tail;
         LogAppender &appender;
+        OrderWorker &orders;
+        ReportWorker &reports;
         Metrics &metrics;
         std::uint64_t seed = 1;
         base::Incarnation incarnation = 0;
@@ -71,19 +83,23 @@
     void on(OrderEnded &message);
     void on(ReportEnded &message);
     void on(StopRequested &message);
+    void onPeerMessage(const control::PeerMessage &message);
+    void onHeartbeat(const control::Heartbeat &heartbeat, absl::Time now);
     void tick(absl::Time now);
+    void tickPeers(absl::Time now);
+    void tickDuties(absl::Time now);
+    void tickStop(absl::Time now);
+    void learnPeers(absl::Time now);
+    void setScopes(const control::Bundle &bundle);
     Readiness judgeReadiness(absl::Time now) const;
     void publishStatus();
 
     void onConfiguration(const control::Bundle &bundle) override;
-    void onApplied() override;
-    control::Admission admit(const base::OrganisationId &organisation, absl::Time now) override;
-    void cancel(control::Ticket ticket) override;
+    void onApplied(absl::Time readAt) override;
     std::unique_ptr<Request> start(std::shared_ptr<ports::CallerExchange> exchange,
                                    const base::RequestId &id, const Caller &caller,
                                    const control::Route &route) override;
     void onCrash(const std::vector<serving::CrashEntry> &entries) override;
-    void count(const UsedTokens &used, std::function<void()> settled) override;
 
     Parts parts_;
     std::mt19937_64 random_;
@@ -94,13 +110,26 @@
     std::unique_ptr<serving::RetryPolicy> retries_;
     serving::OutlierEjection ejection_;
     serving::CrashList crashes_;
-    std::unique_ptr<control::RateLimiter> rate_;
+    ControlLoop control_;
+    control::Membership membership_;
+    PeerMessenger messenger_;
+    ShareManager shares_;
+    UsageRecorder usage_;
+    control::ActionKeeper actionKeeper_;
+    ActionServices actionServices_;
     RequestServices services_;
     RequestLoop requests_;
     EndpointPoller poller_;
-    ControlLoop control_;
+    LeaseManager leases_;
+    ReportManager reports_;
+    OrderManager orders_;
+    SnapshotManager snapshots_;
+    StateTransfer transfer_;
+    absl::Time lastPeerHeard_ = absl::InfinitePast();
+    absl::Time nextPeerTick_ = absl::InfinitePast();
     bool draining_ = false;
-    std::uint64_t lastUsage_ = 0;
+    bool handingOver_ = false;
+    bool saidStopped_ = false;
     std::atomic<bool> stopping_ { false };
     mutable absl::Mutex statusMutex_;
     CoreStatus status_ ABSL_GUARDED_BY(statusMutex_);
--- a/include/zinniadoor/daemon/core_messages.hpp
+++ b/include/zinniadoor/daemon/core_messages.hpp
@@ -52,6 +52,7 @@
 struct AppendEnded
 {
     std::uint64_t sequence = 0; ///< Of the frame.
+    std::size_t bytes = 0;
     base::Outcome<base::Offset> offset;
 };
 
--- a/include/zinniadoor/daemon/duty_managers.hpp
+++ b/include/zinniadoor/daemon/duty_managers.hpp
@@ -15,6 +15,7 @@
 #include "zinniadoor/daemon/lease_manager.hpp"
 #include "zinniadoor/daemon/metrics.hpp"
 #include "zinniadoor/daemon/platform_workers.hpp"
+#include "zinniadoor/daemon/request_loop.hpp"
 #include "zinniadoor/serving/endpoint_table.hpp"
 #include "zinniadoor/serving/role_plan.hpp"
 
@@ -39,13 +40,6 @@
     std::vector<control::ReportKeeper> keepers_; ///< By shard.
 };
 
-/// Tokens a second that callers ask for, over all instances.
-struct TokenDemand
-{
-    double prefillPerSecond = 0;
-    double decodePerSecond = 0;
-};
-
 /// Plans roles and sends orders for the data centres whose lease this instance holds.
 /// For the core thread.
 class OrderManager
--- a/include/zinniadoor/daemon/log_threads.hpp
+++ b/include/zinniadoor/daemon/log_threads.hpp
@@ -8,6 +8,7 @@
 
 #include "zinniadoor/base/clock.hpp"
 #include "zinniadoor/base/ring.hpp"
+#include "zinniadoor/control/snapshot.hpp"
 #include "zinniadoor/daemon/core_messages.hpp"
 #include "zinniadoor/ports/log.hpp"
 
@@ -19,7 +20,6 @@
 public:
     struct Options
     {
-        std::size_t pageRecords = 500;
         absl::Duration wait = absl::Seconds(1); ///< Of one long poll.
     };
 
@@ -29,8 +29,8 @@
     LogTail(const LogTail &) = delete;
     LogTail &operator=(const LogTail &) = delete;
 
-    /// Asks for what follows `offset`. One LogRead or LogUnreadable answers it.
-    void readAfter(base::Offset offset);
+    /// One LogRead or LogUnreadable answers it.
+    void read(const control::ReplayRead &request);
 
 private:
     void run();
@@ -40,7 +40,7 @@
     const std::unique_ptr<ports::Log> log_;
     const base::Clock &clock_;
     CoreRing &core_;
-    base::Ring<base::Offset> requests_;
+    base::Ring<control::ReplayRead> requests_;
     std::atomic<bool> stopping_ { false };
     std::thread thread_;
 };
--- a/include/zinniadoor/daemon/request.hpp
+++ b/include/zinniadoor/daemon/request.hpp
@@ -86,6 +86,9 @@
     /// Stops the work and cuts the answer, for instance because the key was withdrawn.
     virtual void cut(const base::Reason &reason) = 0;
 
+    /// Some frames of the log were applied.
+    virtual void onApplied() { }
+
     /// Called every few milliseconds.
     virtual void onTick(absl::Time now) = 0;
 
--- a/include/zinniadoor/daemon/request_loop.hpp
+++ b/include/zinniadoor/daemon/request_loop.hpp
@@ -57,6 +57,13 @@
     std::string reason = "no configuration yet";
 };
 
+/// Tokens a second that callers ask for.
+struct TokenDemand
+{
+    double prefillPerSecond = 0;
+    double decodePerSecond = 0;
+};
+
 /// All requests of this instance: takes them in, queues them, finds endpoints, and lets go of
 /// them. For the core thread.
 class RequestLoop
@@ -84,8 +91,14 @@
     /// Takes no new requests from now on; those that run go on.
     void drain() { draining_ = true; }
 
+    /// Some frames of the log were applied.
+    void onApplied();
+
     void tick(absl::Time now);
 
+    /// Tokens a second that callers of this instance ask for, averaged over some seconds.
+    TokenDemand demand(absl::Time now);
+
     std::size_t size() const { return requests_.size(); }
 
 private:
@@ -118,6 +131,7 @@
     void updateWeights(absl::Time now);
     void sweepDone();
     ModelRequest *modelRequest(const base::RequestId &id);
+    void decayDemand(absl::Time now);
 
     RequestServices &services_;
     serving::AdmissionQueue &queue_;
@@ -129,6 +143,8 @@
     control::Bundle bundle_;
     Readiness readiness_;
     bool draining_ = false;
+    TokenDemand demand_;
+    absl::Time demandAt_ = absl::InfinitePast();
     std::uint64_t idPrefix_ = 0;
     std::uint64_t lastId_ = 0;
     absl::flat_hash_map<control::Ticket, AwaitingRate> awaitingRate_;
--- a/include/zinniadoor/daemon/share_manager.hpp
+++ b/include/zinniadoor/daemon/share_manager.hpp
@@ -53,6 +53,8 @@
     /// Gives all slots up as soon as their loans have ended; for a planned stop.
     void beginRelease();
 
+    std::size_t ownedSlots() const { return owned_.size(); }
+
     /// No slot is held any more and all vouches are withdrawn.
     bool isReleased() const;
 
--- a/src/zinniadoor/daemon/action_request.cpp
+++ b/src/zinniadoor/daemon/action_request.cpp
@@ -80,9 +80,8 @@
 void ActionRequest::onApplied()
 {
     if (state_ == State::Claiming) {
-        const control::ActionDecision decision
-            = actions_.keeper.runAction(actions_.control.state(), actions_.control.watch(), call_,
-                                        services().clock.now());
+        const control::ActionDecision decision = actions_.keeper.runAction(
+            actions_.control.state(), actions_.control.watch(), call_, services().clock.now());
         if (decision.record)
             actions_.control.append(*decision.record);
         follow(decision);
--- a/src/zinniadoor/daemon/admin_handler.cpp
+++ b/src/zinniadoor/daemon/admin_handler.cpp
@@ -70,10 +70,11 @@
 void AdminHandler::sendStatus(ports::CallerExchange &exchange) const
 {
     const CoreStatus status = options_.status();
-    const nlohmann::json body = { { "ready", status.readiness.ready },
-                                  { "reason", status.readiness.reason },
-                                  { "bundle_version", status.bundleVersion },
-                                  { "requests", status.requests } };
+    const nlohmann::json body
+        = { { "ready", status.readiness.ready },        { "reason", status.readiness.reason },
+            { "bundle_version", status.bundleVersion }, { "bundle_digest", status.bundleDigest },
+            { "log_offset", status.logOffset },         { "log_current", status.logCurrent },
+            { "share_slots", status.shareSlots },       { "requests", status.requests } };
     exchange.respond(StatusOk, { { "Content-Type", "application/json" } }, body.dump());
 }
 
--- a/src/zinniadoor/daemon/control_loop.cpp
+++ b/src/zinniadoor/daemon/control_loop.cpp
@@ -6,13 +6,24 @@
 #include "absl/strings/str_cat.h"
 
 #include "zinniadoor/base/events.hpp"
+#include "zinniadoor/control/membership.hpp"
+#include "zinniadoor/control/vouching.hpp"
 
 namespace zinniadoor::daemon {
 
 namespace {
 
-constexpr std::size_t MostRecordsPerFrame = 256;
-constexpr absl::Duration SendAgainAfter = absl::Milliseconds(500);
+/// Longer than a long poll of the log, which gives no news while nothing is appended.
+constexpr absl::Duration CurrentWithin = absl::Milliseconds(2500);
+
+control::FrameWriterOptions writerOptions(const Settings &settings, const control::Process &self)
+{
+    control::FrameWriterOptions options;
+    options.self = self;
+    options.appendsPerSecond = static_cast<double>(settings.control.appendsPerSecond);
+    options.heartbeat = settings.control.heartbeat;
+    return options;
+}
 
 control::Bundle withoutWithdrawnKeys(const control::ConfigurationChain &chain)
 {
@@ -29,80 +40,95 @@
 } // namespace
 
 ControlLoop::ControlLoop(Parts parts, control::Process self)
-    : parts_(parts)
+    : parts_(std::move(parts))
     , self_(std::move(self))
-{
-    waiting_.emplace_back(introduction());
-}
+    , replayer_(std::make_unique<control::Replayer>())
+    , writer_(writerOptions(parts_.settings, self_))
+{ }
 
-control::InstanceStarted ControlLoop::introduction() const
+void ControlLoop::start()
 {
-    control::InstanceStarted started;
-    started.instance = self_.instance;
-    started.incarnation = self_.incarnation;
-    started.dataCentre = parts_.settings.dataCentre;
-    started.peerAddress = absl::StrCat(parts_.settings.peers.ip, ":", parts_.settings.peers.port);
-    return started;
+    readNext();
 }
 
-void ControlLoop::start()
+void ControlLoop::readNext()
 {
-    parts_.tail.readAfter(state_.appliedThrough());
+    const control::ReplayRead next = replayer_->nextRead();
+    readSentAt_ = parts_.clock.now();
+    parts_.tail.read({ next.after, next.limit, next.mayWait });
 }
 
-void ControlLoop::append(control::Record record)
+bool ControlLoop::append(const control::Record &record)
 {
-    waiting_.push_back(std::move(record));
+    return writer_.add(record).hasValue();
 }
 
 void ControlLoop::onRead(const LogRead &read)
 {
     lastContact_ = read.readAt;
-    for (const ports::LogEntry &entry : read.page.entries)
-        apply(entry);
-    if (state_.appliedThrough() >= read.page.lastOffset)
-        caughtUp_ = true;
-    if (!read.page.entries.empty()) {
-        tellConfiguration();
-        parts_.observer.onApplied();
+    // An answer to a question asked before a peer's state was adopted no longer fits.
+    if (read.after == replayer_->nextRead().after)
+        replayer_->onPage(read.page, *this);
+    if (replayer_->caughtUp()) {
+        currentAt_ = read.readAt;
+        writer_.onReadToEnd(readSentAt_, read.readAt);
     }
-    parts_.tail.readAfter(state_.appliedThrough());
+    watch_.observe(state().instances(), read.readAt);
+    introduce();
+    tellConfiguration();
+    parts_.observer.onApplied(read.readAt);
+    readNext();
 }
 
 void ControlLoop::onUnreadable(const LogUnreadable &unreadable)
 {
-    base::logEvent(base::EventId::LogReadFailed, { { "reason", unreadable.reason.text } });
-    parts_.tail.readAfter(state_.appliedThrough());
+    if (unreadable.reason.code == base::ReasonCode::Gone)
+        replayer_->onGone();
+    else
+        base::logEvent(base::EventId::LogReadFailed, { { "reason", unreadable.reason.text } });
+    readNext();
 }
 
-void ControlLoop::apply(const ports::LogEntry &entry)
+void ControlLoop::onApplied(const control::Frame &frame, base::Offset offset,
+                            const control::ApplyResult &)
 {
-    const base::Outcome<control::Frame> frame = control::decodeFrame(entry.data);
-    if (!frame) {
-        state_.skip(entry.offset);
-        return;
-    }
-    const std::size_t rejectionsBefore = state_.configuration().rejections().size();
-    state_.apply(*frame, entry.offset);
-    if (state_.configuration().rejections().size() > rejectionsBefore) {
-        const control::Rejection &rejection = state_.configuration().rejections().back();
-        base::logEvent(
-            base::EventId::BundleRejected,
-            { { "offset", absl::StrCat(rejection.offset) }, { "reason", rejection.reason } });
+    if (frame.writer == self_.instance && frame.incarnation == self_.incarnation)
+        writer_.onRead(frame.sequence, offset);
+    for (const control::Rejection &rejection : state().configuration().rejections()) {
+        if (rejection.offset != offset)
+            continue;
+        base::logEvent(base::EventId::BundleRejected,
+                       { { "offset", absl::StrCat(offset) }, { "reason", rejection.reason } });
     }
-    noticeOwn(*frame);
 }
 
-void ControlLoop::noticeOwn(const control::Frame &frame)
+void ControlLoop::onSnapshotLoaded(const control::State &loaded)
+{
+    base::logEvent(base::EventId::SnapshotLoaded,
+                   { { "through", absl::StrCat(loaded.appliedThrough()) } });
+}
+
+void ControlLoop::introduce()
 {
-    const bool mine = frame.writer == self_.instance && frame.incarnation == self_.incarnation;
-    if (mine && flight_ && flight_->frame.sequence == frame.sequence)
-        flight_.reset();
+    if (introduced_ || !replayer_->caughtUp())
+        return;
+    introduced_ = true;
+    control::InstanceStarted started;
+    started.instance = self_.instance;
+    started.incarnation = self_.incarnation;
+    started.dataCentre = parts_.settings.dataCentre;
+    started.peerAddress = parts_.peerAddress;
+    std::vector<control::KnownMember> others;
+    for (const PeerSetting &peer : parts_.settings.knownPeers)
+        others.push_back({ peer.id, 0, peer.dataCentre });
+    started.vouchers = control::chooseVouchers(
+        { self_.instance, self_.incarnation, parts_.settings.dataCentre }, others);
+    append(started);
 }
 
 void ControlLoop::tellConfiguration()
 {
-    const control::ConfigurationChain &chain = state_.configuration();
+    const control::ConfigurationChain &chain = state().configuration();
     if (chain.bundle() == nullptr)
         return;
     const bool same
@@ -119,50 +145,44 @@
 
 void ControlLoop::onAppended(const AppendEnded &ended)
 {
-    parts_.metrics.countLogAppend(ended.offset.hasValue(), flight_ ? flight_->bytes.size() : 0);
+    parts_.metrics.countLogAppend(ended.offset.hasValue(), ended.bytes);
     if (!ended.offset)
         base::logEvent(base::EventId::LogAppendFailed,
                        { { "reason", ended.offset.lastReason().text } });
-    if (!flight_ || flight_->frame.sequence != ended.sequence)
-        return;
-    // A frame is over only once it was read back. Appending it again is harmless: every reader
-    // counts a frame's name once.
-    flight_->sending = false;
-    flight_->sendAgainAt = parts_.clock.now() + SendAgainAfter;
+    writer_.onAppended(ended.sequence, ended.offset, parts_.clock.now());
 }
 
 void ControlLoop::tick(absl::Time now)
 {
-    if (!caughtUp_)
+    if (!introduced_)
         return;
-    if (flight_) {
-        const bool again = !flight_->sending && now >= flight_->sendAgainAt;
-        if (again)
-            flight_->sending = parts_.appender.append({ flight_->frame.sequence, flight_->bytes });
+    const control::FrameHeader header { state().snapshots().newest().firstPart,
+                                        state().configuration().version() };
+    const std::size_t live
+        = watch_.live(state().instances(), parts_.settings.control.lease, now).size();
+    std::optional<control::OutgoingFrame> frame
+        = writer_.next(header, std::max<std::size_t>(live, 1), now);
+    if (!frame)
         return;
-    }
-    if (!waiting_.empty() || now >= nextFrameAt_)
-        sendFrame(now);
+    const std::uint64_t sequence = frame->sequence;
+    if (parts_.appender.append({ sequence, std::move(frame->bytes) }))
+        return;
+    const base::Reason full { base::ReasonCode::Unavailable, "the append thread is busy" };
+    writer_.onAppended(sequence, full, now);
 }
 
-void ControlLoop::sendFrame(absl::Time now)
+bool ControlLoop::adopt(control::State newState)
 {
-    Flight flight;
-    control::Frame &frame = flight.frame;
-    frame.writer = self_.instance;
-    frame.incarnation = self_.incarnation;
-    frame.sequence = ++lastSequence_;
-    frame.snapshotOffset = state_.snapshots().newest().firstPart;
-    frame.bundleVersion = state_.configuration().version();
-    while (!waiting_.empty() && frame.records.size() < MostRecordsPerFrame) {
-        frame.records.push_back(std::move(waiting_.front()));
-        waiting_.pop_front();
-    }
-    flight.bytes = control::encodeFrame(frame);
-    flight.sending = parts_.appender.append({ frame.sequence, flight.bytes });
-    flight.sendAgainAt = now;
-    flight_ = std::move(flight);
-    nextFrameAt_ = now + parts_.settings.control.heartbeat;
+    if (newState.appliedThrough() <= state().appliedThrough())
+        return false;
+    replayer_ = std::make_unique<control::Replayer>(std::move(newState));
+    tellConfiguration();
+    return true;
+}
+
+bool ControlLoop::isCurrent(absl::Time now) const
+{
+    return now - currentAt_ < CurrentWithin;
 }
 
 } // namespace zinniadoor::daemon
--- a/src/zinniadoor/daemon/core.cpp
+++ b/src/zinniadoor/daemon/core.cpp
@@ -3,16 +3,19 @@
 #include <algorithm>
 #include <utility>
 
+#include "absl/strings/str_cat.h"
+
 #include "zinniadoor/base/events.hpp"
-#include "zinniadoor/control/fixed_split.hpp"
+#include "zinniadoor/control/lease_table.hpp"
 
 namespace zinniadoor::daemon {
 
 namespace {
 
 constexpr absl::Duration TickInterval = absl::Milliseconds(5);
+constexpr absl::Duration PeerTickInterval = absl::Milliseconds(20);
 constexpr std::size_t MostMessagesPerTick = 512;
-constexpr double RequestCost = 1;
+constexpr std::size_t LoadsPerHeartbeat = 16;
 
 serving::RouterOptions routerOptions(const Settings &settings)
 {
@@ -22,6 +25,58 @@
     return options;
 }
 
+control::MembershipOptions membershipOptions(const Core::Parts &parts)
+{
+    control::MembershipOptions options;
+    options.instance = parts.settings.instance;
+    options.incarnation = parts.incarnation;
+    options.dataCentre = parts.settings.dataCentre;
+    options.seed = parts.seed;
+    options.heartbeatInterval = parts.settings.control.peerHeartbeat;
+    options.suspectAfter = parts.settings.control.peerSilence;
+    options.lostAfter = 2 * parts.settings.control.peerSilence;
+    return options;
+}
+
+control::ShareTiming shareTiming(const ControlSettings &settings)
+{
+    control::ShareTiming timing;
+    timing.lease = settings.lease;
+    timing.vouchTime = settings.vouch;
+    timing.silence = settings.peerSilence;
+    timing.holderLimit = settings.vouchLimit;
+    timing.claimLimit = 2 * settings.vouchLimit;
+    return timing;
+}
+
+control::LeaseTimes leaseTimes(const ControlSettings &settings)
+{
+    control::LeaseTimes times;
+    times.lease = settings.lease;
+    times.margin = settings.leaseMargin;
+    return times;
+}
+
+/// Who sent a message, as it says itself.
+base::InstanceId senderOf(const control::PeerMessage &message)
+{
+    struct Visitor
+    {
+        base::InstanceId operator()(const control::Heartbeat &m) const { return m.instance; }
+        base::InstanceId operator()(const control::VouchAsk &m) const { return m.instance; }
+        base::InstanceId operator()(const control::VouchAnswer &m) const { return m.voucher; }
+        base::InstanceId operator()(const control::BorrowAsk &m) const { return m.borrower; }
+        base::InstanceId operator()(const control::BorrowAnswer &m) const { return m.lender; }
+        base::InstanceId operator()(const control::LoanReturn &m) const { return m.borrower; }
+        base::InstanceId operator()(const control::UsageCopy &m) const { return m.instance; }
+        base::InstanceId operator()(const control::UsageCopyAck &) const { return {}; }
+        base::InstanceId operator()(const control::StateAsk &m) const { return m.instance; }
+        base::InstanceId operator()(const control::StateAnswer &) const { return {}; }
+        base::InstanceId operator()(const control::CrashNews &m) const { return m.instance; }
+    };
+    return std::visit(Visitor {}, message);
+}
+
 } // namespace
 
 Core::Core(Parts parts)
@@ -33,20 +88,37 @@
     , retries_(serving::budgetRetryPolicy({}))
     , ejection_({})
     , crashes_({})
-    , rate_(std::make_unique<control::FixedSplit>(
-          static_cast<std::uint32_t>(parts.settings.knownPeers.size() + 1)))
+    , control_({ parts.settings, parts.clock, parts.tail, parts.appender, parts.metrics, *this,
+                 absl::StrCat(parts.settings.peers.ip, ":", parts.peers.port()) },
+               { parts.settings.instance, parts.incarnation })
+    , membership_(membershipOptions(parts))
+    , messenger_(parts.peers, parts.ring, parts.metrics)
+    , shares_({ control_, messenger_, membership_, shareTiming(parts.settings.control), parts.seed,
+                [this](const control::Decision &decision) { requests_.onDecision(decision); } })
+    , usage_({ parts.clock, control_, messenger_, membership_, parts.settings.dataCentre,
+               parts.settings.control.peerSilence })
+    , actionKeeper_(control_.self(), {})
+    , actionServices_ { control_, actionKeeper_ }
     , services_ { parts.clock, parts.settings, calls_,   parts.metrics, endpoints_, *router_,
-                  *retries_,   ejection_,      crashes_, *this,         random_ }
-    , requests_({ services_, *queue_, *this, *this, *this })
+                  *retries_,   ejection_,      crashes_, usage_,        random_ }
+    , requests_({ services_, *queue_, shares_, *this, *this })
     , poller_({}, parts.clock, calls_, endpoints_)
-    , control_({ parts.settings, parts.clock, parts.tail, parts.appender, parts.metrics, *this },
-               { parts.settings.instance, parts.incarnation })
-{ }
+    , leases_(control_, membership_, leaseTimes(parts.settings.control))
+    , reports_(control_, leases_, parts.reports, parts.metrics)
+    , orders_({ control_, leases_, parts.orders, endpoints_, parts.metrics })
+    , snapshots_(control_, leases_,
+                 static_cast<base::Offset>(parts.settings.control.snapshotEveryRecords))
+    , transfer_({ parts.clock, control_, messenger_, parts.settings })
+{
+    for (const PeerSetting &peer : parts_.settings.knownPeers)
+        messenger_.setAddress(peer.id, peer.address);
+}
 
 Core::~Core() = default;
 
 void Core::run()
 {
+    learnPeers(parts_.clock.now());
     control_.start();
     absl::Time nextTick = parts_.clock.now();
     while (!stopping_) {
@@ -101,17 +173,94 @@
     control_.onAppended(message);
 }
 
-void Core::on(PeerDatagram &) { }
+void Core::on(PeerDatagram &message)
+{
+    const base::Outcome<control::PeerMessage> decoded = control::decodePeerMessage(message.bytes);
+    if (decoded)
+        onPeerMessage(*decoded);
+}
 
-void Core::on(PeerCalled &) { }
+void Core::on(PeerCalled &message)
+{
+    const base::Outcome<control::PeerMessage> decoded = control::decodePeerMessage(message.bytes);
+    if (!decoded) {
+        message.reply({});
+        return;
+    }
+    if (const auto *copy = std::get_if<control::UsageCopy>(&*decoded)) {
+        message.reply(control::encodePeerMessage(usage_.onCopy(*copy)));
+        return;
+    }
+    if (const auto *ask = std::get_if<control::StateAsk>(&*decoded)) {
+        message.reply(control::encodePeerMessage(transfer_.onAsk(*ask)));
+        return;
+    }
+    onPeerMessage(*decoded);
+    message.reply({});
+}
+
+void Core::on(PeerAnswered &message)
+{
+    messenger_.onAnswered(message);
+}
+
+void Core::onPeerMessage(const control::PeerMessage &message)
+{
+    const absl::Time now = parts_.clock.now();
+    const base::InstanceId from = senderOf(message);
+    if (from == parts_.settings.instance)
+        return;
+    lastPeerHeard_ = now;
+    if (const auto *heartbeat = std::get_if<control::Heartbeat>(&message))
+        onHeartbeat(*heartbeat, now);
+    if (const auto *news = std::get_if<control::CrashNews>(&message)) {
+        std::vector<serving::CrashEntry> entries;
+        for (const control::CrashReport &crash : news->crashes)
+            entries.push_back(
+                { crash.bodyDigest, crash.endpoint, absl::Milliseconds(crash.ageMilliseconds) });
+        crashes_.merge(entries, now);
+        return;
+    }
+    shares_.onMessage(from, message, now);
+}
 
-void Core::on(PeerAnswered &) { }
+void Core::onHeartbeat(const control::Heartbeat &heartbeat, absl::Time now)
+{
+    membership_.onHeartbeat(heartbeat, now);
+    std::vector<serving::PeerLoad> loads;
+    for (const auto &[id, view] : endpoints_.all()) {
+        const std::uint16_t inFlight = membership_.inFlightOf(heartbeat.instance, id, now);
+        if (inFlight == 0)
+            continue;
+        serving::PeerLoad load;
+        load.endpoint = id;
+        load.work.requests = inFlight;
+        loads.push_back(load);
+    }
+    endpoints_.notePeer(heartbeat.instance, loads, now);
+}
 
-void Core::on(InstancesListed &) { }
+void Core::on(InstancesListed &message)
+{
+    for (const ports::ListedInstance &listed : message.instances) {
+        const base::EndpointId endpoint(listed.id);
+        if (endpoints_.find(endpoint) == nullptr)
+            continue;
+        const bool leaving = listed.state == ports::InstanceState::Leaving;
+        endpoints_.setState(
+            endpoint, leaving ? serving::EndpointState::Leaving : serving::EndpointState::Live);
+    }
+}
 
-void Core::on(OrderEnded &) { }
+void Core::on(OrderEnded &message)
+{
+    orders_.onEnded(message, parts_.clock.now());
+}
 
-void Core::on(ReportEnded &) { }
+void Core::on(ReportEnded &message)
+{
+    reports_.onEnded(message, parts_.clock.now());
+}
 
 void Core::on(StopRequested &)
 {
@@ -120,6 +269,8 @@
     draining_ = true;
     base::logEvent(base::EventId::DaemonStopping, {});
     requests_.drain();
+    leases_.releaseAll();
+    shares_.beginRelease();
 }
 
 void Core::tick(absl::Time now)
@@ -128,27 +279,91 @@
     calls_.sweep();
     requests_.tick(now);
     poller_.tick(now);
+    tickPeers(now);
+    tickDuties(now);
     control_.tick(now);
-    for (const control::Decision &decision : rate_->tick(now).decisions)
-        requests_.onDecision(decision);
+    transfer_.tick(now);
+    tickStop(now);
     publishStatus();
 }
 
+void Core::tickPeers(absl::Time now)
+{
+    shares_.tick(now);
+    usage_.tick(now);
+    if (now < nextPeerTick_)
+        return;
+    nextPeerTick_ = now + PeerTickInterval;
+    control::OwnStatus own;
+    own.bundleVersion = control_.state().configuration().version();
+    own.logOffset = control_.state().appliedThrough();
+    own.draining = draining_;
+    for (const serving::PeerLoad &load : endpoints_.ownLoads())
+        own.inFlight[load.endpoint] = static_cast<std::uint16_t>(
+            std::clamp<std::int64_t>(load.work.requests, 0, UINT16_MAX));
+    own.organisations = shares_.loads(LoadsPerHeartbeat, now);
+    for (const control::Outgoing &heartbeat : membership_.tick(own, now))
+        messenger_.send(heartbeat);
+    for (const base::InstanceId &lost : membership_.lost(now))
+        endpoints_.forgetPeer(lost, now);
+}
+
+void Core::tickDuties(absl::Time now)
+{
+    leases_.tick(now);
+    reports_.tick(now, parts_.clock.wallTime());
+    orders_.tick(requests_.demand(now), now);
+    snapshots_.tick();
+}
+
+void Core::tickStop(absl::Time)
+{
+    if (!draining_)
+        return;
+    const bool handedOver = requests_.size() == 0 && usage_.isIdle() && shares_.isReleased();
+    if (!handedOver || saidStopped_)
+        return;
+    saidStopped_ = true;
+    control_.append(
+        control::InstanceStopped { control_.self().instance, control_.self().incarnation });
+}
+
+void Core::learnPeers(absl::Time now)
+{
+    const control::InstanceTable &instances = control_.state().instances();
+    std::map<base::InstanceId, control::KnownMember> known;
+    for (const PeerSetting &peer : parts_.settings.knownPeers)
+        known[peer.id] = { peer.id, 0, peer.dataCentre };
+    for (const control::Process &process : instances.running()) {
+        const control::ProcessInfo *info = instances.find(process);
+        if (process.instance == parts_.settings.instance || info == nullptr)
+            continue;
+        known[process.instance] = { process.instance, process.incarnation, info->dataCentre };
+        messenger_.setAddress(process.instance, info->peerAddress);
+    }
+    std::vector<control::KnownMember> members;
+    for (const auto &[id, member] : known)
+        members.push_back(member);
+    membership_.setMembers(members, now);
+}
+
 Readiness Core::judgeReadiness(absl::Time now) const
 {
     if (draining_)
         return { false, "this instance is being stopped" };
     if (control_.state().configuration().bundle() == nullptr)
         return { false, "no configuration yet" };
-    if (now - control_.lastContact() > parts_.settings.control.isolation)
+    const absl::Time heard = std::max(control_.lastContact(), lastPeerHeard_);
+    if (now - heard > parts_.settings.control.isolation)
         return { false, "neither the log nor other instances have been heard for too long" };
     return { true, "" };
 }
 
 void Core::publishStatus()
 {
+    const absl::Time now = parts_.clock.now();
+    const Readiness readiness = judgeReadiness(now);
     const absl::MutexLock lock(&statusMutex_);
-    const Readiness readiness = judgeReadiness(parts_.clock.now());
     if (readiness.ready != status_.readiness.ready) {
         base::logEvent(
             base::EventId::ReadinessChanged,
@@ -157,8 +372,12 @@
     }
     status_.readiness = readiness;
     status_.bundleVersion = control_.state().configuration().version();
+    status_.bundleDigest = control_.state().configuration().digest();
+    status_.logOffset = control_.state().appliedThrough();
     status_.requests = requests_.size();
-    status_.drained = draining_ && requests_.size() == 0;
+    status_.shareSlots = shares_.ownedSlots();
+    status_.logCurrent = control_.isCurrent(now);
+    status_.drained = saidStopped_ && control_.isIdle();
 }
 
 CoreStatus Core::status() const
@@ -172,41 +391,50 @@
     const absl::Time now = parts_.clock.now();
     requests_.setConfiguration(bundle);
     poller_.setEndpoints(bundle.endpoints);
-    rate_->setOrganisations(bundle.organisations, now);
+    shares_.setConfiguration(bundle, now);
+    orders_.setConfiguration(bundle);
+    setScopes(bundle);
 }
 
-void Core::onApplied() { }
-
-control::Admission Core::admit(const base::OrganisationId &organisation, absl::Time now)
+void Core::setScopes(const control::Bundle &bundle)
 {
-    return rate_->admit(organisation, RequestCost, now);
+    std::set<std::string> scopes { control::SnapshotScope };
+    for (const control::Endpoint &endpoint : bundle.endpoints)
+        scopes.insert(control::ordersScope(endpoint.dataCentre));
+    for (std::uint32_t shard = 0; shard < control::UsageShards; ++shard)
+        scopes.insert(control::usageScope(shard));
+    leases_.setScopes({ scopes.begin(), scopes.end() });
 }
 
-void Core::cancel(control::Ticket ticket)
+void Core::onApplied(absl::Time readAt)
 {
-    rate_->cancel(ticket);
+    learnPeers(readAt);
+    leases_.onApplied(readAt);
+    shares_.onApplied(readAt);
+    usage_.onApplied(readAt);
+    requests_.onApplied();
+    for (const control::Record &record : actionKeeper_.giveBackAbandoned(control_.state()))
+        control_.append(record);
 }
 
 std::unique_ptr<Request> Core::start(std::shared_ptr<ports::CallerExchange> exchange,
-                                     const base::RequestId &id, const Caller &,
-                                     const control::Route &)
+                                     const base::RequestId &id, const Caller &caller,
+                                     const control::Route &route)
 {
-    sendError(*exchange, id,
-              errorAnswerOf({ base::ReasonCode::Unavailable, "not served yet" }, RunState::NotRun));
-    return nullptr;
+    return std::make_unique<ActionRequest>(services_, actionServices_, std::move(exchange), id,
+                                           caller, route);
 }
 
-void Core::onCrash(const std::vector<serving::CrashEntry> &) { }
-
-void Core::count(const UsedTokens &used, std::function<void()> settled)
+void Core::onCrash(const std::vector<serving::CrashEntry> &entries)
 {
-    control::UsageCounted counted;
-    counted.instance = control_.self().instance;
-    counted.incarnation = control_.self().incarnation;
-    counted.items.push_back(
-        { ++lastUsage_, used.organisation, used.promptTokens, used.outputTokens });
-    control_.append(std::move(counted));
-    settled();
+    control::CrashNews news;
+    news.instance = parts_.settings.instance;
+    for (const serving::CrashEntry &entry : entries)
+        news.crashes.push_back(
+            { entry.bodyDigest, entry.endpoint,
+              static_cast<std::uint32_t>(absl::ToInt64Milliseconds(entry.age)) });
+    for (const base::InstanceId &peer : membership_.present(parts_.clock.now()))
+        messenger_.send({ peer, news });
 }
 
 } // namespace zinniadoor::daemon
--- a/src/zinniadoor/daemon/daemon.cpp
+++ b/src/zinniadoor/daemon/daemon.cpp
@@ -7,6 +7,7 @@
 
 #include "zinniadoor/adapters/curl_endpoint_client.hpp"
 #include "zinniadoor/adapters/http_server.hpp"
+#include "zinniadoor/adapters/peer_socket.hpp"
 #include "zinniadoor/adapters/platform_http.hpp"
 #include "zinniadoor/base/events.hpp"
 #include "zinniadoor/daemon/admin_handler.hpp"
@@ -19,6 +20,7 @@
 constexpr std::size_t CoreRingCapacity = 32768;
 constexpr std::size_t AdminConnections = 64;
 constexpr absl::Duration StopPoll = absl::Milliseconds(10);
+constexpr absl::Duration InstanceListInterval = absl::Seconds(1);
 constexpr int StatusUnavailable = 503;
 
 /// Hands callers' requests to the core thread.
@@ -51,6 +53,28 @@
     CoreRing &ring_;
 };
 
+/// Hands what peers send to the core thread. A full ring drops it, as the network may.
+class PeerFrontHandler : public ports::PeerHandler
+{
+public:
+    explicit PeerFrontHandler(CoreRing &ring)
+        : ring_(ring)
+    { }
+
+    void onDatagram(const std::string &fromAddress, std::string bytes) override
+    {
+        ring_.tryPush(PeerDatagram { fromAddress, std::move(bytes) });
+    }
+
+    void onCall(std::string bytes, Reply reply) override
+    {
+        ring_.tryPush(PeerCalled { std::move(bytes), std::move(reply) });
+    }
+
+private:
+    CoreRing &ring_;
+};
+
 adapters::HttpServerOptions frontOptions(const Settings &settings)
 {
     adapters::HttpServerOptions options;
@@ -73,6 +97,14 @@
     return options;
 }
 
+adapters::PeerSocketOptions peerOptions(const Settings &settings)
+{
+    adapters::PeerSocketOptions options;
+    options.address = settings.peers.ip;
+    options.port = settings.peers.port;
+    return options;
+}
+
 std::uint64_t randomNumber()
 {
     std::uint64_t number = 0;
@@ -88,29 +120,34 @@
         , clock_(base::systemClock())
         , ring_(CoreRingCapacity)
         , front_(ring_)
-        , endpoints_(adapters::curlEndpointClient({}))
-        , tail_({}, adapters::httpLog(platformOptions()), *clock_, ring_)
-        , appender_(adapters::httpLog(platformOptions()), ring_)
-        , core_({ settings_, *clock_, ring_, *endpoints_, tail_, appender_, metrics_,
-                  randomNumber(), newIncarnation() })
-        , admin_({ metrics_, [this] { return core_.status(); }, settings.log })
+        , peerFront_(ring_)
     { }
 
+    // The servers go first, so that nothing new comes in; then the core, which uses the rest.
     ~RunningDaemon() override
     {
         callersServer_.reset();
         adminServer_.reset();
-        core_.stop();
+        if (core_)
+            core_->stop();
         ring_.wake();
         if (coreThread_.joinable())
             coreThread_.join();
+        peerLink_.reset();
+        core_.reset();
         endpoints_.reset();
     }
 
     base::Status start()
     {
+        base::Outcome<std::unique_ptr<ports::PeerLink>> link
+            = adapters::openPeerSocket(peerOptions(settings_), peerFront_);
+        if (!link)
+            return link.lastReason();
+        peerLink_ = std::move(*link);
+        startCore();
         base::Outcome<std::unique_ptr<ports::CallerServer>> admin
-            = adapters::listenHttp(adminOptions(settings_), admin_);
+            = adapters::listenHttp(adminOptions(settings_), *admin_);
         if (!admin)
             return admin.lastReason();
         adminServer_ = std::move(*admin);
@@ -119,30 +156,43 @@
         if (!callers)
             return callers.lastReason();
         callersServer_ = std::move(*callers);
-        coreThread_ = std::thread([this] { core_.run(); });
+        coreThread_ = std::thread([this] { core_->run(); });
         base::logEvent(base::EventId::DaemonStarted, {});
         return base::Done {};
     }
 
     int callersPort() const override { return callersServer_->port(); }
     int adminPort() const override { return adminServer_->port(); }
-    int peersPort() const override { return settings_.peers.port; }
+    int peersPort() const override { return peerLink_->port(); }
 
     void stop() override
     {
         while (!ring_.tryPush(StopRequested {}))
             absl::SleepFor(StopPoll);
         const absl::Time giveUpAt = clock_->now() + settings_.limits.drainTimeout;
-        while (!core_.status().drained && clock_->now() < giveUpAt)
+        while (!core_->status().drained && clock_->now() < giveUpAt)
             absl::SleepFor(StopPoll);
         callersServer_->stopAccepting();
         base::logEvent(base::EventId::DaemonStopped, {});
     }
 
 private:
-    adapters::PlatformOptions platformOptions() const
+    void startCore()
     {
-        return { settings_.platform.url, settings_.platform.timeout };
+        const adapters::PlatformOptions platform { settings_.platform.url,
+                                                   settings_.platform.timeout };
+        endpoints_ = adapters::curlEndpointClient({});
+        tail_ = std::make_unique<LogTail>(LogTail::Options {}, adapters::httpLog(platform), *clock_,
+                                          ring_);
+        appender_ = std::make_unique<LogAppender>(adapters::httpLog(platform), ring_);
+        orders_ = std::make_unique<OrderWorker>(platform, ring_);
+        reports_ = std::make_unique<ReportWorker>(platform, ring_);
+        instances_ = std::make_unique<InstanceListWorker>(platform, InstanceListInterval, ring_);
+        core_ = std::make_unique<Core>(
+            Core::Parts { settings_, *clock_, ring_, *endpoints_, *peerLink_, *tail_, *appender_,
+                          *orders_, *reports_, metrics_, randomNumber(), newIncarnation() });
+        admin_ = std::make_unique<AdminHandler>(
+            AdminHandler::Options { metrics_, [this] { return core_->status(); }, settings_.log });
     }
 
     // Later processes have larger numbers as long as the calendar clock does not go back; a
@@ -157,11 +207,16 @@
     Metrics metrics_;
     CoreRing ring_;
     FrontHandler front_;
+    PeerFrontHandler peerFront_;
+    std::unique_ptr<ports::PeerLink> peerLink_;
     std::unique_ptr<ports::EndpointClient> endpoints_;
-    LogTail tail_;
-    LogAppender appender_;
-    Core core_;
-    AdminHandler admin_;
+    std::unique_ptr<LogTail> tail_;
+    std::unique_ptr<LogAppender> appender_;
+    std::unique_ptr<OrderWorker> orders_;
+    std::unique_ptr<ReportWorker> reports_;
+    std::unique_ptr<InstanceListWorker> instances_;
+    std::unique_ptr<Core> core_;
+    std::unique_ptr<AdminHandler> admin_;
     std::unique_ptr<ports::CallerServer> adminServer_;
     std::unique_ptr<ports::CallerServer> callersServer_;
     std::thread coreThread_;
--- a/src/zinniadoor/daemon/duty_managers.cpp
+++ b/src/zinniadoor/daemon/duty_managers.cpp
@@ -14,8 +14,8 @@
 
 } // namespace
 
-ReportManager::ReportManager(ControlLoop &control, const LeaseManager &leases,
-                             ReportWorker &worker, Metrics &metrics)
+ReportManager::ReportManager(ControlLoop &control, const LeaseManager &leases, ReportWorker &worker,
+                             Metrics &metrics)
     : control_(control)
     , leases_(leases)
     , worker_(worker)
@@ -123,8 +123,8 @@
         engine.dataCentre = planned.endpoint.dataCentre;
         engine.role = view->role;
         engine.requests = static_cast<std::uint32_t>(std::max(0.0, view->requests(now)));
-        engine.isAvailable = view->state == serving::EndpointState::Live && !planned.wanted
-            && !isOpen(id);
+        engine.isAvailable
+            = view->state == serving::EndpointState::Live && !planned.wanted && !isOpen(id);
         inputs.engines.push_back(engine);
     }
     if (inputs.engines.empty())
@@ -133,8 +133,8 @@
         const auto found = planned_.find(order.endpoint);
         if (found == planned_.end() || leaseOf(order.dataCentre) == nullptr)
             continue;
-        found->second.wanted = control::WantedOrder { ports::EndpointOrderKind::Role,
-                                                      control::nameOf(order.role) };
+        found->second.wanted
+            = control::WantedOrder { ports::EndpointOrderKind::Role, control::nameOf(order.role) };
     }
 }
 
@@ -145,8 +145,7 @@
         planned.wanted.reset();
         return;
     }
-    const control::EndpointSlots *slots
-        = parts_.control.state().orders().find(planned.endpoint.id);
+    const control::EndpointSlots *slots = parts_.control.state().orders().find(planned.endpoint.id);
     const bool fulfilled = planned.wanted && slots != nullptr && !slots->open
         && slots->lastDoneArgument == planned.wanted->argument;
     if (fulfilled) {
@@ -177,8 +176,9 @@
     // An order whose fate is not known keeps its slot open: it might still arrive.
     if (unknown)
         return;
-    found->second.keeper.onOutcome(
-        ended.order.slot, ended.status ? control::OrderResult::Done : control::OrderResult::Refused);
+    found->second.keeper.onOutcome(ended.order.slot,
+                                   ended.status ? control::OrderResult::Done
+                                                : control::OrderResult::Refused);
     if (!ended.status)
         found->second.wanted.reset();
 }
--- a/src/zinniadoor/daemon/log_threads.cpp
+++ b/src/zinniadoor/daemon/log_threads.cpp
@@ -37,25 +37,25 @@
     thread_.join();
 }
 
-void LogTail::readAfter(base::Offset offset)
+void LogTail::read(const control::ReplayRead &request)
 {
-    requests_.tryPush(std::move(offset));
+    requests_.tryPush(control::ReplayRead(request));
 }
 
 void LogTail::run()
 {
     while (!stopping_) {
-        const std::optional<base::Offset> after = requests_.pop(IdleWait);
-        if (!after)
+        const std::optional<control::ReplayRead> request = requests_.pop(IdleWait);
+        if (!request)
             continue;
-        base::Outcome<ports::LogPage> page
-            = log_->readAfter(*after, options_.pageRecords, options_.wait);
+        const absl::Duration wait = request->mayWait ? options_.wait : absl::ZeroDuration();
+        base::Outcome<ports::LogPage> page = log_->readAfter(request->after, request->limit, wait);
         if (page) {
-            tell(LogRead { std::move(*page), *after, clock_.now() });
+            tell(LogRead { std::move(*page), request->after, clock_.now() });
             continue;
         }
         absl::SleepFor(FailurePause);
-        tell(LogUnreadable { *after, page.lastReason() });
+        tell(LogUnreadable { request->after, page.lastReason() });
     }
 }
 
@@ -89,7 +89,8 @@
         std::optional<AppendRequest> request = requests_.pop(IdleWait);
         if (!request)
             continue;
-        AppendEnded ended { request->sequence, log_->append(request->bytes) };
+        const std::size_t bytes = request->bytes.size();
+        AppendEnded ended { request->sequence, bytes, log_->append(request->bytes) };
         pushWaiting(core_, std::move(ended), stopping_);
     }
 }
--- a/src/zinniadoor/daemon/peer_messenger.cpp
+++ b/src/zinniadoor/daemon/peer_messenger.cpp
@@ -50,8 +50,8 @@
     startCall(address->second, std::move(bytes), timeout, std::move(done));
 }
 
-void PeerMessenger::startCall(const std::string &address, std::string bytes,
-                              absl::Duration timeout, Done done)
+void PeerMessenger::startCall(const std::string &address, std::string bytes, absl::Duration timeout,
+                              Done done)
 {
     const std::uint64_t call = ++lastCall_;
     if (done)
--- a/src/zinniadoor/daemon/request_loop.cpp
+++ b/src/zinniadoor/daemon/request_loop.cpp
@@ -1,5 +1,7 @@
 #include "zinniadoor/daemon/request_loop.hpp"
 
+#include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include "absl/strings/match.h"
@@ -16,6 +18,9 @@
 constexpr absl::Duration NotReadyRetryAfter = absl::Seconds(2);
 constexpr absl::Duration FullRetryAfter = absl::Seconds(1);
 
+/// Time constant of the demand measured.
+constexpr absl::Duration DemandWindow = absl::Seconds(5);
+
 /// How long a broken stream looks for another endpoint before it is given up.
 constexpr absl::Duration RestartPatience = absl::Seconds(10);
 
@@ -230,6 +235,7 @@
 void RequestLoop::admitModelCall(AwaitingRate request)
 {
     const absl::Time now = services_.clock.now();
+    decayDemand(now);
     const bool named = request.call->deadline > absl::ZeroDuration();
     absl::Time deadline = absl::InfiniteFuture();
     if (named)
@@ -238,6 +244,9 @@
         deadline = now + services_.settings.limits.defaultDeadline;
     serving::RequestFacts facts
         = factsOf(*request.call, request.id, request.caller.organisation, deadline);
+    const double perSecond = 1 / absl::ToDoubleSeconds(DemandWindow);
+    demand_.prefillPerSecond += facts.promptTokens * perSecond;
+    demand_.decodePerSecond += facts.maxOutputTokens * perSecond;
     auto model = std::make_unique<ModelRequest>(services_, request.exchange, request.id,
                                                 request.caller, std::move(*request.call), facts);
     ModelRequest *raw = model.get();
@@ -302,6 +311,27 @@
     sweepDone();
 }
 
+void RequestLoop::onApplied()
+{
+    for (auto &[id, request] : requests_)
+        request->onApplied();
+}
+
+void RequestLoop::decayDemand(absl::Time now)
+{
+    const double seconds = std::max(0.0, absl::ToDoubleSeconds(now - demandAt_));
+    const double kept = std::exp(-seconds / absl::ToDoubleSeconds(DemandWindow));
+    demand_.prefillPerSecond *= kept;
+    demand_.decodePerSecond *= kept;
+    demandAt_ = now;
+}
+
+TokenDemand RequestLoop::demand(absl::Time now)
+{
+    decayDemand(now);
+    return demand_;
+}
+
 void RequestLoop::tick(absl::Time now)
 {
     updateWeights(now);
--- a/src/zinniadoor/daemon/usage_recorder.cpp
+++ b/src/zinniadoor/daemon/usage_recorder.cpp
@@ -22,8 +22,7 @@
 void UsageRecorder::count(const UsedTokens &used, std::function<void()> settled)
 {
     Unsettled unsettled;
-    unsettled.item
-        = counter_.countUsage(used.organisation, used.promptTokens, used.outputTokens);
+    unsettled.item = counter_.countUsage(used.organisation, used.promptTokens, used.outputTokens);
     unsettled.settled = std::move(settled);
     unsettled.giveUpAt = parts_.clock.now() + SettleTimeout;
     unsettled_.emplace(unsettled.item.sequence, std::move(unsettled));
