--- a/include/zinniadoor/daemon/duty_managers.hpp
+++ b/include/zinniadoor/daemon/duty_managers.hpp
@@ -26,8 +26,9 @@
 class ReportManager
 {
 public:
+    /// `lease`: for which a report's authority lasts, less the margin.
     ReportManager(ControlLoop &control, const LeaseManager &leases, ReportWorker &worker,
-                  Metrics &metrics);
+                  Metrics &metrics, absl::Duration lease);
 
     void tick(absl::Time now, absl::Time wallTime);
     void onEnded(const ReportEnded &ended, absl::Time now);
--- a/src/zinniadoor/daemon/action_request.cpp
+++ b/src/zinniadoor/daemon/action_request.cpp
@@ -204,11 +204,12 @@
         actions_.control.append(actions_.keeper.loseAction(call_.key));
     else
         actions_.control.append(actions_.keeper.giveBackAction(call_.key));
-    const RunState run = mayHaveRun ? RunState::Unknown : RunState::NotRun;
-    ErrorAnswer answer = errorAnswerOf(reason, run);
-    if (!mayHaveRun)
-        answer.retryAfter = AskAgain;
-    refuseOnce(answer);
+    if (!mayHaveRun) {
+        refuseOnce(errorAnswerOf(reason, RunState::NotRun, AskAgain));
+        return;
+    }
+    const base::Reason unknown { base::ReasonCode::OutcomeUnknown, reason.text };
+    refuseOnce(errorAnswerOf(unknown, RunState::Unknown));
 }
 
 void ActionRequest::answerRecorded()
--- a/src/zinniadoor/daemon/core.cpp
+++ b/src/zinniadoor/daemon/core.cpp
@@ -104,7 +104,8 @@
     , requests_({ services_, *queue_, shares_, *this, *this })
     , poller_({}, parts.clock, calls_, endpoints_)
     , leases_(control_, membership_, leaseTimes(parts.settings.control))
-    , reports_(control_, leases_, parts.reports, parts.metrics)
+    , reports_(control_, leases_, parts.reports, parts.metrics,
+               parts.settings.control.lease - parts.settings.control.leaseMargin)
     , orders_({ control_, leases_, parts.orders, endpoints_, parts.metrics })
     , snapshots_(control_, leases_,
                  static_cast<base::Offset>(parts.settings.control.snapshotEveryRecords))
--- a/src/zinniadoor/daemon/duty_managers.cpp
+++ b/src/zinniadoor/daemon/duty_managers.cpp
@@ -15,14 +15,18 @@
 } // namespace
 
 ReportManager::ReportManager(ControlLoop &control, const LeaseManager &leases, ReportWorker &worker,
-                             Metrics &metrics)
+                             Metrics &metrics, absl::Duration lease)
     : control_(control)
     , leases_(leases)
     , worker_(worker)
     , metrics_(metrics)
 {
+    // The lease guard ends a call that outlives the lease, so this much is left for it as a rule
+    // and not for safety.
+    control::ReportTimes times;
+    times.sending = std::min(times.sending, lease / 4);
     for (std::uint32_t shard = 0; shard < control::UsageShards; ++shard)
-        keepers_.emplace_back(shard, control::ReportTimes {});
+        keepers_.emplace_back(shard, times);
 }
 
 void ReportManager::tick(absl::Time now, absl::Time wallTime)
