--- a/src/zinniadoor/adapters/http_exchange.cpp
+++ b/src/zinniadoor/adapters/http_exchange.cpp
@@ -16,21 +16,21 @@
 void HttpExchange::respond(int status, std::vector<ports::HttpHeader> headers, std::string body)
 {
     const absl::MutexLock lock(&mutex_);
-    if (headReady_ || finished_)
+    if (answerReady_ || finished_)
         return;
     wholeBodyBytes_ = body.size();
-    head_ = { status, std::move(headers), std::move(body), false };
-    headReady_ = true;
+    answer_ = { status, std::move(headers), std::move(body), false };
+    answerReady_ = true;
     resumeLocked();
 }
 
 void HttpExchange::beginStream(int status, std::vector<ports::HttpHeader> headers)
 {
     const absl::MutexLock lock(&mutex_);
-    if (headReady_ || finished_)
+    if (answerReady_ || finished_)
         return;
-    head_ = { status, std::move(headers), "", true };
-    headReady_ = true;
+    answer_ = { status, std::move(headers), "", true };
+    answerReady_ = true;
     resumeLocked();
 }
 
@@ -71,21 +71,20 @@
     return callerGone_;
 }
 
-bool HttpExchange::takeHeadOrSuspend(MHD_Connection *connection, AnswerHead &head, bool &hasHead,
-                                     bool &report)
+AnswerResult HttpExchange::takeAnswerOrSuspend(MHD_Connection *connection)
 {
     const absl::MutexLock lock(&mutex_);
-    report = std::exchange(reportDue_, false);
-    hasHead = headReady_ && !headTaken_;
-    if (hasHead) {
-        head = std::move(head_);
-        headTaken_ = true;
-        return true;
+    AnswerResult result;
+    result.report = std::exchange(reportDue_, false);
+    if (answerReady_ && !answerTaken_) {
+        answerTaken_ = true;
+        result.answer = std::move(answer_);
+    } else if (abandoned_) {
+        result.abandoned = true;
+    } else {
+        suspendLocked(connection);
     }
-    if (abandoned_)
-        return false;
-    suspendLocked(connection);
-    return true;
+    return result;
 }
 
 ReadResult HttpExchange::readOrSuspend(MHD_Connection *connection, char *buffer,
--- a/src/zinniadoor/adapters/http_exchange.hpp
+++ b/src/zinniadoor/adapters/http_exchange.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -10,6 +11,7 @@
 #include "zinniadoor/ports/caller_server.hpp"
 
 #include "byte_queue.hpp"
+#include "http_answer.hpp"
 
 namespace zinniadoor::adapters::detail {
 
@@ -23,13 +25,11 @@
     bool report = false; ///< The handler has to hear of progress.
 };
 
-/// An answer that the core has begun.
-struct AnswerHead
+struct AnswerResult
 {
-    int status = 0;
-    std::vector<ports::HttpHeader> headers;
-    std::string body; ///< Of a whole answer.
-    bool streamed = false;
+    std::optional<HttpAnswer> answer;
+    bool abandoned = false; ///< There will be no answer; give up the connection.
+    bool report = false; ///< The handler has to hear of progress.
 };
 
 /// One request and its answer between the core's threads and the server's thread.
@@ -48,10 +48,8 @@
 
     // The rest is for the server only.
 
-    /// Moves the answer's head out into `head`; where there is none yet, suspends `connection`.
-    /// `report` is set when the handler has to hear of progress. False: give up the connection.
-    bool takeHeadOrSuspend(MHD_Connection *connection, AnswerHead &head, bool &hasHead,
-                           bool &report);
+    /// The answer, once the core has begun it; suspends `connection` where it has not.
+    AnswerResult takeAnswerOrSuspend(MHD_Connection *connection);
 
     /// Next bytes of a streamed answer; suspends `connection` where there are none.
     ReadResult readOrSuspend(MHD_Connection *connection, char *buffer, std::size_t capacity);
@@ -73,9 +71,9 @@
     const std::size_t maxPendingBytes_;
 
     mutable absl::Mutex mutex_;
-    AnswerHead head_ ABSL_GUARDED_BY(mutex_);
-    bool headReady_ ABSL_GUARDED_BY(mutex_) = false;
-    bool headTaken_ ABSL_GUARDED_BY(mutex_) = false;
+    HttpAnswer answer_ ABSL_GUARDED_BY(mutex_);
+    bool answerReady_ ABSL_GUARDED_BY(mutex_) = false;
+    bool answerTaken_ ABSL_GUARDED_BY(mutex_) = false;
     ByteQueue pending_ ABSL_GUARDED_BY(mutex_);
     std::size_t wholeBodyBytes_ ABSL_GUARDED_BY(mutex_) = 0;
     std::size_t takenSinceReport_ ABSL_GUARDED_BY(mutex_) = 0;
--- a/src/zinniadoor/adapters/http_server_test.cpp
+++ b/src/zinniadoor/adapters/http_server_test.cpp
@@ -1,85 +1,14 @@
-#include "zinniadoor/adapters/http_server.hpp"
-
-#include <atomic>
-#include <vector>
-
-#include <boost/test/unit_test.hpp>
-
-#include "absl/synchronization/mutex.h"
-
-#include "test_sockets.hpp"
+#include "http_server_fixture.hpp"
 
 namespace {
 
 using namespace zinniadoor;
 using adapters::KibiByte;
+using adapters::test::contains;
 using adapters::test::eventually;
+using adapters::test::Exchange;
+using adapters::test::HttpServerFixture;
 using adapters::test::TestConnection;
-using Exchange = std::shared_ptr<ports::CallerExchange>;
-
-/// Keeps the exchanges; the test answers them from its own thread.
-class KeepingHandler : public ports::CallerHandler
-{
-public:
-    void onRequest(Exchange exchange) override
-    {
-        const absl::MutexLock lock(&mutex_);
-        exchanges_.push_back(std::move(exchange));
-    }
-    void onProgress(const Exchange &exchange) override
-    {
-        ++progress;
-        if (exchange->callerGone())
-            ++gone;
-    }
-
-    /// The request with that number; nothing when it doesn't come.
-    Exchange wait(std::size_t number)
-    {
-        Exchange found;
-        eventually([&] {
-            const absl::MutexLock lock(&mutex_);
-            if (exchanges_.size() > number)
-                found = exchanges_[number];
-            return found != nullptr;
-        });
-        return found;
-    }
-
-    std::atomic<int> progress { 0 };
-    std::atomic<int> gone { 0 };
-
-private:
-    absl::Mutex mutex_;
-    std::vector<Exchange> exchanges_;
-};
-
-struct HttpServerFixture
-{
-    HttpServerFixture()
-    {
-        options.maxHeaderBytes = 4 * KibiByte;
-        options.maxBodyBytes = 64 * KibiByte;
-    }
-
-    void listen()
-    {
-        auto outcome = adapters::listenHttp(options, handler);
-        BOOST_REQUIRE(outcome.hasValue());
-        server = std::move(*outcome);
-    }
-
-    TestConnection connect() const { return TestConnection::to(server->port()); }
-
-    adapters::HttpServerOptions options;
-    KeepingHandler handler;
-    std::unique_ptr<ports::CallerServer> server;
-};
-
-bool contains(const std::string &text, const std::string &part)
-{
-    return text.find(part) != std::string::npos;
-}
 
 BOOST_FIXTURE_TEST_SUITE(HttpServerTest, HttpServerFixture)
 
@@ -201,6 +130,49 @@
     BOOST_TEST(second->callerGone());
 }
 
+BOOST_AUTO_TEST_CASE(httpServer_pipelinedRequests_areAnsweredInOrder)
+{
+    listen();
+    const TestConnection caller = connect();
+    caller.send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+    BOOST_REQUIRE(handler.wait(0));
+    BOOST_TEST(handler.wait(0)->request().path == "/1");
+    handler.wait(0)->respond(200, {}, "one");
+    BOOST_REQUIRE(handler.wait(1));
+    handler.wait(1)->respond(200, {}, "two");
+    const std::string answers = caller.receiveUntil("two");
+    BOOST_TEST(answers.find("one") < answers.find("two"));
+}
+
+BOOST_AUTO_TEST_CASE(httpServer_stopAccepting_servesOpenConnectionsAndRefusesNewOnes)
+{
+    listen();
+    const TestConnection running = connect();
+    running.send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+    BOOST_REQUIRE(handler.wait(0));
+    const TestConnection established = connect();
+    server->stopAccepting();
+    server->stopAccepting();
+    BOOST_TEST(!connect().isOpen());
+    handler.wait(0)->respond(200, {}, "one");
+    BOOST_TEST(contains(running.receiveAll(), "Connection: close"));
+    established.send("GET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+    BOOST_REQUIRE(handler.wait(1));
+    handler.wait(1)->respond(200, {}, "two");
+    BOOST_TEST(contains(established.receiveAll(), "two"));
+}
+
+BOOST_AUTO_TEST_CASE(httpServer_portInUseOrBadAddress_givesReason)
+{
+    listen();
+    options.port = server->port();
+    BOOST_TEST((adapters::listenHttp(options, handler).lastReason().code
+                == base::ReasonCode::Unavailable));
+    options.address = "localhost";
+    BOOST_TEST((adapters::listenHttp(options, handler).lastReason().code
+                == base::ReasonCode::InvalidArgument));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
--- a/src/zinniadoor/adapters/test_sockets.hpp
+++ b/src/zinniadoor/adapters/test_sockets.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cerrno>
 #include <chrono>
 #include <functional>
 #include <string>
@@ -116,6 +117,19 @@
         return (waiting.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
     }
 
+    /// True once the connection ends by a reset.
+    bool seesReset() const
+    {
+        char byte = 0;
+        pollfd waiting { socket_, POLLIN, 0 };
+        while (poll(&waiting, 1, GenerousMilliseconds) > 0) {
+            const ssize_t got = recv(socket_, &byte, 1, 0);
+            if (got <= 0)
+                return got < 0 && errno == ECONNRESET;
+        }
+        return false;
+    }
+
     /// Bytes wait to be received.
     bool hasBytes() const
     {
