Orders, actions and usage over random schedules; claims numbered, usage of unseen processes counts

The schedules found two faults. An action claim that was still on its way could count after its caller had been answered from another's claim, and a later call took it over with another body: claims now carry a number and stay known until their own record was read. Usage of a process whose start never reached the log was void, so a copy holder's append was lost: it now counts, and the ledger forgets by its own distance.

--- a/include/zinniadoor/control/action_keeper.hpp
+++ b/include/zinniadoor/control/action_keeper.hpp
@@ -44,6 +44,7 @@
 {
     ActionAnswer answer = ActionAnswer::NotRun;
     std::optional<Record> record; ///< To append.
+    std::uint64_t claim = 0; ///< With Claiming: names the claim.
 };
 
 /// What the service answered.
@@ -68,15 +69,18 @@
     ActionDecision claimAction(const State &state, const FrameWatch &watch, const ActionCall &call,
                                bool logAvailable, absl::Time now, absl::Time wallTime);
 
-    /// Asks again after Claiming. Gives Run exactly once.
+    /// Asks again after Claiming. Gives Run at most once for a claim.
     ActionDecision runAction(const State &state, const FrameWatch &watch, const ActionCall &call,
-                             absl::Time now);
+                             std::uint64_t claim, absl::Time now);
+
+    /// A frame of this process was read in the log.
+    void onOwnFrame(const Frame &frame, const ApplyResult &result);
 
     /// The frame writer had no room for the claim, which therefore never went out.
     void dropClaim(const ActionKey &key) { claims_.erase(key); }
 
     /// The caller no longer waits after Claiming.
-    void abandon(const ActionKey &key);
+    void abandon(const ActionKey &key, std::uint64_t claim);
 
     /// The outcome to append; answer the caller once it is in the log.
     Record finishAction(const ActionKey &key, const ServiceAnswer &answer) const;
@@ -93,18 +97,23 @@
 private:
     struct Claim
     {
+        std::uint64_t number = 0;
         absl::Time claimedAt;
         bool abandoned = false;
     };
 
     ActionDecision answerFor(const State &state, const FrameWatch &watch, const ActionCall &call,
                              const Action &action, absl::Time now) const;
+    bool isOwn(const Action &action, std::uint64_t claim) const;
     bool isOwnerLost(const State &state, const FrameWatch &watch, const Process &owner,
                      absl::Time now) const;
 
     Process self_;
     ActionTimes times_;
-    std::map<ActionKey, Claim> claims_; ///< On their way to the log.
+    std::uint64_t lastClaim_ = 0;
+    /// On their way to the log, one for a key. A claim stays here until its own record was read
+    /// in the log: as long as that may still land, it may still count.
+    std::map<ActionKey, Claim> claims_;
 };
 
 } // namespace zinniadoor::control
--- a/include/zinniadoor/control/action_table.hpp
+++ b/include/zinniadoor/control/action_table.hpp
@@ -47,6 +47,7 @@
 {
     std::string bodyDigest;
     Process owner;
+    std::uint64_t claim = 0; ///< Number of the claim that counted, at its owner.
     base::Offset claimedAt = 0;
     std::int64_t wallSeconds = 0;
     ActionStage stage = ActionStage::InProgress;
@@ -58,7 +59,7 @@
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(bodyDigest, owner, claimedAt, wallSeconds, stage, status, contentType, body,
+        archive(bodyDigest, owner, claim, claimedAt, wallSeconds, stage, status, contentType, body,
                 bodyKept);
     }
 };
--- a/include/zinniadoor/control/records.hpp
+++ b/include/zinniadoor/control/records.hpp
@@ -180,12 +180,13 @@
     std::string bodyDigest;
     base::InstanceId owner;
     base::Incarnation incarnation = 0;
+    std::uint64_t claim = 0; ///< Numbers the claims of one process.
     std::int64_t wallSeconds = 0; ///< For forgetting after the configured retention.
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(organisation, idempotencyKey, bodyDigest, owner, incarnation, wallSeconds);
+        archive(organisation, idempotencyKey, bodyDigest, owner, incarnation, claim, wallSeconds);
     }
 };
 
--- a/include/zinniadoor/control/usage_ledger.hpp
+++ b/include/zinniadoor/control/usage_ledger.hpp
@@ -92,6 +92,9 @@
     }
 };
 
+/// An item that arrives later than this after the last one of its process may count twice.
+constexpr base::Offset UsageForgottenAfterFrames = 50'000'000;
+
 /// Counts every usage item once and fixes each window's figures by log order.
 class UsageLedger
 {
@@ -100,8 +103,9 @@
         : shards_(UsageShards)
     { }
 
-    /// Counts the items not counted before; those of a process that is not known do not count.
-    base::Status apply(const UsageCounted &record, const InstanceTable &instances);
+    /// Counts the items not counted before, also those of a process that the log never saw start:
+    /// it may have served while the log was out and ended before it came back.
+    base::Status apply(const UsageCounted &record, base::Offset offset);
 
     /// Counts for a window later than the last one closed; windows in between stay empty.
     base::Status apply(const WindowClosed &record, const Process &writer, const LeaseTable &leases);
@@ -112,8 +116,8 @@
     const UsageShard &shard(std::uint32_t index) const { return shards_[index]; }
     bool hasShard(std::uint32_t index) const { return index < shards_.size(); }
 
-    /// Forgets the numbers of a process that the instance table has forgotten.
-    void forget(const Process &process);
+    /// Forgets which items of a process were counted if none was for UsageForgottenAfterFrames.
+    void forgetSilent(base::Offset offset);
 
     template <typename Archive>
     void serialize(Archive &archive)
@@ -124,8 +128,20 @@
     }
 
 private:
+    struct Counted
+    {
+        SequenceSet sequences;
+        base::Offset lastOffset = 0;
+
+        template <typename Archive>
+        void serialize(Archive &archive)
+        {
+            archive(sequences, lastOffset);
+        }
+    };
+
     std::vector<UsageShard> shards_;
-    std::map<Process, SequenceSet> counted_;
+    std::map<Process, Counted> counted_;
 };
 
 } // namespace zinniadoor::control
--- a/src/zinniadoor/control/action_keeper.cpp
+++ b/src/zinniadoor/control/action_keeper.cpp
@@ -143,61 +143,79 @@
                  std::nullopt };
     if (!logAvailable)
         return { ActionAnswer::NotRun, std::nullopt };
-    claims_[call.key] = { now, false };
+    claims_[call.key] = { ++lastClaim_, now, false };
     ActionClaimed record;
     record.organisation = call.key.organisation;
     record.idempotencyKey = call.key.idempotencyKey;
     record.bodyDigest = call.bodyDigest;
     record.owner = self_.instance;
     record.incarnation = self_.incarnation;
+    record.claim = lastClaim_;
     record.wallSeconds = absl::ToUnixSeconds(wallTime);
-    return { ActionAnswer::Claiming, Record(std::move(record)) };
+    return { ActionAnswer::Claiming, Record(std::move(record)), lastClaim_ };
 }
 
 ActionDecision ActionKeeper::runAction(const State &state, const FrameWatch &watch,
-                                       const ActionCall &call, absl::Time now)
+                                       const ActionCall &call, std::uint64_t claim, absl::Time now)
 {
-    const auto claim = claims_.find(call.key);
+    const auto found = claims_.find(call.key);
+    const bool pending = found != claims_.end() && found->second.number == claim;
     const Action *action = state.actions().find(call.key);
-    if (claim == claims_.end())
-        return action == nullptr ? ActionDecision {} : answerFor(state, watch, call, *action, now);
-    const bool late = now - claim->second.claimedAt > times_.claimWait || claim->second.abandoned;
-    if (action == nullptr) {
-        if (!late)
-            return { ActionAnswer::Claiming, std::nullopt };
-        // From here on the claim, should it land, is given back: "not run" stays true.
-        claim->second.abandoned = true;
-        return { ActionAnswer::NotRun, std::nullopt };
+    if (action != nullptr && !isOwn(*action, claim)) {
+        if (pending)
+            found->second.abandoned = true;
+        return answerFor(state, watch, call, *action, now);
     }
-    const bool isOwn = action->owner == self_ && action->stage == ActionStage::InProgress;
-    if (isOwn && late) {
-        claim->second.abandoned = true;
-        return { ActionAnswer::NotRun, std::nullopt };
+    if (!pending)
+        return {};
+    Claim &own = found->second;
+    if (own.abandoned || now - own.claimedAt > times_.claimWait) {
+        // From here on the claim, should it count, is given back: "not run" stays true.
+        own.abandoned = true;
+        return {};
+    }
+    if (action == nullptr)
+        return { ActionAnswer::Claiming, std::nullopt, claim };
+    claims_.erase(found);
+    return { ActionAnswer::Run, std::nullopt, claim };
+}
+
+bool ActionKeeper::isOwn(const Action &action, std::uint64_t claim) const
+{
+    return action.owner == self_ && action.claim == claim
+        && action.stage == ActionStage::InProgress;
+}
+
+void ActionKeeper::onOwnFrame(const Frame &frame, const ApplyResult &result)
+{
+    for (std::size_t i = 0; i < result.records.size(); ++i) {
+        const auto *record = std::get_if<ActionClaimed>(&frame.records[i]);
+        if (record == nullptr || result.records[i])
+            continue;
+        const auto claim = claims_.find({ record->organisation, record->idempotencyKey });
+        if (claim != claims_.end() && claim->second.number == record->claim)
+            claims_.erase(claim);
     }
-    claims_.erase(claim);
-    if (isOwn)
-        return { ActionAnswer::Run, std::nullopt };
-    return answerFor(state, watch, call, *action, now);
 }
 
-void ActionKeeper::abandon(const ActionKey &key)
+void ActionKeeper::abandon(const ActionKey &key, std::uint64_t claim)
 {
-    if (const auto claim = claims_.find(key); claim != claims_.end())
-        claim->second.abandoned = true;
+    const auto found = claims_.find(key);
+    if (found != claims_.end() && found->second.number == claim)
+        found->second.abandoned = true;
 }
 
 std::vector<Record> ActionKeeper::giveBackAbandoned(const State &state)
 {
     std::vector<Record> records;
     for (auto claim = claims_.begin(); claim != claims_.end();) {
-        const Action *action
-            = claim->second.abandoned ? state.actions().find(claim->first) : nullptr;
-        if (action == nullptr) {
+        const Action *action = state.actions().find(claim->first);
+        if (!claim->second.abandoned || action == nullptr
+            || !isOwn(*action, claim->second.number)) {
             ++claim;
             continue;
         }
-        if (action->owner == self_ && action->stage == ActionStage::InProgress)
-            records.push_back(giveBackAction(claim->first));
+        records.push_back(giveBackAction(claim->first));
         claim = claims_.erase(claim);
     }
     return records;
--- a/src/zinniadoor/control/action_table.cpp
+++ b/src/zinniadoor/control/action_table.cpp
@@ -26,6 +26,7 @@
     Action action;
     action.bodyDigest = record.bodyDigest;
     action.owner = writer;
+    action.claim = record.claim;
     action.claimedAt = offset;
     action.wallSeconds = record.wallSeconds;
     if (!actions_.emplace(key, std::move(action)).second)
--- /dev/null
+++ b/src/zinniadoor/control/order_test.cpp
@@ -0,0 +1,144 @@
+#include <boost/test/unit_test.hpp>
+
+#include "zinniadoor/control/order_keeper.hpp"
+
+#include "simulation_test.hpp"
+
+namespace {
+
+using namespace zinniadoor;
+using namespace zinniadoor::control;
+using namespace zinniadoor::control::test;
+
+const base::DataCentreId Centre("a");
+constexpr OrderTimes Times { absl::Milliseconds(500), absl::Seconds(1) };
+
+/// What an engine was sent, in order of arrival.
+struct Engine
+{
+    bool fenced = false;
+    std::uint64_t lastSlot = 0;
+    std::uint64_t highestFencing = 0;
+    int taken = 0;
+    bool conflict = false;
+
+    OrderResult take(const ports::EndpointOrder &order)
+    {
+        if (fenced && order.fencing < highestFencing)
+            return OrderResult::Refused;
+        conflict = conflict || order.slot <= lastSlot || order.fencing < highestFencing;
+        lastSlot = order.slot;
+        highestFencing = order.fencing;
+        ++taken;
+        return OrderResult::Done;
+    }
+};
+
+struct SentOrder
+{
+    ports::EndpointOrder order;
+    Process sender;
+    absl::Time arrivesAt;
+    absl::Time answerAt;
+    std::optional<OrderResult> result;
+};
+
+struct OrderFixture
+{
+    std::map<std::string, Engine> engines;
+    std::map<Process, std::vector<OrderKeeper>> keepers;
+    std::vector<SentOrder> sent;
+
+    OrderFixture()
+    {
+        engines["fenced"].fenced = true;
+        engines["unfenced"] = Engine {};
+    }
+
+    void onStep(Node &node)
+    {
+        std::vector<OrderKeeper> &own = keepers[node.self];
+        if (own.empty()) {
+            for (const auto &[name, engine] : engines)
+                own.emplace_back(base::EndpointId(name), Centre, node.self, Times);
+        }
+        hearAnswers(node, own);
+        for (OrderKeeper &keeper : own)
+            act(node, keeper);
+    }
+
+    void act(Node &node, OrderKeeper &keeper)
+    {
+        World &world = node.world;
+        std::optional<WantedOrder> wanted;
+        if (world.chance(0.3))
+            wanted = WantedOrder { ports::EndpointOrderKind::Role, "decode" };
+        const OrderStep step = keeper.next(node.state(), node.leases.front(), wanted, world.now);
+        if (step.record)
+            node.add(*step.record);
+        if (!step.send)
+            return;
+        const absl::Time arrival = world.now + world.duration(absl::ZeroDuration(), Times.sending);
+        // An answer that is lost is made up for by asking the engine later.
+        const absl::Duration answer = world.duration(absl::ZeroDuration(), absl::Seconds(2));
+        sent.push_back({ *step.send, node.self, arrival, arrival + answer, std::nullopt });
+    }
+
+    void hearAnswers(Node &node, std::vector<OrderKeeper> &own)
+    {
+        for (const SentOrder &entry : sent) {
+            if (entry.sender != node.self || !entry.result || entry.answerAt > node.world.now)
+                continue;
+            for (OrderKeeper &keeper : own) {
+                const EndpointSlots *slots = node.state().orders().find(entry.order.endpoint);
+                const bool current = slots != nullptr && slots->lastSlot == entry.order.slot;
+                if (current && &keeper == &own[entry.order.endpoint.str() == "fenced" ? 0 : 1])
+                    keeper.onOutcome(entry.order.slot, *entry.result);
+            }
+        }
+    }
+
+    void deliver(absl::Time now)
+    {
+        for (SentOrder &entry : sent) {
+            if (!entry.result && entry.arrivesAt <= now)
+                entry.result = engines[entry.order.endpoint.str()].take(entry.order);
+        }
+    }
+
+    /// Bytes of an ended process arrive a little later than others.
+    void onKill(const Node &node)
+    {
+        for (SentOrder &entry : sent) {
+            if (entry.sender == node.self && !entry.result)
+                entry.arrivesAt += Times.bytesOnTheirWay - Times.sending;
+        }
+    }
+};
+
+BOOST_FIXTURE_TEST_SUITE(OrderTest, OrderFixture)
+
+BOOST_AUTO_TEST_CASE(order_randomSchedules_neverConflict)
+{
+    constexpr std::uint64_t Schedules = 200;
+    constexpr int Ticks = 400;
+    int taken = 0;
+    for (std::uint64_t seed = 1; seed <= Schedules; ++seed) {
+        OrderFixture run;
+        World world(seed, Faults {}, { "orders/a" });
+        world.onKill = [&run](Node &node) { run.onKill(node); };
+        for (int i = 0; i < Ticks; ++i) {
+            run.deliver(world.now);
+            world.tick([&run](Node &node) { run.onStep(node); });
+        }
+        for (const auto &[name, engine] : run.engines) {
+            BOOST_REQUIRE_MESSAGE(!engine.conflict, "conflict at " << name << ", seed " << seed);
+            taken += engine.taken;
+        }
+    }
+    BOOST_TEST(taken > int(Schedules) * 4);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
--- a/src/zinniadoor/control/simulation_test.cpp
+++ b/src/zinniadoor/control/simulation_test.cpp
@@ -68,10 +68,12 @@
                           {} });
 }
 
-void Node::onApplied(const Frame &frame, base::Offset offset, const ApplyResult & /*result*/)
+void Node::onApplied(const Frame &frame, base::Offset offset, const ApplyResult &result)
 {
-    if (frame.writer == self.instance && frame.incarnation == self.incarnation)
-        writer.onRead(frame.sequence, offset);
+    if (frame.writer != self.instance || frame.incarnation != self.incarnation)
+        return;
+    writer.onRead(frame.sequence, offset);
+    world.onOwnFrame(*this, frame, result);
 }
 
 void Node::read()
--- a/src/zinniadoor/control/simulation_test.hpp
+++ b/src/zinniadoor/control/simulation_test.hpp
@@ -118,6 +118,8 @@
     SimulatedLog log;
     std::vector<std::unique_ptr<Node>> nodes;
     std::function<void(Node &)> onKill = [](Node &) {};
+    std::function<void(Node &, const Frame &, const ApplyResult &)> onOwnFrame
+        = [](Node &, const Frame &, const ApplyResult &) {};
     std::size_t claimsSeen = 0;
 
 private:
--- a/src/zinniadoor/control/state.cpp
+++ b/src/zinniadoor/control/state.cpp
@@ -112,7 +112,7 @@
     }
     base::Status operator()(const UsageCounted &record)
     {
-        return state_.usage_.apply(record, state_.instances_);
+        return state_.usage_.apply(record, offset_);
     }
     base::Status operator()(const WindowClosed &record)
     {
@@ -176,10 +176,10 @@
     instances_.forgetSilent(appliedThrough_, [this](const Process &process) {
         return leases_.holdsAny(process) || orders_.hasOpenOrderOf(process);
     });
+    usage_.forgetSilent(appliedThrough_);
     for (const Process &process : before) {
         if (instances_.find(process) != nullptr)
             continue;
-        usage_.forget(process);
         snapshots_.forget(process);
         if (instances_.newestIncarnation(process.instance) == 0)
             actions_.forgetClock(process.instance);
--- a/src/zinniadoor/control/usage_ledger.cpp
+++ b/src/zinniadoor/control/usage_ledger.cpp
@@ -1,13 +1,11 @@
 #include "zinniadoor/control/usage_ledger.hpp"
 
+#include "zinniadoor/control/stable_hash.hpp"
+
 namespace zinniadoor::control {
 
 namespace {
 
-// FNV-1a, which stays the same across processes and versions; absl::Hash does not.
-constexpr std::uint64_t FnvBasis = 14695981039346656037ULL;
-constexpr std::uint64_t FnvPrime = 1099511628211ULL;
-
 base::Reason conflict(const char *text)
 {
     return { base::ReasonCode::Conflict, text };
@@ -17,12 +15,7 @@
 
 std::uint32_t usageShardOf(const base::OrganisationId &organisation)
 {
-    std::uint64_t hash = FnvBasis;
-    for (const char c : organisation.str()) {
-        hash ^= static_cast<unsigned char>(c);
-        hash *= FnvPrime;
-    }
-    return static_cast<std::uint32_t>((hash ^ (hash >> 32)) % UsageShards);
+    return static_cast<std::uint32_t>(stableHash(organisation.str()) % UsageShards);
 }
 
 bool SequenceSet::contains(std::uint64_t sequence) const
@@ -59,14 +52,12 @@
     outputTokens += item.outputTokens;
 }
 
-base::Status UsageLedger::apply(const UsageCounted &record, const InstanceTable &instances)
+base::Status UsageLedger::apply(const UsageCounted &record, base::Offset offset)
 {
-    const Process process { record.instance, record.incarnation };
-    if (instances.find(process) == nullptr)
-        return conflict("the counting process is not known");
-    SequenceSet &counted = counted_[process];
+    Counted &counted = counted_[{ record.instance, record.incarnation }];
+    counted.lastOffset = offset;
     for (const UsageItem &item : record.items) {
-        if (counted.insert(item.sequence))
+        if (counted.sequences.insert(item.sequence))
             shards_[usageShardOf(item.organisation)].open[item.organisation].add(item);
     }
     return base::Done {};
@@ -106,12 +97,17 @@
 bool UsageLedger::isCounted(const Process &process, std::uint64_t sequence) const
 {
     const auto found = counted_.find(process);
-    return found != counted_.end() && found->second.contains(sequence);
+    return found != counted_.end() && found->second.sequences.contains(sequence);
 }
 
-void UsageLedger::forget(const Process &process)
+void UsageLedger::forgetSilent(base::Offset offset)
 {
-    counted_.erase(process);
+    for (auto row = counted_.begin(); row != counted_.end();) {
+        if (row->second.lastOffset + UsageForgottenAfterFrames < offset)
+            row = counted_.erase(row);
+        else
+            ++row;
+    }
 }
 
 } // namespace zinniadoor::control
--- /dev/null
+++ b/src/zinniadoor/control/usage_test.cpp
@@ -0,0 +1,231 @@
+#include <boost/test/unit_test.hpp>
+
+#include <rapidcheck.h>
+
+#include "absl/strings/str_cat.h"
+
+#include "zinniadoor/control/usage_keeper.hpp"
+
+#include "simulation_test.hpp"
+
+namespace {
+
+using namespace zinniadoor;
+using namespace zinniadoor::control;
+using namespace zinniadoor::control::test;
+
+const std::vector<base::OrganisationId> Organisations { base::OrganisationId("shop"),
+                                                        base::OrganisationId("crew") };
+
+struct UsageOfNode
+{
+    UsageCounter counter;
+    UsageCopies copies;
+    std::vector<ReportKeeper> keepers;
+};
+
+/// Billing as the platform runs it: a window's figures never change.
+struct FakeBilling
+{
+    std::map<std::pair<base::OrganisationId, std::int64_t>, Usage> taken;
+    std::map<base::OrganisationId, std::uint64_t> fencing;
+    std::string fault;
+
+    base::Status take(const ports::UsageReport &report)
+    {
+        std::uint64_t &highest = fencing[report.organisation];
+        if (report.fencing < highest)
+            fault = "a report of an older holder came after one of a newer";
+        highest = std::max(highest, report.fencing);
+        const Usage usage { report.requests, report.promptTokens, report.outputTokens };
+        const auto [row, isNew]
+            = taken.emplace(std::pair(report.organisation, report.window), usage);
+        if (!isNew && !(row->second == usage)) {
+            fault = "a window was reported twice with different figures";
+            return base::Reason { base::ReasonCode::Conflict, fault };
+        }
+        return base::Done {};
+    }
+};
+
+struct SentReport
+{
+    ports::UsageReport report;
+    Process sender;
+    absl::Time arrivesAt;
+    bool heard = false;
+    std::optional<base::Status> status;
+};
+
+struct UsageFixture
+{
+    static constexpr ReportTimes Times { absl::Seconds(1), absl::Milliseconds(500),
+                                         absl::Milliseconds(300) };
+
+    std::map<Process, UsageOfNode> usage;
+    FakeBilling billing;
+    std::vector<SentReport> sent;
+    std::vector<std::pair<Process, UsageItem>> all; ///< Everything ever counted.
+    std::vector<std::pair<Process, std::uint64_t>> answered; ///< Whose answers went out whole.
+
+    static std::vector<std::string> scopes()
+    {
+        return { usageScope(usageShardOf(Organisations[0])),
+                 usageScope(usageShardOf(Organisations[1])) };
+    }
+
+    UsageOfNode &of(const Process &process)
+    {
+        const auto found = usage.find(process);
+        if (found != usage.end())
+            return found->second;
+        UsageOfNode fresh { UsageCounter(process), {}, {} };
+        for (const base::OrganisationId &organisation : Organisations)
+            fresh.keepers.emplace_back(usageShardOf(organisation), Times);
+        return usage.emplace(process, std::move(fresh)).first->second;
+    }
+
+    void onStep(Node &node, bool traffic)
+    {
+        if (traffic && node.world.chance(0.5))
+            serve(node);
+        UsageOfNode &own = of(node.self);
+        while (const auto batch = own.counter.nextBatch()) {
+            node.add(*batch);
+            if (node.world.chance(0.2))
+                node.add(*batch); // delivered twice
+        }
+        own.copies.prune(node.state());
+        for (UsageCounted &batch :
+             own.copies.takeOrphans(node.state(), node.watch, absl::Seconds(4), node.world.now))
+            node.add(std::move(batch));
+        for (std::size_t i = 0; i < own.keepers.size(); ++i)
+            report(node, own.keepers[i], node.leases[i]);
+    }
+
+    /// Counts a request and copies it to a peer before the answer's last bytes go out.
+    void serve(Node &node)
+    {
+        World &world = node.world;
+        const UsageItem item = of(node.self).counter.countUsage(
+            Organisations[world.below(2)], 1 + world.below(500), 1 + world.below(500));
+        all.emplace_back(node.self, item);
+        Node &peer = *world.nodes[world.below(world.nodes.size())];
+        if (&peer == &node || world.now < peer.frozenUntil)
+            return;
+        BOOST_TEST_REQUIRE(of(peer.self)
+                               .copies.hold({ node.self.instance, node.self.incarnation, { item } })
+                               .hasValue());
+        answered.emplace_back(node.self, item.sequence);
+    }
+
+    void report(Node &node, ReportKeeper &keeper, const LeaseKeeper &lease)
+    {
+        World &world = node.world;
+        for (SentReport &entry : sent) {
+            if (entry.sender != node.self || !entry.status || entry.heard)
+                continue;
+            if (usageShardOf(entry.report.organisation) != shardOf(lease))
+                continue;
+            entry.heard = true;
+            keeper.onReported(entry.report, *entry.status, world.now);
+        }
+        const ReportStep step = keeper.next(node.state(), lease, world.now, world.now);
+        if (step.record)
+            node.add(*step.record);
+        if (step.report) {
+            const absl::Duration delay = world.duration(absl::ZeroDuration(), Times.sending);
+            sent.push_back({ *step.report, node.self, world.now + delay, false, std::nullopt });
+        }
+    }
+
+    static std::uint32_t shardOf(const LeaseKeeper &lease)
+    {
+        return lease.scope() == scopes()[0] ? usageShardOf(Organisations[0])
+                                            : usageShardOf(Organisations[1]);
+    }
+
+    void deliver(World &world)
+    {
+        for (SentReport &entry : sent) {
+            if (entry.status || entry.arrivesAt > world.now)
+                continue;
+            base::Status status = billing.take(entry.report);
+            if (world.chance(0.3)) // The answer is lost after the effect.
+                status = base::Reason { base::ReasonCode::OutcomeUnknown, "" };
+            entry.status = status;
+        }
+    }
+
+    std::string fault(const State &state)
+    {
+        if (!billing.fault.empty())
+            return billing.fault;
+        for (const auto &[process, sequence] : answered) {
+            if (!state.usage().isCounted(process, sequence))
+                return absl::StrCat("usage of ", process.instance.str(), " was lost");
+        }
+        Usage counted;
+        for (const auto &[process, item] : all) {
+            if (state.usage().isCounted(process, item.sequence))
+                counted.add(item);
+        }
+        Usage billed;
+        for (const auto &[key, figures] : billing.taken) {
+            billed.requests += figures.requests;
+            billed.promptTokens += figures.promptTokens;
+            billed.outputTokens += figures.outputTokens;
+        }
+        return counted == billed ? "" : "billing differs from what was counted";
+    }
+};
+
+BOOST_FIXTURE_TEST_SUITE(UsageTest, UsageFixture)
+
+BOOST_AUTO_TEST_CASE(usage_randomSchedules_isBilledToTheToken)
+{
+    constexpr std::uint64_t Schedules = 150;
+    constexpr int Ticks = 400;
+    std::size_t reports = 0;
+    for (std::uint64_t seed = 1; seed <= Schedules; ++seed) {
+        UsageFixture run;
+        Faults faults;
+        faults.kill = 0.02;
+        faults.killPause = absl::Seconds(25);
+        World world(seed, faults, scopes());
+        world.onKill = [&run](Node &node) { run.usage.erase(node.self); };
+        for (int i = 0; i < Ticks; ++i) {
+            world.tick([&run](Node &node) { run.onStep(node, true); });
+            run.deliver(world);
+        }
+        for (int i = 0; i < 30; ++i) {
+            world.settle([&run](Node &node) { run.onStep(node, false); }, absl::Seconds(1));
+            run.deliver(world);
+        }
+        const std::string fault = run.fault(world.nodes.front()->state());
+        BOOST_REQUIRE_MESSAGE(fault.empty(), fault << ", seed " << seed);
+        reports += run.billing.taken.size();
+    }
+    BOOST_TEST(reports > Schedules * 10);
+}
+
+BOOST_AUTO_TEST_CASE(sequenceSet_anyInsertions_equalsPlainSet)
+{
+    const bool passed = rc::check([](const std::vector<std::uint8_t> &numbers) {
+        SequenceSet set;
+        std::set<std::uint64_t> plain;
+        for (const std::uint64_t number : numbers)
+            RC_ASSERT(set.insert(number) == plain.insert(number).second);
+        for (std::uint64_t number = 0; number <= 256; ++number)
+            RC_ASSERT(set.contains(number) == (plain.count(number) != 0));
+        std::size_t ranges = 0;
+        for (const std::uint64_t number : plain)
+            ranges += plain.count(number + 1) == 0 ? 1 : 0;
+        RC_ASSERT(set.ranges() == ranges);
+    });
+    BOOST_TEST(passed);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
