--- /dev/null
+++ b/src/zinniadoor/control/snapshot_test.cpp
@@ -0,0 +1,164 @@
+#include <boost/test/unit_test.hpp>
+
+#include "absl/strings/str_cat.h"
+
+#include "simulation_test.hpp"
+
+namespace {
+
+using namespace zinniadoor;
+using namespace zinniadoor::control;
+using namespace zinniadoor::control::test;
+
+class Silent : public ReplayObserver
+{
+public:
+    void onApplied(const Frame & /*frame*/, base::Offset /*offset*/,
+                   const ApplyResult & /*result*/) override
+    { }
+    void onSnapshotLoaded(const State & /*state*/) override { ++loaded; }
+
+    int loaded = 0;
+};
+
+struct SnapshotFixture
+{
+    static constexpr base::Offset SnapshotEvery = 150;
+
+    World world { 7, Faults {}, { SnapshotScope, "orders/a", usageScope(0) } };
+    std::map<Process, std::uint64_t> sequences;
+
+    /// Every instance does a little of everything; the snapshot scope's holder writes snapshots.
+    void onStep(Node &node)
+    {
+        const std::uint64_t number = ++sequences[node.self];
+        if (number % 4 == 0)
+            node.add(UsageCounted { node.self.instance,
+                                    node.self.incarnation,
+                                    { { number, base::OrganisationId("shop"), number, 1 } } });
+        if (number % 7 == 0)
+            node.add(ActionClaimed { base::OrganisationId("shop"), absl::StrCat("k", number), "d",
+                                     node.self.instance, node.self.incarnation, number, 1 });
+        const bool due = isSnapshotDue(node.state(), SnapshotEvery);
+        if (due && node.leases.front().mayAct(world.now) && world.chance(0.1)) {
+            for (SnapshotPart &part : splitSnapshot(node.state()))
+                node.add(std::move(part));
+        }
+    }
+
+    void run(int ticks)
+    {
+        for (int i = 0; i < ticks; ++i)
+            world.tick([this](Node &node) { onStep(node); });
+    }
+
+    static Replayer replay(const SimulatedLog &log, Silent &observer)
+    {
+        Replayer replayer;
+        for (int i = 0; i < 1000 && !replayer.caughtUp(); ++i) {
+            const ReplayRead read = replayer.nextRead();
+            replayer.onPage(log.read(read.after, read.limit), observer);
+        }
+        BOOST_TEST(replayer.caughtUp());
+        return replayer;
+    }
+
+    State applyAll() const
+    {
+        State state;
+        for (std::size_t i = 0; i < world.log.entries().size(); ++i)
+            state.apply(*decodeFrame(world.log.entries()[i]), i + 1);
+        return state;
+    }
+};
+
+BOOST_FIXTURE_TEST_SUITE(SnapshotTest, SnapshotFixture)
+
+BOOST_AUTO_TEST_CASE(state_restoredAtAnyOffset_endsEqual)
+{
+    run(600);
+    const std::string whole = encodeState(applyAll());
+    const auto &entries = world.log.entries();
+    State before;
+    for (std::size_t cut = 0; cut < entries.size(); ++cut) {
+        before.apply(*decodeFrame(entries[cut]), cut + 1);
+        if (cut % 23 != 0)
+            continue;
+        auto restored = decodeState(encodeState(before));
+        BOOST_REQUIRE(restored.hasValue());
+        for (std::size_t i = cut + 1; i < entries.size(); ++i)
+            restored->apply(*decodeFrame(entries[i]), i + 1);
+        BOOST_REQUIRE(encodeState(*restored) == whole);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(replay_beginningOfLogDropped_startsFromSnapshot)
+{
+    run(1500);
+    const State whole = applyAll();
+    BOOST_REQUIRE(whole.snapshots().newest().firstPart != 0);
+    world.log.dropBefore(whole.snapshots().newest().through + 1);
+    Silent observer;
+    const Replayer replayer = replay(world.log, observer);
+    BOOST_TEST(observer.loaded == 1);
+    BOOST_TEST(!replayer.historyLost());
+    BOOST_TEST((encodeState(replayer.state()) == encodeState(whole)));
+    BOOST_TEST(replayer.recordsRead() < world.log.last());
+}
+
+BOOST_AUTO_TEST_CASE(replay_readerLeftBehindByRetention_jumpsToSnapshot)
+{
+    run(300);
+    Silent observer;
+    Replayer reader = replay(world.log, observer);
+    run(1500);
+    const State whole = applyAll();
+    world.log.dropBefore(whole.snapshots().newest().through + 1);
+    reader.onGone();
+    BOOST_TEST(!reader.caughtUp());
+    for (int i = 0; i < 100 && !reader.caughtUp(); ++i) {
+        const ReplayRead read = reader.nextRead();
+        reader.onPage(world.log.read(read.after, read.limit), observer);
+    }
+    BOOST_TEST((encodeState(reader.state()) == encodeState(whole)));
+}
+
+BOOST_AUTO_TEST_CASE(replay_noSnapshotLeft_saysHistoryLost)
+{
+    run(100);
+    world.log.dropBefore(20);
+    Silent observer;
+    const Replayer replayer = replay(world.log, observer);
+    BOOST_TEST(replayer.historyLost());
+    BOOST_TEST(replayer.state().appliedThrough() == world.log.last());
+    BOOST_TEST(replayer.state().leases().leases().empty());
+}
+
+BOOST_AUTO_TEST_CASE(frameWriter_answerLost_appendsSameFrameOnlyAfterReadingBack)
+{
+    const absl::Time start = absl::UnixEpoch();
+    FrameWriterOptions options;
+    options.self = { base::InstanceId("i"), 1 };
+    FrameWriter writer(options);
+    writer.add(InstanceStopped {});
+    const auto frame = writer.next({}, 1, start);
+    BOOST_REQUIRE(frame.has_value());
+    writer.add(InstanceStopped {});
+    const base::Reason lost { base::ReasonCode::OutcomeUnknown, "" };
+    writer.onAppended(frame->sequence, lost, start + absl::Seconds(1));
+    BOOST_TEST(!writer.next({}, 1, start + absl::Seconds(2)).has_value());
+    // A read sent before the answer was lost proves nothing.
+    writer.onReadToEnd(start, start + absl::Seconds(2));
+    BOOST_TEST(!writer.next({}, 1, start + absl::Seconds(3)).has_value());
+    writer.onReadToEnd(start + absl::Seconds(2), start + absl::Seconds(3));
+    const auto again = writer.next({}, 1, start + absl::Seconds(4));
+    BOOST_REQUIRE(again.has_value());
+    BOOST_TEST(again->bytes == frame->bytes);
+    writer.onRead(again->sequence, 9);
+    BOOST_TEST((writer.lastSeen().sentAt == start));
+    BOOST_TEST(writer.next({}, 1, start + absl::Seconds(5))->sequence == frame->sequence + 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
