--- a/src/zinniadoor/control/lease_test.cpp
+++ b/src/zinniadoor/control/lease_test.cpp
@@ -19,7 +19,7 @@
 
     /// Applies one frame of instance `name`, which starts with its first one.
     ApplyResult apply(const std::string &name, base::Incarnation incarnation,
-                      std::vector<Record> records, std::vector<std::string> vouchers = {})
+                      std::vector<Record> records, const std::vector<std::string> &vouchers = {})
     {
         std::uint64_t &sequence = sequences[name + "/" + std::to_string(incarnation)];
         if (sequence == 0) {
