--- a/src/zinniadoor/control/simulation_test.cpp
+++ b/src/zinniadoor/control/simulation_test.cpp
@@ -68,10 +68,12 @@
                           {} });
 }
 
-void Node::onApplied(const Frame &frame, base::Offset offset, const ApplyResult & /*result*/)
+void Node::onApplied(const Frame &frame, base::Offset offset, const ApplyResult &result)
 {
-    if (frame.writer == self.instance && frame.incarnation == self.incarnation)
-        writer.onRead(frame.sequence, offset);
+    if (frame.writer != self.instance || frame.incarnation != self.incarnation)
+        return;
+    writer.onRead(frame.sequence, offset);
+    world.onOwnFrame(*this, frame, result);
 }
 
 void Node::read()
@@ -80,7 +82,7 @@
         return;
     do {
         const ReplayRead read = replayer.nextRead();
-        replayer.onPage(world.log.read(read.after, read.limit), *this);
+        replayer.onPage(preparePage(world.log.read(read.after, read.limit)), *this);
     } while (!replayer.caughtUp());
     writer.onReadToEnd(world.now, world.now);
     watch.observe(state().instances(), world.now);
