--- a/include/zinniadoor/control/peer_messages.hpp
+++ b/include/zinniadoor/control/peer_messages.hpp
@@ -158,12 +158,11 @@
     double tokens = 0; ///< 0 when a token loan is refused.
     std::uint32_t milliseconds = 0; ///< From the instant the borrower asked, less its margin.
     float spareTokens = 0; ///< What is left to give.
-    std::uint32_t emptyMilliseconds = 0; ///< No tokens are to be had for about this long.
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(ask, loan, units, tokens, milliseconds, spareTokens, emptyMilliseconds);
+        archive(ask, loan, units, tokens, milliseconds, spareTokens);
     }
 };
 
--- a/include/zinniadoor/control/rate_shares.hpp
+++ b/include/zinniadoor/control/rate_shares.hpp
@@ -90,6 +90,7 @@
         std::int64_t spareUnits = 0;
         absl::Time heardAt = absl::InfinitePast();
         absl::Time emptyUntil = absl::InfinitePast(); ///< Not asked for tokens before.
+        absl::Duration emptyPause; ///< Doubles with each answer without tokens.
     };
     struct ShareLoan
     {
@@ -116,6 +117,7 @@
         double waitingCost = 0;
         std::set<base::InstanceId> asked; ///< For the requests that wait now.
         std::map<base::InstanceId, PeerView> peers;
+        std::map<std::uint64_t, base::InstanceId> held; ///< Token loans and their lenders.
         std::map<base::InstanceId, ShareLoan> loans; ///< Taken, by lender.
         std::map<base::InstanceId, Want> wants; ///< Of borrowers, as a lender.
     };
@@ -169,8 +171,8 @@
                     absl::Time now, Outbox &outbox);
     void onAnswer(const base::InstanceId &from, const BorrowAnswer &answer, absl::Time now,
                   Outbox &outbox);
-    void onTokens(Entry &entry, const PendingAsk &asked, const LoanItem &item, absl::Time now,
-                  Outbox &outbox);
+    void onTokens(Entry &entry, const PendingAsk &asked, const LoanItem &item, absl::Time now);
+    void returnHeld(Entry &entry, absl::Time now, Outbox &outbox);
     void onShare(Entry &entry, const PendingAsk &asked, const LoanItem &item, absl::Time now);
     void expireAsks(absl::Time now);
     void dropAsks(const Entry &entry, const base::InstanceId &lender);
--- a/include/zinniadoor/control/share_account.hpp
+++ b/include/zinniadoor/control/share_account.hpp
@@ -92,15 +92,11 @@
     void borrowShare(std::uint64_t loan, std::int64_t units, double tokens, absl::Time until,
                      absl::Time now);
 
-    /// Stops using a loan. Returns the tokens that no longer fit and have to go back.
+    /// Stops using a loan of either kind. Returns the tokens that no longer fit and may go back.
     double giveBack(std::uint64_t loan, absl::Time now);
 
-    /// Takes in tokens of a token loan, also above the capacity: the lender keeps their room
-    /// blocked until `settle`, which must follow in the same call.
-    void creditTokens(double tokens) { level_ += tokens; }
-
-    /// Cuts the level to the capacity and returns the excess.
-    double settle();
+    /// Takes in tokens of a token loan with room for them until `until`.
+    void borrowTokens(std::uint64_t loan, double tokens, absl::Time until, absl::Time now);
 
     double level() const { return level_; }
     double ratePerSecond() const { return rateOf(unitsInUse()); }
@@ -131,9 +127,11 @@
     struct Borrowed
     {
         std::int64_t units = 0;
+        double room = 0;
         absl::Time until;
     };
 
+    double settle();
     double rateOf(std::int64_t units) const;
     double capacityOf(std::int64_t units) const;
     std::int64_t freeOwnUnits() const;
@@ -141,6 +139,7 @@
     double ownCapacity() const;
     absl::Duration withinAuthority(absl::Duration duration, absl::Time now) const;
     void block(Lent &lent, Blocked blocked);
+    void sumBorrowed();
     void endBorrowed(absl::Time now);
     void endLent(absl::Time now);
     void sumLent();
@@ -159,6 +158,7 @@
     double lentRoom_ = 0;
     std::map<std::uint64_t, Borrowed> borrowed_;
     std::int64_t borrowedUnits_ = 0;
+    double borrowedRoom_ = 0;
 };
 
 } // namespace zinniadoor::control
--- a/src/zinniadoor/control/rate_shares.cpp
+++ b/src/zinniadoor/control/rate_shares.cpp
@@ -284,13 +284,17 @@
 void RateShares::goOn(Entry &entry, absl::Time now, Outbox &outbox)
 {
     serve(entry, now, outbox);
-    if (entry.waiting.empty())
+    if (entry.waiting.empty()) {
+        returnHeld(entry, now, outbox);
         return;
+    }
     const double missing = entry.waitingCost - entry.account.level();
     const absl::Duration left = entry.waiting.front().deadline - now;
     if (!refillsInTime(entry, missing, left))
         askForTokens(entry, now, outbox);
     refuseHopeless(entry, now, outbox);
+    if (entry.waiting.empty())
+        returnHeld(entry, now, outbox);
 }
 
 absl::Duration RateShares::retryAfter(const Entry &entry, double cost) const
--- a/src/zinniadoor/control/rate_shares_borrowing.cpp
+++ b/src/zinniadoor/control/rate_shares_borrowing.cpp
@@ -9,9 +9,10 @@
 
 namespace {
 
-constexpr std::size_t MaxAskedAtOnce = 3;
 constexpr double AskedPerNeeded = 1.5;
 constexpr double TopUpSeconds = 0.1;
+constexpr absl::Duration FirstEmptyPause = absl::Milliseconds(20);
+constexpr absl::Duration LongestEmptyPause = absl::Seconds(1);
 constexpr absl::Duration SilentPeerPause = absl::Seconds(1);
 constexpr absl::Duration HeardIsFresh = absl::Seconds(3);
 
@@ -117,9 +118,9 @@
     const double room = std::max(0.0, entry.account.capacity() - entry.account.level());
     const double topUp = std::min(room, demandOf(entry, now) * TopUpSeconds);
     double expected = 0;
-    std::size_t count = 0;
+    bool asked = false;
     for (const Candidate &candidate : tokenCandidates(entry, now)) {
-        if (count >= MaxAskedAtOnce || expected >= missing * AskedPerNeeded)
+        if (expected >= missing * AskedPerNeeded)
             break;
         BorrowItem &item = ask(entry, candidate.peer, LoanKind::Tokens, 0, now, outbox);
         item.neededTokens = missing;
@@ -127,9 +128,9 @@
         pending_[item.ask].needed = missing;
         entry.asked.insert(candidate.peer);
         expected += candidate.amount;
-        ++count;
+        asked = true;
     }
-    return count > 0;
+    return asked;
 }
 
 void RateShares::onAnswer(const base::InstanceId &from, const BorrowAnswer &answer, absl::Time now,
@@ -148,7 +149,7 @@
         Entry &entry = *find(asked.organisation);
         entry.account.advance(now);
         if (asked.kind == LoanKind::Tokens)
-            onTokens(entry, asked, item, now, outbox);
+            onTokens(entry, asked, item, now);
         else
             onShare(entry, asked, item, now);
         goOn(entry, now, outbox);
@@ -156,20 +157,35 @@
 }
 
 void RateShares::onTokens(Entry &entry, const PendingAsk &asked, const LoanItem &item,
-                          absl::Time now, Outbox &outbox)
+                          absl::Time now)
 {
     PeerView &peer = entry.peers[asked.lender];
     peer.spareTokens = item.spareTokens;
     peer.heardAt = now;
-    if (item.emptyMilliseconds > 0)
-        peer.emptyUntil = now + absl::Milliseconds(item.emptyMilliseconds);
+    if (item.tokens > 0) {
+        peer.emptyPause = absl::ZeroDuration();
+    } else {
+        // Where all of the rate is used, nobody has anything to give: ask less and less often.
+        peer.emptyPause = std::clamp(2 * peer.emptyPause, FirstEmptyPause, LongestEmptyPause);
+        peer.emptyUntil = now + peer.emptyPause;
+    }
     const absl::Duration duration = absl::Milliseconds(item.milliseconds);
-    if (item.tokens <= 0 || now >= asked.askedAt + duration - clockMargin(duration))
+    const absl::Time until = asked.askedAt + duration - clockMargin(duration);
+    if (item.tokens <= 0 || now >= until)
         return;
-    entry.account.creditTokens(item.tokens);
-    serve(entry, now, outbox);
-    const double excess = entry.account.settle();
-    outbox.returns[asked.lender].items.push_back(ReturnItem { item.loan, entry.id, excess });
+    entry.account.borrowTokens(item.loan, item.tokens, until, now);
+    entry.held[item.loan] = asked.lender;
+}
+
+// Tokens of several lenders add up for one request, so they are held until nothing waits. What
+// fits into the own capacity then stays; the rest goes back, and the lenders get their room back.
+void RateShares::returnHeld(Entry &entry, absl::Time now, Outbox &outbox)
+{
+    for (const auto &[loan, lender] : entry.held) {
+        const double excess = entry.account.giveBack(loan, now);
+        outbox.returns[lender].items.push_back(ReturnItem { loan, entry.id, excess });
+    }
+    entry.held.clear();
 }
 
 void RateShares::onShare(Entry &entry, const PendingAsk &asked, const LoanItem &item,
--- a/src/zinniadoor/control/rate_shares_lending.cpp
+++ b/src/zinniadoor/control/rate_shares_lending.cpp
@@ -13,8 +13,6 @@
 /// Part of its own units that an owner keeps even without demand.
 constexpr std::int64_t KeptFraction = 32;
 
-constexpr std::uint32_t MaxEmptyMilliseconds = 1000;
-
 /// Tokens less than this are not worth a message.
 constexpr double LeastTokens = 0.01;
 
@@ -86,13 +84,6 @@
         answer.milliseconds = static_cast<std::uint32_t>(absl::ToInt64Milliseconds(grant.duration));
     }
     answer.spareTokens = static_cast<float>(spareTokens(entry, now));
-    if (answer.tokens < item.neededTokens) {
-        const double rate = entry.account.ratePerSecond();
-        const double missing = std::min(item.neededTokens, entry.account.capacity() / 2);
-        const double seconds = rate > 0 ? missing / rate : 1;
-        answer.emptyMilliseconds = static_cast<std::uint32_t>(
-            std::min<double>(MaxEmptyMilliseconds, std::ceil(seconds * 1000)));
-    }
     return answer;
 }
 
--- a/src/zinniadoor/control/share_account.cpp
+++ b/src/zinniadoor/control/share_account.cpp
@@ -127,21 +127,30 @@
     advance(now);
     if (now >= until)
         return;
-    Borrowed &borrowed = borrowed_[loan];
-    borrowedUnits_ += units - borrowed.units;
-    borrowed = Borrowed { units, until };
+    borrowed_[loan] = Borrowed { units, 0, until };
+    sumBorrowed();
     level_ += tokens;
     settle();
 }
 
+void ShareAccount::borrowTokens(std::uint64_t loan, double tokens, absl::Time until, absl::Time now)
+{
+    advance(now);
+    if (now >= until)
+        return;
+    borrowed_[loan] = Borrowed { 0, tokens, until };
+    sumBorrowed();
+    level_ += tokens;
+}
+
 double ShareAccount::giveBack(std::uint64_t loan, absl::Time now)
 {
     advance(now);
     const auto found = borrowed_.find(loan);
     if (found == borrowed_.end())
         return 0;
-    borrowedUnits_ -= found->second.units;
     borrowed_.erase(found);
+    sumBorrowed();
     return settle();
 }
 
@@ -154,7 +163,7 @@
 
 double ShareAccount::capacity() const
 {
-    return ownCapacity() + capacityOf(borrowedUnits_);
+    return ownCapacity() + capacityOf(borrowedUnits_) + borrowedRoom_;
 }
 
 std::int64_t ShareAccount::lendableUnits() const
@@ -228,13 +237,26 @@
 
 void ShareAccount::endBorrowed(absl::Time now)
 {
+    bool changed = false;
     for (auto it = borrowed_.begin(); it != borrowed_.end();) {
         if (now < it->second.until) {
             ++it;
             continue;
         }
-        borrowedUnits_ -= it->second.units;
         it = borrowed_.erase(it);
+        changed = true;
+    }
+    if (changed)
+        sumBorrowed();
+}
+
+void ShareAccount::sumBorrowed()
+{
+    borrowedUnits_ = 0;
+    borrowedRoom_ = 0;
+    for (const auto &[loan, borrowed] : borrowed_) {
+        borrowedUnits_ += borrowed.units;
+        borrowedRoom_ += borrowed.room;
     }
 }
 
