--- a/include/zinniadoor/control/rate_shares.hpp
+++ b/include/zinniadoor/control/rate_shares.hpp
@@ -34,13 +34,16 @@
     absl::Duration askPatience = absl::Milliseconds(5); ///< Then further peers are asked.
     absl::Duration tokenLoanTime = absl::Milliseconds(100);
     absl::Duration shareLoanTime = ShareLoanTime;
+    absl::Duration concentratedLoanTime = absl::Seconds(3);
     absl::Duration planInterval = absl::Seconds(1);
     absl::Duration demandWindow = absl::Seconds(3); ///< Time constant of the demand measured.
     double headroom = 1.2; ///< Rate held per demand measured.
 };
 
 /// Rate and burst as parts that owners lend to each other: part by part as demand moves, and a
-/// few tokens at once when a request finds none.
+/// few tokens at once when a request finds none. The parts of an organisation with a small burst
+/// hold less than a few requests each; while it is in use, their owners lend them all to one owner,
+/// its collector, whom the others ask for tokens.
 class RateShares : public RateLimiter
 {
 public:
@@ -164,6 +167,7 @@
     bool hasPendingTokens(const Entry &entry) const;
     double pendingTokens(const Entry &entry, absl::Time now) const;
     std::vector<base::InstanceId> owners(const Entry &entry) const;
+    double expectedTokens(const Entry &entry, const base::InstanceId &peer, absl::Time now) const;
     double partOf(const Entry &entry, const base::InstanceId &peer) const;
     std::vector<Candidate> tokenCandidates(const Entry &entry, absl::Time now);
     bool askForTokens(Entry &entry, absl::Time now, Outbox &outbox);
@@ -180,6 +184,10 @@
     void returnSurplus(Entry &entry, std::int64_t needed, absl::Time now, Outbox &outbox);
     void renewLoans(Entry &entry, std::int64_t needed, absl::Time now, Outbox &outbox);
     void borrowMore(Entry &entry, std::int64_t needed, absl::Time now, Outbox &outbox);
+    bool isConcentrated(const Entry &entry) const;
+    std::optional<base::InstanceId> collectorOf(const Entry &entry) const;
+    bool collects(const Entry &entry) const;
+    std::int64_t keptUnits(const Entry &entry) const;
     std::int64_t neededUnits(const Entry &entry, absl::Time now) const;
 
     // Lending.
--- a/include/zinniadoor/control/share_account.hpp
+++ b/include/zinniadoor/control/share_account.hpp
@@ -78,8 +78,8 @@
     Grant lendShare(const LoanKey &key, std::int64_t units, absl::Duration duration,
                     absl::Time now);
 
-    /// Gives away up to `tokens` and blocks their room until the return. A loan of that name that
-    /// stands already gives nothing.
+    /// Gives away up to `tokens` and blocks their room until the return. They may come from what
+    /// was borrowed, if that lasts as long. A loan of that name that stands gives nothing.
     Grant lendTokens(const LoanKey &key, double tokens, absl::Duration duration, absl::Time now);
 
     /// Ends a loan early and takes back `tokens`; a loan that has ended already is ignored.
@@ -92,6 +92,9 @@
     void borrowShare(std::uint64_t loan, std::int64_t units, double tokens, absl::Time until,
                      absl::Time now);
 
+    /// False while tokens lent on still need the room that comes with the loan.
+    bool mayGiveBack(std::uint64_t loan, absl::Time now);
+
     /// Stops using a loan of either kind. Returns the tokens that no longer fit and may go back.
     double giveBack(std::uint64_t loan, absl::Time now);
 
@@ -108,7 +111,7 @@
     std::int64_t borrowedUnits() const { return borrowedUnits_; }
     std::int64_t ownUnits() const { return ownUsable_ ? ownUnits_ : 0; }
     std::int64_t lendableUnits() const;
-    double lendableTokens() const;
+    double lendableTokens(absl::Duration duration, absl::Time now) const;
     absl::Time ownUntil() const { return ownUntil_; }
 
 private:
@@ -136,7 +139,7 @@
     double capacityOf(std::int64_t units) const;
     std::int64_t freeOwnUnits() const;
     std::int64_t stayingUnits() const;
-    double ownCapacity() const;
+    double lastingCapacity(absl::Time end) const;
     absl::Duration withinAuthority(absl::Duration duration, absl::Time now) const;
     void block(Lent &lent, Blocked blocked);
     void sumBorrowed();
--- a/src/zinniadoor/control/rate_shares_borrowing.cpp
+++ b/src/zinniadoor/control/rate_shares_borrowing.cpp
@@ -16,6 +16,14 @@
 constexpr absl::Duration SilentPeerPause = absl::Seconds(1);
 constexpr absl::Duration HeardIsFresh = absl::Seconds(3);
 
+/// Parts with room for fewer tokens are lent to one owner, unless the rate would make the asks to
+/// that owner too many.
+constexpr double LeastPartBurst = 4;
+constexpr double MostConcentratedRate = 50;
+
+/// Less than this, in cost per second, is no demand.
+constexpr double LeastDemand = 0.01;
+
 /// Share loans are not asked for or returned for less than this part of the whole.
 constexpr std::int64_t LeastLoanFraction = 64;
 
@@ -65,29 +73,32 @@
     return tokens;
 }
 
-// What a peer can give is guessed from its last report and its refill since, or from its part
-// while there is no report. The random factor keeps instances from asking the same peer at once.
+/// What a peer can give: by its last report and its refill since, or by its part.
+double RateShares::expectedTokens(const Entry &entry, const base::InstanceId &peer,
+                                  absl::Time now) const
+{
+    const bool all = isConcentrated(entry) && peer == collectorOf(entry);
+    const double part = all ? 1 : partOf(entry, peer);
+    const auto view = entry.peers.find(peer);
+    if (view == entry.peers.end() || now - view->second.heardAt >= HeardIsFresh)
+        return part * entry.account.totalBurst() / 2;
+    const double age = absl::ToDoubleSeconds(now - view->second.heardAt);
+    const double refill = part * entry.account.totalRate() / 2 * age;
+    return std::min(part * entry.account.totalBurst(), view->second.spareTokens + refill);
+}
+
+// The random factor keeps instances from asking the same peer at once.
 std::vector<RateShares::Candidate> RateShares::tokenCandidates(const Entry &entry, absl::Time now)
 {
     std::uniform_real_distribution<double> factor(0.5, 1.0);
     std::vector<Candidate> candidates;
     for (const base::InstanceId &peer : owners(entry)) {
-        if (entry.asked.count(peer) > 0)
-            continue;
-        const double part = partOf(entry, peer);
-        double amount = part * entry.account.totalBurst() / 2;
         const auto view = entry.peers.find(peer);
-        if (view != entry.peers.end()) {
-            if (now < view->second.emptyUntil)
-                continue;
-            const absl::Duration age = now - view->second.heardAt;
-            const double refill = part * entry.account.totalRate() / 2;
-            if (age < HeardIsFresh) {
-                const double guess = view->second.spareTokens + refill * absl::ToDoubleSeconds(age);
-                amount = std::min(part * entry.account.totalBurst(), guess);
-            }
-        }
-        candidates.push_back(Candidate { peer, amount * factor(random_) });
+        const bool pauses = view != entry.peers.end() && now < view->second.emptyUntil;
+        if (pauses || entry.asked.count(peer) > 0)
+            continue;
+        const double amount = expectedTokens(entry, peer, now) * factor(random_);
+        candidates.push_back(Candidate { peer, amount });
     }
     std::sort(candidates.begin(), candidates.end(),
               [](const Candidate &a, const Candidate &b) { return a.amount > b.amount; });
@@ -230,12 +241,46 @@
     }
 }
 
+bool RateShares::isConcentrated(const Entry &entry) const
+{
+    const double partBurst = entry.account.totalBurst() / static_cast<double>(entry.slots.size());
+    return partBurst < LeastPartBurst && entry.account.totalRate() <= MostConcentratedRate;
+}
+
+/// The owner of the first slot whose owner is not lost. Where views differ, two may collect for a
+/// moment; that costs admissions but breaks nothing.
+std::optional<base::InstanceId> RateShares::collectorOf(const Entry &entry) const
+{
+    for (const std::uint32_t slot : entry.slots) {
+        const auto owner = slotOwners_.find(slot);
+        if (owner != slotOwners_.end() && lost_.count(owner->second) == 0)
+            return owner->second;
+    }
+    return std::nullopt;
+}
+
+bool RateShares::collects(const Entry &entry) const
+{
+    return isConcentrated(entry) && collectorOf(entry) == options_.instance;
+}
+
+/// Own units that are not lent even without demand.
+std::int64_t RateShares::keptUnits(const Entry &entry) const
+{
+    constexpr std::int64_t KeptFraction = 32;
+    return isConcentrated(entry) ? 0 : entry.account.ownUnits() / KeptFraction;
+}
+
 /// Units that the demand measured here calls for.
 std::int64_t RateShares::neededUnits(const Entry &entry, absl::Time now) const
 {
     const double rate = entry.account.totalRate();
     if (rate <= 0)
         return 0;
+    if (isConcentrated(entry)) {
+        const bool inUse = demandOf(entry, now) > LeastDemand;
+        return inUse && collects(entry) ? entry.account.totalUnits() : 0;
+    }
     const double fraction = std::min(1.0, demandOf(entry, now) * options_.headroom / rate);
     return static_cast<std::int64_t>(fraction * static_cast<double>(entry.account.totalUnits()));
 }
@@ -258,7 +303,7 @@
     const std::int64_t least = entry.account.totalUnits() / LeastLoanFraction;
     for (auto it = entry.loans.begin(); it != entry.loans.end();) {
         const std::int64_t surplus = entry.account.unitsInUse() - needed - least;
-        if (surplus < it->second.units) {
+        if (surplus < it->second.units || !entry.account.mayGiveBack(it->second.loan, now)) {
             ++it;
             continue;
         }
@@ -274,8 +319,10 @@
 {
     const std::int64_t least = entry.account.totalUnits() / LeastLoanFraction;
     std::int64_t surplus = std::max<std::int64_t>(0, entry.account.unitsInUse() - needed - least);
+    const absl::Duration renewBefore = isConcentrated(entry) ? options_.concentratedLoanTime * 2 / 3
+                                                             : options_.shareLoanTime / 2;
     for (const auto &[lender, loan] : entry.loans) {
-        if (loan.until - now > options_.shareLoanTime / 2 || lost_.count(lender) > 0)
+        if (loan.until - now > renewBefore || lost_.count(lender) > 0)
             continue;
         const std::int64_t units = std::max(least, loan.units - surplus);
         surplus -= std::min(surplus, loan.units - std::min(loan.units, units));
--- a/src/zinniadoor/control/rate_shares_lending.cpp
+++ b/src/zinniadoor/control/rate_shares_lending.cpp
@@ -10,9 +10,6 @@
 
 namespace {
 
-/// Part of its own units that an owner keeps even without demand.
-constexpr std::int64_t KeptFraction = 32;
-
 /// Tokens less than this are not worth a message.
 constexpr double LeastTokens = 0.01;
 
@@ -61,9 +58,8 @@
 /// What can be given away without making own requests wait.
 double RateShares::spareTokens(const Entry &entry, absl::Time now) const
 {
-    constexpr double ReservedSeconds = 0.05;
-    const double reserve = entry.waitingCost + demandOf(entry, now) * ReservedSeconds;
-    return std::max(0.0, entry.account.lendableTokens() - reserve);
+    const double lendable = entry.account.lendableTokens(options_.tokenLoanTime, now);
+    return std::max(0.0, lendable - entry.waitingCost);
 }
 
 // Gives what waiting requests need, and beyond that at most half of the spare, so that one
@@ -74,6 +70,8 @@
     LoanItem answer;
     answer.ask = item.ask;
     answer.loan = item.loan;
+    if (collects(entry))
+        noteDemand(entry, item.neededTokens, now);
     const double spare = spareTokens(entry, now);
     const double wanted = std::max(item.wantedTokens, item.neededTokens);
     const double needed = std::min(item.neededTokens, spare);
@@ -100,7 +98,9 @@
     entry.wants[key.borrower] = Want { item.units, now };
     const std::int64_t size
         = std::min<std::int64_t>(item.units, fairUnits(entry, key.borrower, now));
-    const Grant grant = entry.account.lendShare(key, size, options_.shareLoanTime, now);
+    const absl::Duration time
+        = isConcentrated(entry) ? options_.concentratedLoanTime : options_.shareLoanTime;
+    const Grant grant = entry.account.lendShare(key, size, time, now);
     answer.units = static_cast<std::uint32_t>(grant.units);
     answer.tokens = grant.tokens;
     answer.milliseconds = static_cast<std::uint32_t>(absl::ToInt64Milliseconds(grant.duration));
@@ -112,8 +112,10 @@
                                    absl::Time now) const
 {
     const std::int64_t own = entry.account.ownUnits();
+    if (isConcentrated(entry))
+        return borrower == collectorOf(entry) ? own : 0;
     std::vector<std::int64_t> wants;
-    wants.push_back(std::min(own, neededUnits(entry, now) + own / KeptFraction));
+    wants.push_back(std::min(own, neededUnits(entry, now) + keptUnits(entry)));
     std::size_t index = 0;
     for (auto it = entry.wants.begin(); it != entry.wants.end();) {
         if (now - it->second.at > options_.shareLoanTime) {
@@ -170,9 +172,8 @@
         load.organisation = shortName(entry.id.str());
         load.demandPerSecond = static_cast<float>(demand);
         load.spareTokens = static_cast<float>(spareTokens(entry, now));
-        const std::int64_t kept = entry.account.ownUnits() / KeptFraction;
         load.spareUnits = static_cast<std::uint32_t>(std::max<std::int64_t>(
-            0, entry.account.lendableUnits() - neededUnits(entry, now) - kept));
+            0, entry.account.lendableUnits() - neededUnits(entry, now) - keptUnits(entry)));
         result.push_back(load);
     }
     nextLoad_ = it == entries_.end() ? base::OrganisationId() : it->first;
--- a/src/zinniadoor/control/share_account.cpp
+++ b/src/zinniadoor/control/share_account.cpp
@@ -84,16 +84,15 @@
                                absl::Time now)
 {
     advance(now);
-    const absl::Duration granted = withinAuthority(duration, now);
-    const double size = std::min(tokens, lendableTokens());
-    if (hasLent(key) || size <= 0 || granted <= absl::ZeroDuration())
+    const double size = std::min(tokens, lendableTokens(duration, now));
+    if (hasLent(key) || size <= 0)
         return Grant {};
     level_ -= size;
     Lent &lent = lent_[key];
     lent.givenTokens = size;
-    block(lent, Blocked { 0, size, now + granted + clockMargin(granted) });
+    block(lent, Blocked { 0, size, now + duration + clockMargin(duration) });
     settle();
-    return Grant { 0, size, granted };
+    return Grant { 0, size, duration };
 }
 
 void ShareAccount::takeBack(const LoanKey &key, double tokens, absl::Time now)
@@ -143,6 +142,16 @@
     level_ += tokens;
 }
 
+bool ShareAccount::mayGiveBack(std::uint64_t loan, absl::Time now)
+{
+    advance(now);
+    const auto found = borrowed_.find(loan);
+    if (found == borrowed_.end() || found->second.units == 0)
+        return true;
+    const std::int64_t left = unitsInUse() - found->second.units;
+    return lentRoom_ <= capacityOf(left);
+}
+
 double ShareAccount::giveBack(std::uint64_t loan, absl::Time now)
 {
     advance(now);
@@ -163,34 +172,42 @@
 
 double ShareAccount::capacity() const
 {
-    return ownCapacity() + capacityOf(borrowedUnits_) + borrowedRoom_;
+    return std::max(0.0, capacityOf(unitsInUse()) - lentRoom_) + borrowedRoom_;
 }
 
 std::int64_t ShareAccount::lendableUnits() const
 {
     if (burst_ <= 0 || borrowedUnits_ > 0)
         return 0;
-    return std::max<std::int64_t>(0, stayingUnits());
+    const double blocked = std::ceil(lentRoom_ / burst_ * static_cast<double>(totalUnits_));
+    return std::max<std::int64_t>(0, stayingUnits() - static_cast<std::int64_t>(blocked));
 }
 
-double ShareAccount::lendableTokens() const
+double ShareAccount::lendableTokens(absl::Duration duration, absl::Time now) const
 {
-    return std::max(0.0, std::min(level_, capacityOf(stayingUnits())));
+    return std::clamp(lastingCapacity(now + duration) - lentRoom_, 0.0, level_);
 }
 
 bool ShareAccount::mayRelease(absl::Time now)
 {
+    constexpr absl::Duration LongerThanTokenLoans = absl::Seconds(1);
     advance(now);
-    return stayingUnits() >= 0 || (lentUnits_ == 0 && lentRoom_ == 0);
+    return stayingUnits() >= 0 && lentRoom_ <= lastingCapacity(now + LongerThanTokenLoans);
 }
 
-/// Own units that stay and are neither lent nor blocked by token loans; negative if there are
-/// more loans than the units that stay can carry.
+/// Own units that stay and are not lent; negative if what stays cannot carry the loans.
 std::int64_t ShareAccount::stayingUnits() const
 {
-    const double total = static_cast<double>(totalUnits_);
-    const double room = burst_ > 0 ? std::ceil(lentRoom_ / burst_ * total) : 0;
-    return ownUnits() - leavingUnits_ - lentUnits_ - static_cast<std::int64_t>(room);
+    return ownUnits() - leavingUnits_ - lentUnits_;
+}
+
+/// Capacity of those units that will still be in use here at `end`.
+double ShareAccount::lastingCapacity(absl::Time end) const
+{
+    std::int64_t units = end <= ownUntil_ ? std::max<std::int64_t>(0, stayingUnits()) : 0;
+    for (const auto &[loan, borrowed] : borrowed_)
+        units += end <= borrowed.until ? borrowed.units : 0;
+    return capacityOf(units);
 }
 
 double ShareAccount::rateOf(std::int64_t units) const
@@ -210,11 +227,6 @@
     return std::max<std::int64_t>(0, ownUnits() - lentUnits_);
 }
 
-double ShareAccount::ownCapacity() const
-{
-    return std::max(0.0, capacityOf(freeOwnUnits()) - lentRoom_);
-}
-
 // A loan never outlives the lender's authority over the part, so that whoever claims the part
 // after that authority has lapsed finds no loan of it still in use.
 absl::Duration ShareAccount::withinAuthority(absl::Duration duration, absl::Time now) const
--- a/tests/bench/rate_shares_bench.cpp
+++ b/tests/bench/rate_shares_bench.cpp
@@ -177,10 +177,13 @@
     try {
         TCLAP::CmdLine line("Rate and burst across instances, on a virtual clock");
         TCLAP::ValueArg<std::uint64_t> seed("", "seed", "Random seed", false, 1, "number", line);
+        TCLAP::SwitchArg skewOnly("", "skew-only", "Leaves out the loss and the outage", line);
         TCLAP::ValueArg<int> minutes("", "minutes", "Length of the skew runs", false, 10, "number",
                                      line);
         line.parse(argc, argv);
         measureSkew(seed.getValue(), absl::Minutes(minutes.getValue()));
+        if (skewOnly.getValue())
+            return 0;
         measureLoss(seed.getValue());
         measureOutage(seed.getValue());
     } catch (const TCLAP::ArgException &error) {
