ShareKeeper joins log, vouchers and rate shares; planned stop without loans left

A slot released by InstanceStopped may be claimed at once, so the process says so only after its loans have ended.

--- /dev/null
+++ b/src/zinniadoor/control/share_keeper.cpp
@@ -0,0 +1,152 @@
+#include "zinniadoor/control/share_keeper.hpp"
+
+#include <algorithm>
+
+namespace zinniadoor::control {
+
+ShareKeeper::ShareKeeper(Process self, std::uint32_t shareSlots, ShareTiming timing)
+    : self_(std::move(self))
+    , shareSlots_(shareSlots)
+    , timing_(timing)
+{ }
+
+void ShareKeeper::observe(const InstanceTable &instances, const LeaseTable &leases,
+                          absl::Time readAt)
+{
+    for (std::uint32_t slot = 0; slot < shareSlots_; ++slot)
+        watch(watches_[slot], leases.find(shareScope(slot)), instances, readAt);
+}
+
+// An instant counts from when this process first read what stands now, also if it came with a
+// snapshot: that is never before it was written.
+void ShareKeeper::watch(Watch &watch, const Lease *lease, const InstanceTable &instances,
+                        absl::Time readAt) const
+{
+    ShareSlotFacts &facts = watch.facts;
+    if (lease == nullptr || !lease->isHeld()) {
+        const absl::Time since = facts.freeReadAt.value_or(readAt);
+        watch = Watch {};
+        facts.freeReadAt = since;
+        return;
+    }
+    if (watch.epoch != lease->epoch) {
+        watch = Watch {};
+        watch.epoch = lease->epoch;
+    }
+    const ProcessInfo *holder = instances.find(lease->holder);
+    const base::Offset lastFrame = std::max(lease->epoch, holder ? holder->lastFrame : 0);
+    if (watch.lastFrame != lastFrame) {
+        watch.lastFrame = lastFrame;
+        facts.lastFrameReadAt = readAt;
+    }
+    const base::Offset lastWithdrawal = instances.lastWithdrawal(lease->holder);
+    if (watch.lastWithdrawal != lastWithdrawal) {
+        watch.lastWithdrawal = lastWithdrawal;
+        facts.lastWithdrawalReadAt = readAt;
+    }
+    facts.allVouchesWithdrawn = instances.allVouchesWithdrawn(lease->holder);
+    if (!facts.restartReadAt && instances.restartedAtSameAddress(lease->holder))
+        facts.restartReadAt = readAt;
+}
+
+std::set<std::uint32_t> ShareKeeper::ownSlots(const LeaseTable &leases) const
+{
+    std::set<std::uint32_t> own;
+    for (std::uint32_t slot = 0; slot < shareSlots_; ++slot) {
+        const Lease *lease = leases.find(shareScope(slot));
+        if (lease != nullptr && lease->isHeld() && lease->holder == self_)
+            own.insert(slot);
+    }
+    return own;
+}
+
+std::vector<Record> ShareKeeper::plan(const InstanceTable &instances, const LeaseTable &leases,
+                                      const std::vector<base::InstanceId> &live, RateShares &shares,
+                                      absl::Time now)
+{
+    std::vector<Record> records;
+    for (const std::uint32_t slot : released_) {
+        const std::string scope = shareScope(slot);
+        records.emplace_back(LeaseReleased { scope, leases.find(scope)->epoch });
+    }
+    if (isStopping_ || instances.find(self_) == nullptr)
+        return records;
+
+    std::map<std::uint32_t, ShareSlotView> views;
+    std::map<std::uint32_t, ClaimBasis> bases;
+    for (std::uint32_t slot = 0; slot < shareSlots_; ++slot) {
+        const Lease *lease = leases.find(shareScope(slot));
+        ShareSlotView &view = views[slot];
+        if (lease != nullptr && lease->isHeld())
+            view.holder = lease->holder.instance;
+        if (lease != nullptr && lease->isHeld() && lease->holder == self_)
+            continue;
+        const ShareClaim claim = earliestShareClaim(watches_[slot].facts, timing_);
+        bases[slot] = claim.basis;
+        if (now >= claim.notBefore)
+            view.claimableSince = claim.notBefore;
+    }
+    std::set<base::InstanceId> all(live.begin(), live.end());
+    all.insert(self_.instance);
+    const ShareSlotPlan plan = planShareSlots(self_.instance, all, views, now);
+    for (const std::uint32_t slot : plan.claim) {
+        const std::string scope = shareScope(slot);
+        const base::Offset supersedes = leases.claimMustSupersede(scope, bases[slot], instances);
+        records.emplace_back(
+            LeaseClaimed { scope, self_.instance, self_.incarnation, supersedes, bases[slot] });
+    }
+    if (!plan.release.empty() && !leaving_) {
+        leaving_ = plan.release.front();
+        shares.prepareRelease({ *leaving_ });
+    }
+    return records;
+}
+
+void ShareKeeper::useSlots(const LeaseTable &leases, absl::Time mayUseUntil, RateShares &shares,
+                           absl::Time now)
+{
+    const std::set<std::uint32_t> own = ownSlots(leases);
+    for (auto it = released_.begin(); it != released_.end();)
+        it = own.count(*it) > 0 ? std::next(it) : released_.erase(it);
+    if (leaving_ && (own.count(*leaving_) == 0 || shares.mayRelease(now))) {
+        if (own.count(*leaving_) > 0)
+            released_.insert(*leaving_);
+        leaving_.reset();
+        if (!isStopping_)
+            shares.prepareRelease({});
+    }
+    inUse_.clear();
+    for (const std::uint32_t slot : own) {
+        if (!hasStopped_ && released_.count(slot) == 0)
+            inUse_.insert(slot);
+    }
+    std::map<std::uint32_t, base::InstanceId> owners;
+    for (std::uint32_t slot = 0; slot < shareSlots_; ++slot) {
+        const Lease *lease = leases.find(shareScope(slot));
+        if (lease != nullptr && lease->isHeld())
+            owners[slot] = lease->holder.instance;
+    }
+    shares.setOwnedSlots(inUse_, mayUseUntil, now);
+    shares.setSlotOwners(owners);
+}
+
+void ShareKeeper::stop(RateShares &shares)
+{
+    isStopping_ = true;
+    leaving_.reset();
+    std::set<std::uint32_t> all;
+    for (std::uint32_t slot = 0; slot < shareSlots_; ++slot)
+        all.insert(slot);
+    shares.prepareRelease(all);
+}
+
+bool ShareKeeper::hasStopped(const LeaseTable &leases, RateShares &shares, absl::Time now)
+{
+    if (isStopping_ && !hasStopped_ && shares.mayRelease(now)) {
+        hasStopped_ = true;
+        useSlots(leases, absl::InfinitePast(), shares, now);
+    }
+    return hasStopped_;
+}
+
+} // namespace zinniadoor::control
