--- /dev/null
+++ b/src/zinniadoor/control/share_account_test.cpp
@@ -0,0 +1,188 @@
+#include <boost/test/unit_test.hpp>
+
+#include "zinniadoor/control/rate_shares.hpp"
+#include "zinniadoor/control/share_account.hpp"
+
+using namespace zinniadoor;
+using namespace zinniadoor::control;
+
+namespace {
+
+constexpr double Rate = 8;
+constexpr double Burst = 80;
+constexpr std::int64_t Total = 8 * UnitsPerSlot;
+constexpr absl::Duration LoanTime = absl::Seconds(8);
+
+/// A lender with one full part (rate 1, burst 10) and a borrower without any.
+struct Fixture
+{
+    absl::Time start = absl::FromUnixSeconds(1000);
+    ShareAccount lender { start };
+    ShareAccount borrower { start };
+    LoanKey key { base::InstanceId("borrower"), 1, 7 };
+
+    Fixture()
+    {
+        lender.setLimits(Rate, Burst, Total, start);
+        lender.setOwn(UnitsPerSlot, absl::InfiniteFuture(), start);
+        borrower.setLimits(Rate, Burst, Total, start);
+        start += absl::Seconds(20);
+        lender.advance(start);
+        borrower.advance(start);
+    }
+
+    double sumOfCapacities() const { return lender.capacity() + borrower.capacity(); }
+    double sumOfLevels() const { return lender.level() + borrower.level(); }
+};
+
+constexpr double PartBurst = 10;
+constexpr double Tolerance = 1e-6;
+
+bool near(double a, double b)
+{
+    return std::abs(a - b) < Tolerance;
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(ShareAccountTest, Fixture)
+
+BOOST_AUTO_TEST_CASE(part_newlyOwned_startsEmpty)
+{
+    borrower.setOwn(UnitsPerSlot, absl::InfiniteFuture(), start);
+    BOOST_TEST(borrower.level() == 0);
+    BOOST_TEST(!borrower.spend(1, start));
+    BOOST_TEST(borrower.spend(1, start + absl::Seconds(1.01)));
+}
+
+BOOST_AUTO_TEST_CASE(level_afterLongFreezePastAuthority_isCutToNothing)
+{
+    lender.setOwn(UnitsPerSlot, start + absl::Seconds(5), start);
+    BOOST_TEST(lender.spend(1, start + absl::Seconds(4)));
+    BOOST_TEST(!lender.spend(1, start + absl::Seconds(60)));
+    lender.setOwn(UnitsPerSlot, start + absl::Seconds(70), start + absl::Seconds(60));
+    BOOST_TEST(lender.level() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(shareLoan_granted_movesCapacityAndTokensOnce)
+{
+    const Grant grant = lender.lendShare(key, UnitsPerSlot / 2, LoanTime, start);
+    BOOST_TEST(grant.units == UnitsPerSlot / 2);
+    BOOST_TEST(near(lender.capacity(), PartBurst / 2));
+    borrower.borrowShare(7, grant.units, grant.tokens, start + LoanTime, start);
+    BOOST_TEST(near(sumOfCapacities(), PartBurst));
+    BOOST_TEST(near(sumOfLevels(), PartBurst));
+}
+
+BOOST_AUTO_TEST_CASE(shareLoan_renewedSmallerThenOldEndPasses_blocksTheLargerUntilThen)
+{
+    lender.lendShare(key, UnitsPerSlot / 2, LoanTime, start);
+    const absl::Time renewed = start + absl::Seconds(4);
+    lender.lendShare(key, UnitsPerSlot / 4, LoanTime, renewed);
+    BOOST_TEST(near(lender.capacity(), PartBurst / 2));
+    lender.advance(start + LoanTime + absl::Seconds(1));
+    BOOST_TEST(near(lender.capacity(), PartBurst * 3 / 4));
+    lender.advance(renewed + LoanTime + absl::Seconds(1));
+    BOOST_TEST(near(lender.capacity(), PartBurst));
+}
+
+BOOST_AUTO_TEST_CASE(shareLoan_nearEndOfAuthority_endsWithIt)
+{
+    lender.setOwn(UnitsPerSlot, start + absl::Seconds(3), start);
+    const Grant grant = lender.lendShare(key, UnitsPerSlot / 2, LoanTime, start);
+    BOOST_TEST((grant.duration <= absl::Seconds(3)));
+    const Grant late = lender.lendTokens(key, 1, absl::Milliseconds(100), start + absl::Seconds(3));
+    BOOST_TEST(late.tokens == 0);
+}
+
+BOOST_AUTO_TEST_CASE(shareLoan_clocksAtTheirDriftLimits_borrowerEndsFirst)
+{
+    // In true time, the borrower's clock runs slow and the lender's fast.
+    const Grant grant = lender.lendShare(key, UnitsPerSlot, LoanTime, start);
+    const absl::Duration use = grant.duration - clockMargin(grant.duration);
+    const absl::Duration trueUse = use / (1 - MaxClockDrift);
+    const absl::Duration lenderSees = trueUse * (1 + MaxClockDrift);
+    lender.advance(start + lenderSees);
+    BOOST_TEST(lender.capacity() == 0);
+    // And the lender's own authority, which others count on, is not outlived either.
+    BOOST_TEST((lenderSees <= grant.duration));
+}
+
+BOOST_AUTO_TEST_CASE(tokenLoan_returnedTwice_isCreditedOnce)
+{
+    const Grant grant = lender.lendTokens(key, 4, absl::Milliseconds(100), start);
+    BOOST_TEST(near(grant.tokens, 4));
+    BOOST_TEST(near(lender.capacity(), PartBurst - 4));
+    lender.takeBack(key, 3, start);
+    lender.takeBack(key, 3, start);
+    BOOST_TEST(near(lender.level(), PartBurst - 1));
+}
+
+BOOST_AUTO_TEST_CASE(tokenLoan_returnOfMoreThanGiven_isCutToWhatWasGiven)
+{
+    lender.spend(9, start);
+    lender.lendTokens(key, 0.5, absl::Milliseconds(100), start);
+    lender.takeBack(key, 8, start);
+    BOOST_TEST(lender.level() < 1.1);
+}
+
+BOOST_AUTO_TEST_CASE(tokenLoan_askedTwiceUnderOneName_givesOnce)
+{
+    lender.lendTokens(key, 4, absl::Milliseconds(100), start);
+    BOOST_TEST(lender.lendTokens(key, 4, absl::Milliseconds(100), start).tokens == 0);
+}
+
+BOOST_AUTO_TEST_CASE(tokenLoans_ofSeveralLenders_addUpUntilGivenBack)
+{
+    borrower.borrowTokens(1, 0.6, start + absl::Seconds(1), start);
+    borrower.borrowTokens(2, 0.6, start + absl::Seconds(1), start);
+    BOOST_TEST(borrower.spend(1, start));
+    BOOST_TEST(near(borrower.giveBack(1, start) + borrower.giveBack(2, start), 0.2));
+    BOOST_TEST(borrower.level() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(tokensLentOn_fromShareLoanThatEndsSooner_areRefused)
+{
+    borrower.borrowShare(7, UnitsPerSlot, 5, start + absl::Milliseconds(50), start);
+    const LoanKey other { base::InstanceId("third"), 1, 1 };
+    BOOST_TEST(borrower.lendTokens(other, 1, absl::Milliseconds(100), start).tokens == 0);
+    borrower.borrowShare(7, UnitsPerSlot, 0, start + absl::Seconds(5), start);
+    BOOST_TEST(near(borrower.lendTokens(other, 1, absl::Milliseconds(100), start).tokens, 1));
+}
+
+BOOST_AUTO_TEST_CASE(shareLoan_underTokensLentOn_isNotGivenBack)
+{
+    borrower.borrowShare(7, UnitsPerSlot, 5, start + absl::Seconds(5), start);
+    const LoanKey other { base::InstanceId("third"), 1, 1 };
+    borrower.lendTokens(other, 5, absl::Milliseconds(100), start);
+    BOOST_TEST(!borrower.mayGiveBack(7, start));
+    borrower.takeBack(other, 0, start);
+    BOOST_TEST(borrower.mayGiveBack(7, start));
+}
+
+BOOST_AUTO_TEST_CASE(borrower_ofShares_lendsNoShares)
+{
+    borrower.setOwn(UnitsPerSlot, absl::InfiniteFuture(), start);
+    BOOST_TEST(borrower.lendableUnits() == UnitsPerSlot);
+    borrower.borrowShare(7, UnitsPerSlot, 5, start + absl::Seconds(5), start);
+    BOOST_TEST(borrower.lendableUnits() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(release_withLoans_waitsForTheirEnd)
+{
+    lender.lendShare(key, UnitsPerSlot / 2, LoanTime, start);
+    lender.setLeaving(UnitsPerSlot);
+    BOOST_TEST(!lender.mayRelease(start + absl::Seconds(1)));
+    // A renewal does not go on for ever.
+    BOOST_TEST(lender.lendShare(key, UnitsPerSlot / 2, LoanTime, start).units == 0);
+    BOOST_TEST(lender.mayRelease(start + LoanTime + absl::Seconds(1)));
+}
+
+BOOST_AUTO_TEST_CASE(maxMinPortion_severalWants_raisesTheSmallestFirst)
+{
+    BOOST_TEST(maxMinPortion(90, { 10, 100, 100 }, 0) == 10);
+    BOOST_TEST(maxMinPortion(90, { 10, 100, 100 }, 2) == 40);
+    BOOST_TEST(maxMinPortion(90, { 10, 20, 30 }, 2) == 30);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
