Membership: news chosen at random, spread time by size; sums of parts checked in the harness

Passing on the newest news first starved it: at 350 members a fifth of all pairs held each other for lost after 60 s.

--- a/include/zinniadoor/control/membership.hpp
+++ b/include/zinniadoor/control/membership.hpp
@@ -29,10 +29,10 @@
     std::size_t sentBytesPerSecond = 2400; ///< Heartbeats with UDP and IP headers.
     std::size_t directPeers = 8; ///< Up to this many, each heartbeat goes to all.
     std::size_t fanOut = 4; ///< Above that, to this many; news of others is passed on.
+    /// Silence after which a member is suspect or lost, if heartbeats go to all. Where news is
+    /// passed on, the time that it takes to spread is added.
     absl::Duration suspectAfter = absl::Seconds(3);
     absl::Duration lostAfter = absl::Seconds(6);
-    absl::Duration relayedSuspectAfter = absl::Seconds(20); ///< Where news is passed on.
-    absl::Duration relayedLostAfter = absl::Seconds(40);
 };
 
 /// An instance that the log or the instance list names.
@@ -59,8 +59,8 @@
     base::Incarnation incarnation = 0;
     base::DataCentreId dataCentre;
     std::uint32_t sequence = 0;
-    std::uint64_t bundleVersion = 0;
-    base::Offset logOffset = 0; ///< Known from its own heartbeats only.
+    std::uint64_t bundleVersion = 0; ///< Known from its own heartbeats only.
+    base::Offset logOffset = 0; ///< Likewise.
     bool draining = false;
     absl::Time heardAt; ///< Of it, directly or passed on.
     absl::Time heardDirectlyAt = absl::InfinitePast();
@@ -108,6 +108,9 @@
     std::unordered_map<std::uint32_t, double> inFlightOfPeers(absl::Time now) const;
 
     std::size_t size() const { return members_.size() + 1; }
+    /// How long news of a member takes to reach about all others; zero if it is heard directly.
+    absl::Duration spreadTime() const;
+
     bool passesNewsOn() const { return members_.size() > options_.directPeers; }
 
 private:
@@ -120,7 +123,6 @@
     {
         MemberView view;
         bool known = false; ///< Named by the log or the instance list.
-        std::uint32_t newsSent = 0; ///< Heartbeats that carried this news of it.
         std::unordered_map<std::uint32_t, Report> reports;
     };
     struct Crash
--- a/include/zinniadoor/control/peer_messages.hpp
+++ b/include/zinniadoor/control/peer_messages.hpp
@@ -27,13 +27,12 @@
 {
     std::uint32_t member = 0; ///< Short name of "<instance>#<incarnation>".
     std::uint32_t sequence = 0; ///< Of the newest heartbeat heard of.
-    std::uint32_t bundleVersion = 0;
     bool draining = false; ///< Takes no new work.
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(member, sequence, bundleVersion, draining);
+        archive(member, sequence, draining);
     }
 };
 
--- a/src/zinniadoor/control/membership.cpp
+++ b/src/zinniadoor/control/membership.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 
 #include "zinniadoor/control/stable_hash.hpp"
 
@@ -10,7 +11,8 @@
 namespace {
 
 constexpr std::size_t UdpIpHeaderBytes = 28;
-constexpr std::size_t NewsBytes = 13;
+constexpr std::size_t NewsBytes = 9;
+constexpr std::size_t FixedBytes = 110; ///< About what a heartbeat without lists takes.
 constexpr std::size_t InFlightBytes = 6;
 constexpr std::size_t LoadBytes = 16;
 constexpr std::size_t DigestBytes = 8;
@@ -180,7 +182,7 @@
     std::size_t left = room > fixed ? room - fixed : 0;
     left -= addCrashes(heartbeat, left);
     if (passesNewsOn())
-        left -= addNews(heartbeat, left / 2);
+        left -= addNews(heartbeat, left * 3 / 4);
     const std::size_t loads = std::min(own.organisations.size(), left / 2 / LoadBytes);
     heartbeat.organisations.assign(own.organisations.begin(),
                                    own.organisations.begin() + static_cast<std::ptrdiff_t>(loads));
@@ -203,34 +205,18 @@
     return heartbeat.crashDigests.size() * DigestBytes;
 }
 
-/// Passes on the news that has been passed on least, newest first.
+// A random choice: with the newest first, news would be dropped in favour of newer news before it
+// has gone round, and some members would never be heard of.
 std::size_t Membership::addNews(Heartbeat &heartbeat, std::size_t room)
 {
-    std::vector<Member *> order;
-    for (auto &[instance, member] : members_) {
-        if (member.view.sequence > 0)
-            order.push_back(&member);
-    }
-    const std::size_t count = std::min(order.size(), room / NewsBytes);
-    std::partial_sort(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(count),
-                      order.end(), [](const Member *a, const Member *b) {
-                          if (a->newsSent != b->newsSent)
-                              return a->newsSent < b->newsSent;
-                          return a->view.heardAt > b->view.heardAt;
-                      });
-    order.resize(count);
-    const std::set<Member *> chosen(order.begin(), order.end());
-    for (auto &[instance, member] : members_) {
-        if (chosen.count(&member) == 0)
-            continue;
-        ++member.newsSent;
-        MemberNews news;
-        news.member = memberName(instance, member.view.incarnation);
-        news.sequence = member.view.sequence;
-        news.bundleVersion = static_cast<std::uint32_t>(member.view.bundleVersion);
-        news.draining = member.view.draining;
-        heartbeat.members.push_back(news);
+    std::vector<MemberNews> all;
+    for (const auto &[instance, member] : members_) {
+        const MemberView &view = member.view;
+        if (view.sequence > 0)
+            all.push_back({ memberName(instance, view.incarnation), view.sequence, view.draining });
     }
+    std::sample(all.begin(), all.end(), std::back_inserter(heartbeat.members), room / NewsBytes,
+                random_);
     return heartbeat.members.size() * NewsBytes;
 }
 
@@ -263,7 +249,6 @@
         view.bundleVersion = heartbeat.bundleVersion;
         view.logOffset = heartbeat.logOffset;
         view.draining = heartbeat.draining;
-        member.newsSent = 0;
         for (const EndpointInFlight &report : heartbeat.inFlight)
             member.reports[report.endpoint] = Report { report.inFlight, now };
     }
@@ -282,10 +267,8 @@
     if (news.sequence <= member.view.sequence)
         return;
     member.view.sequence = news.sequence;
-    member.view.bundleVersion = news.bundleVersion;
     member.view.draining = news.draining;
     member.view.heardAt = now;
-    member.newsSent = 0;
 }
 
 void Membership::reportCrash(std::uint64_t digest, absl::Time now)
@@ -319,10 +302,10 @@
     if (found == members_.end())
         return Liveness::Lost;
     const absl::Duration silence = now - found->second.view.heardAt;
-    const bool relayed = passesNewsOn();
-    if (silence >= (relayed ? options_.relayedLostAfter : options_.lostAfter))
+    const absl::Duration spread = spreadTime();
+    if (silence >= options_.lostAfter + 2 * spread)
         return Liveness::Lost;
-    if (silence >= (relayed ? options_.relayedSuspectAfter : options_.suspectAfter))
+    if (silence >= options_.suspectAfter + spread)
         return Liveness::Suspect;
     return Liveness::Live;
 }
@@ -353,6 +336,21 @@
     return found == members_.end() ? nullptr : &found->second.view;
 }
 
+// Each holder of a piece of news passes it on to fanOut peers in the share of its heartbeats that
+// carry it, so the holders multiply by one factor in each interval.
+absl::Duration Membership::spreadTime() const
+{
+    if (!passesNewsOn())
+        return absl::ZeroDuration();
+    const std::size_t room = roomFor(options_.fanOut);
+    const std::size_t lists = room > FixedBytes ? room - FixedBytes : NewsBytes;
+    const auto carried = static_cast<double>(lists * 3 / 4 / NewsBytes);
+    const auto all = static_cast<double>(size());
+    const double share = std::min(1.0, carried / all);
+    const double factor = 1 + static_cast<double>(options_.fanOut) * share;
+    return options_.heartbeatInterval * (std::log(all) / std::log(factor));
+}
+
 absl::Duration Membership::freshReport() const
 {
     return 5 * options_.heartbeatInterval;
--- a/tests/support/share_world.cpp
+++ b/tests/support/share_world.cpp
@@ -258,6 +258,9 @@
         node.keeper->useSlots(node.leases, node.vouch->mayUseUntil(), *node.shares, local);
     }
     checkSlots(node);
+    constexpr double CheckedSteps = 0.125;
+    if (random() < CheckedSteps)
+        checkCapacities();
 
     node.vouch->setCharges(chargesOf(node.self, node.instances), local);
     const VouchEffects vouch = node.vouch->tick(local);
@@ -371,6 +374,31 @@
     }
 }
 
+/// What all instances together could spend at once, and their rates, as their accounts would find
+/// them now; frozen instances included.
+void ShareWorld::checkCapacities()
+{
+    constexpr double Rounding = 1e-6;
+    for (const Organisation &organisation : options_.organisations) {
+        double capacity = 0;
+        double rate = 0;
+        for (const auto &node : nodes_) {
+            if (!node->alive || node->shares == nullptr)
+                continue;
+            ShareAccount account = *node->shares->account(organisation.id);
+            account.advance(localTime(*node));
+            capacity += account.capacity();
+            rate += account.ratePerSecond();
+        }
+        const bool tooMuch = capacity > organisation.burst * (1 + Rounding)
+            || rate > organisation.ratePerSecond * (1 + Rounding);
+        if (tooMuch && violation_.empty())
+            violation_ = "parts of " + organisation.id.str() + " add up to burst "
+                + std::to_string(capacity) + " and rate " + std::to_string(rate) + " at "
+                + absl::FormatDuration(now_ - WorldStart);
+    }
+}
+
 void ShareWorld::send(Node &from, const std::vector<Outgoing> &messages)
 {
     for (const Outgoing &message : messages) {
--- a/tests/support/share_world.hpp
+++ b/tests/support/share_world.hpp
@@ -80,7 +80,8 @@
     void burst(int instance, const base::OrganisationId &organisation, int count);
 
     /// Empty while no organisation got more than rate and burst in any interval, and no share slot
-    /// was in use at two instances.
+    /// was in use at two instances, and the parts of all instances never added up to more than the
+    /// organisation's rate and burst.
     const std::string &violation() const { return violation_; }
 
     /// Counts since the last call.
@@ -120,6 +121,7 @@
     void applyFrame(Node &node, const control::Frame &frame, base::Offset offset);
     void writeLog(Node &node);
     void checkSlots(const Node &node);
+    void checkCapacities();
     void goOnStopping(Node &node);
     void send(Node &from, const std::vector<control::Outgoing> &messages);
     void deliver(int to, const base::InstanceId &from, const std::string &bytes);
