--- a/include/zinniadoor/control/peer_messages.hpp
+++ b/include/zinniadoor/control/peer_messages.hpp
@@ -27,13 +27,12 @@
 {
     std::uint32_t member = 0; ///< Short name of "<instance>#<incarnation>".
     std::uint32_t sequence = 0; ///< Of the newest heartbeat heard of.
-    std::uint32_t bundleVersion = 0;
     bool draining = false; ///< Takes no new work.
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(member, sequence, bundleVersion, draining);
+        archive(member, sequence, draining);
     }
 };
 
@@ -158,12 +157,11 @@
     double tokens = 0; ///< 0 when a token loan is refused.
     std::uint32_t milliseconds = 0; ///< From the instant the borrower asked, less its margin.
     float spareTokens = 0; ///< What is left to give.
-    std::uint32_t emptyMilliseconds = 0; ///< No tokens are to be had for about this long.
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(ask, loan, units, tokens, milliseconds, spareTokens, emptyMilliseconds);
+        archive(ask, loan, units, tokens, milliseconds, spareTokens);
     }
 };
 
