--- a/include/zinniadoor/serving/request_facts.hpp
+++ b/include/zinniadoor/serving/request_facts.hpp
@@ -33,6 +33,7 @@
     base::ModelId model;
     Urgency urgency = Urgency::Urgent;
     std::uint32_t promptTokens = 1; ///< Estimated from the text's length.
+    std::uint32_t importedTokens = 0; ///< Of the prompt, brought along as KV cache.
     std::uint32_t maxOutputTokens = 1;
     absl::Time deadline = absl::InfiniteFuture(); ///< After it the answer is of no use.
     absl::Duration serviceTime; ///< Shortest time an idle endpoint would need; zero if unknown.
@@ -40,7 +41,10 @@
     std::string bodyDigest; ///< Names the body in the list of crashing requests.
 };
 
-/// Tokens that a request is charged with in queues.
+/// Prompt tokens that an engine without a cached prefix has to compute.
+std::uint32_t prefillTokens(const RequestFacts &request);
+
+/// Tokens that a request is charged with in queues: those to be computed.
 std::uint64_t tokenCost(const RequestFacts &request);
 
 /// Pieces of engine memory that a request fills at its longest.
--- a/include/zinniadoor/serving/role_plan.hpp
+++ b/include/zinniadoor/serving/role_plan.hpp
@@ -18,7 +18,8 @@
     base::DataCentreId dataCentre;
     control::Role role = control::Role::Mixed;
     std::uint32_t requests = 0; ///< In flight; they end before the role changes.
-    bool isAvailable = true; ///< Live, and no order to it is open.
+    bool isLive = true; ///< False while it leaves or is gone.
+    bool isChanging = false; ///< An order to it is open.
 };
 
 /// State of the fleet at one instant.
@@ -60,7 +61,7 @@
 public:
     virtual ~RolePlanner() = default;
 
-    /// Orders wanted now. An engine named in one is not available until its order is closed.
+    /// Orders wanted now. An engine named in one is changing until its order is closed.
     virtual std::vector<RoleOrder> plan(const RoleInputs &inputs, absl::Time now) = 0;
 };
 
--- a/src/zinniadoor/serving/endpoint_table.cpp
+++ b/src/zinniadoor/serving/endpoint_table.cpp
@@ -220,7 +220,7 @@
     sent.work.kvPages = kvPagesNeeded(request);
     const double cached = found->prefixes.expectedTokens(request.prefixes);
     sent.work.prefillTokens
-        = std::max<std::int64_t>(1, request.promptTokens - static_cast<std::int64_t>(cached));
+        = std::max<std::int64_t>(1, prefillTokens(request) - static_cast<std::int64_t>(cached));
     found->own += sent.work;
     found->remember(now);
     sent_[request.id] = sent;
--- a/src/zinniadoor/serving/first_token_router.cpp
+++ b/src/zinniadoor/serving/first_token_router.cpp
@@ -204,7 +204,7 @@
             sum += options_.distancePenalty;
         if (query.phase != Phase::Decode) {
             const double cached = view.prefixes.expectedTokens(query.request.prefixes);
-            const double own = std::max(query.request.promptTokens - cached, 1.0);
+            const double own = std::max(prefillTokens(query.request) - cached, 1.0);
             const double tokens = view.prefillTokens(now) + own;
             sum += absl::Seconds(tokens / (model.prefillTokensPerSecond * pace));
         }
--- a/src/zinniadoor/serving/request_facts.cpp
+++ b/src/zinniadoor/serving/request_facts.cpp
@@ -40,15 +40,21 @@
     return urgency == Urgency::Urgent ? "urgent" : "deferable";
 }
 
+std::uint32_t prefillTokens(const RequestFacts &request)
+{
+    return request.promptTokens - std::min(request.promptTokens, request.importedTokens);
+}
+
 std::uint64_t tokenCost(const RequestFacts &request)
 {
-    const std::uint64_t sum = std::uint64_t(request.promptTokens) + request.maxOutputTokens;
+    const std::uint64_t sum = std::uint64_t(prefillTokens(request)) + request.maxOutputTokens;
     return std::max<std::uint64_t>(sum, 1);
 }
 
 std::uint32_t kvPagesNeeded(const RequestFacts &request)
 {
-    return static_cast<std::uint32_t>((tokenCost(request) + KvPageTokens - 1) / KvPageTokens);
+    const std::uint64_t tokens = std::uint64_t(request.promptTokens) + request.maxOutputTokens;
+    return static_cast<std::uint32_t>((tokens + KvPageTokens - 1) / KvPageTokens);
 }
 
 std::uint32_t estimateTokens(std::string_view text)
--- a/src/zinniadoor/serving/role_plan.cpp
+++ b/src/zinniadoor/serving/role_plan.cpp
@@ -76,7 +76,7 @@
         decode_.add(inputs.decodeDemand, now);
         // A change in progress has not shown its effect yet, and its engine will come back.
         for (const PlannedEngine &engine : inputs.engines) {
-            if (!engine.isAvailable)
+            if (engine.isChanging)
                 return {};
         }
         const RoleCounts counts = detail::countRoles(inputs.engines);
--- a/src/zinniadoor/serving/role_plan_test.cpp
+++ b/src/zinniadoor/serving/role_plan_test.cpp
@@ -120,10 +120,10 @@
             fixture.now += absl::Seconds(1);
             fixture.setDemand(prefill / 10.0, decode / 10.0);
             for (PlannedEngine &engine : fixture.inputs.engines)
-                engine.isAvailable = fixture.now >= busyUntil[engine.id.str()];
+                engine.isChanging = fixture.now < busyUntil[engine.id.str()];
             std::map<std::string, std::uint32_t> changing;
             for (const PlannedEngine &engine : fixture.inputs.engines)
-                changing[engine.dataCentre.str()] += engine.isAvailable ? 0 : 1;
+                changing[engine.dataCentre.str()] += engine.isChanging ? 1 : 0;
             for (const RoleOrder &order : planner->plan(fixture.inputs, fixture.now)) {
                 const std::string id = order.endpoint.str();
                 const auto before = changedAt.find(id);
--- a/src/zinniadoor/serving/role_rules.cpp
+++ b/src/zinniadoor/serving/role_rules.cpp
@@ -9,7 +9,7 @@
 {
     RoleCounts counts;
     for (const PlannedEngine &engine : engines) {
-        if (!engine.isAvailable)
+        if (!engine.isLive || engine.isChanging)
             continue;
         counts.prefill += engine.role == control::Role::Prefill ? 1 : 0;
         counts.decode += engine.role == control::Role::Decode ? 1 : 0;
@@ -23,10 +23,9 @@
     std::map<base::DataCentreId, std::uint32_t> changing;
     std::vector<const PlannedEngine *> able;
     for (const PlannedEngine &engine : inputs.engines) {
-        if (!engine.isAvailable) {
-            ++changing[engine.dataCentre];
+        changing[engine.dataCentre] += engine.isChanging ? 1 : 0;
+        if (!engine.isLive || engine.isChanging)
             continue;
-        }
         const auto changed = changedAt_.find(engine.id);
         const bool mayChange
             = changed == changedAt_.end() || now - changed->second >= options_.dwell;
--- /dev/null
+++ b/tests/bench/virtual_run.cpp
@@ -0,0 +1,244 @@
+#include "virtual_run.hpp"
+
+#include <algorithm>
+#include <memory>
+#include <utility>
+
+#include "virtual_instance.hpp"
+#include "zinniadoor/serving/role_plan.hpp"
+
+namespace zinniadoor::bench {
+
+namespace {
+
+constexpr absl::Duration TickTime = absl::Milliseconds(100);
+constexpr absl::Duration PlanTime = absl::Seconds(1);
+
+/// Time for running requests to end after the last arrival.
+constexpr absl::Duration Tail = absl::Minutes(2);
+
+std::unique_ptr<serving::RolePlanner> makePlanner(const Scenario &scenario, const Variant &variant)
+{
+    serving::RolePlanOptions options;
+    options.changeTime = scenario.pace.roleChange;
+    if (variant.roles == "threshold")
+        return serving::thresholdRolePlanner(options);
+    if (variant.roles == "forecast")
+        return serving::forecastRolePlanner(options);
+    return serving::staticRolePlanner();
+}
+
+class VirtualRun
+{
+public:
+    VirtualRun(const Scenario &scenario, const Variant &variant)
+        : scenario_(scenario)
+        , variant_(variant)
+        , fleet_(scenario, variant, loop_)
+        , planner_(makePlanner(scenario, variant))
+        , start_(loop_.now())
+    {
+        result_.variant = variant.name;
+        for (std::uint32_t i = 0; i < scenario.instances; ++i) {
+            instances_.push_back(
+                std::make_unique<VirtualInstance>(scenario, variant, i, fleet_, loop_, result_));
+        }
+    }
+
+    RunResult run()
+    {
+        scheduleArrivals();
+        scheduleFaults();
+        for (std::size_t i = 0; i < instances_.size(); ++i) {
+            const double phase = static_cast<double>(i) / static_cast<double>(instances_.size());
+            loop_.after(TickTime * phase, [this, i] { tick(i); });
+            loop_.after(scenario_.gossipEvery * phase, [this, i] { gossip(i); });
+        }
+        loop_.after(PlanTime, [this] { plan(); });
+        loop_.after(TickTime, [this] { sample(); });
+        loop_.runUntil(start_ + scenario_.length + Tail);
+        for (const FleetEngine &engine : fleet_.all())
+            result_.spend += engine.endpoint.pricePerHour * absl::ToDoubleHours(scenario_.length);
+        return std::move(result_);
+    }
+
+private:
+    bool isOver() const { return loop_.now() >= start_ + scenario_.length + Tail; }
+
+    void scheduleArrivals()
+    {
+        arrivals_ = arrivalsOf(scenario_);
+        const auto &without = variant_.without;
+        const auto isLeftOut = [&](const Arrival &arrival) {
+            const std::string &name = scenario_.classes[arrival.requestClass].name;
+            return std::find(without.begin(), without.end(), name) != without.end();
+        };
+        arrivals_.erase(std::remove_if(arrivals_.begin(), arrivals_.end(), isLeftOut),
+                        arrivals_.end());
+        for (std::size_t i = 0; i < arrivals_.size(); ++i) {
+            RequestRecord record;
+            record.requestClass = arrivals_[i].requestClass;
+            record.at = arrivals_[i].at;
+            result_.records.push_back(record);
+            loop_.at(start_ + arrivals_[i].at, [this, i] { arrive(i); });
+        }
+    }
+
+    void arrive(std::size_t index)
+    {
+        const Arrival &arrival = arrivals_[index];
+        prefillAsked_ += arrival.promptTokens;
+        decodeAsked_ += arrival.outputTokens;
+        instances_[arrival.instance]->submit(arrival, index);
+    }
+
+    void tick(std::size_t index)
+    {
+        instances_[index]->tick();
+        if (!isOver())
+            loop_.after(TickTime, [this, index] { tick(index); });
+    }
+
+    void gossip(std::size_t index)
+    {
+        if (!variant_.gossip)
+            return;
+        VirtualInstance &from = *instances_[index];
+        const auto loads = from.table().ownLoads();
+        for (const auto &to : instances_) {
+            if (to.get() != &from)
+                to->table().notePeer(from.id(), loads, loop_.now());
+        }
+        if (!isOver())
+            loop_.after(scenario_.gossipEvery, [this, index] { gossip(index); });
+    }
+
+    void sample()
+    {
+        double most = 0;
+        double sum = 0;
+        double count = 0;
+        for (const FleetEngine &engine : fleet_.all()) {
+            if (engine.engine->isGone())
+                continue;
+            const auto inFlight = static_cast<double>(engine.engine->inFlight());
+            most = std::max(most, inFlight);
+            sum += inFlight;
+            ++count;
+        }
+        const absl::Duration at = loop_.now() - start_;
+        if (at >= scenario_.warmUp && at < scenario_.length && sum >= count)
+            result_.peakToMean.push_back(most / (sum / count));
+        if (!isOver())
+            loop_.after(TickTime, [this] { sample(); });
+    }
+
+    void plan()
+    {
+        serving::RoleInputs inputs;
+        for (const FleetEngine &engine : fleet_.all()) {
+            serving::PlannedEngine planned;
+            planned.id = engine.endpoint.id;
+            planned.dataCentre = engine.endpoint.dataCentre;
+            planned.role = engine.engine->role();
+            planned.requests = static_cast<std::uint32_t>(engine.engine->inFlight());
+            planned.isLive = !engine.isLeaving;
+            planned.isChanging = engine.isChanging;
+            inputs.engines.push_back(planned);
+        }
+        inputs.prefillDemand = std::exchange(prefillAsked_, 0) / absl::ToDoubleSeconds(PlanTime);
+        inputs.decodeDemand = std::exchange(decodeAsked_, 0) / absl::ToDoubleSeconds(PlanTime);
+        inputs.prefillPace = scenario_.pace.prefillTokensPerSecond;
+        inputs.decodePace = scenario_.pace.tokensPerSecond * scenario_.pace.slots;
+        for (const serving::RoleOrder &order : planner_->plan(inputs, loop_.now()))
+            changeRole(order);
+        if (loop_.now() < start_ + scenario_.length)
+            loop_.after(PlanTime, [this] { plan(); });
+    }
+
+    void changeRole(const serving::RoleOrder &order)
+    {
+        ++result_.roleChanges;
+        FleetEngine &engine = fleet_.find(order.endpoint);
+        engine.isChanging = true;
+        for (const auto &instance : instances_)
+            instance->table().setState(order.endpoint, serving::EndpointState::Draining);
+        engine.engine->changeRole(order.role, [this, order] {
+            fleet_.find(order.endpoint).isChanging = false;
+            for (const auto &instance : instances_) {
+                instance->table().setRole(order.endpoint, order.role, loop_.now());
+                instance->table().setState(order.endpoint, serving::EndpointState::Live);
+            }
+        });
+    }
+
+    void scheduleFaults()
+    {
+        for (const Fault &fault : scenario_.faults) {
+            const absl::Time at = start_ + fault.at;
+            if (fault.kind == FaultKind::Fail) {
+                loop_.at(at, [this, fault] { setFailing(fault.share, true); });
+                loop_.at(at + fault.length, [this, fault] { setFailing(fault.share, false); });
+                continue;
+            }
+            loop_.at(at, [this, fault] { announceLoss(fault); });
+            loop_.at(at + fault.length, [this, fault] { loseZone(fault); });
+        }
+    }
+
+    void setFailing(double share, bool isFailing)
+    {
+        auto &engines = fleet_.all();
+        const auto count = static_cast<std::size_t>(share * static_cast<double>(engines.size()));
+        for (std::size_t i = 0; i < count; ++i)
+            engines[i].engine->setFailing(isFailing);
+    }
+
+    static bool isStruck(const FleetEngine &engine, const Fault &fault)
+    {
+        return engine.endpoint.reclaimable && engine.endpoint.dataCentre.str() == fault.dataCentre;
+    }
+
+    void announceLoss(const Fault &fault)
+    {
+        for (FleetEngine &engine : fleet_.all()) {
+            if (!isStruck(engine, fault))
+                continue;
+            engine.isLeaving = true;
+            for (const auto &instance : instances_)
+                instance->onLeaving(engine.endpoint.id, loop_.now() + fault.length);
+        }
+    }
+
+    void loseZone(const Fault &fault)
+    {
+        for (FleetEngine &engine : fleet_.all()) {
+            if (!isStruck(engine, fault))
+                continue;
+            for (const auto &instance : instances_)
+                instance->table().setState(engine.endpoint.id, serving::EndpointState::Gone);
+            engine.engine->vanish();
+        }
+    }
+
+    const Scenario &scenario_;
+    const Variant &variant_;
+    EventLoop loop_;
+    RunResult result_;
+    VirtualFleet fleet_;
+    std::vector<std::unique_ptr<VirtualInstance>> instances_;
+    std::unique_ptr<serving::RolePlanner> planner_;
+    absl::Time start_;
+    std::vector<Arrival> arrivals_;
+    double prefillAsked_ = 0; ///< Tokens since the last plan.
+    double decodeAsked_ = 0;
+};
+
+} // namespace
+
+RunResult runVirtual(const Scenario &scenario, const Variant &variant)
+{
+    return VirtualRun(scenario, variant).run();
+}
+
+} // namespace zinniadoor::bench
