--- a/include/zinniadoor/serving/admission_queue.hpp
+++ b/include/zinniadoor/serving/admission_queue.hpp
@@ -37,6 +37,7 @@
     std::size_t maxDeferablePerOrganisation = 4096;
     absl::Duration maxUrgentWait = absl::Seconds(30); ///< Also without a deadline.
     absl::Duration maxDeferableWait = absl::Minutes(10);
+    absl::Duration startMargin = absl::Milliseconds(150); ///< For starting, beyond serviceTime.
     double deferableShare = 0.05; ///< Of tokens, while urgent requests wait as well.
     absl::Duration rateWindow = absl::Seconds(10); ///< Over which the drain rate is averaged.
 };
--- a/include/zinniadoor/serving/request_facts.hpp
+++ b/include/zinniadoor/serving/request_facts.hpp
@@ -36,6 +36,7 @@
     std::uint32_t importedTokens = 0; ///< Of the prompt, brought along as KV cache.
     std::uint32_t maxOutputTokens = 1;
     absl::Time deadline = absl::InfiniteFuture(); ///< After it the answer is of no use.
+    bool hasStarted = false; ///< Part of its answer was given out: it is never refused for room.
     absl::Duration serviceTime; ///< Shortest time an idle endpoint would need; zero if unknown.
     std::vector<PrefixDigest> prefixes; ///< One a block, the shortest prefix first.
     std::string bodyDigest; ///< Names the body in the list of crashing requests.
--- a/src/zinniadoor/serving/admission_queue_test.cpp
+++ b/src/zinniadoor/serving/admission_queue_test.cpp
@@ -131,6 +131,18 @@
     BOOST_TEST(!queue->push(request("b"), now));
 }
 
+BOOST_AUTO_TEST_CASE(queue_startedRequest_isTakenThoughFullAndGoesFirst)
+{
+    QueueOptions options;
+    options.maxUrgentPerOrganisation = 1;
+    queue = fairQueue(options);
+    BOOST_TEST(!queue->push(request("a"), now));
+    RequestFacts started = request("a");
+    started.hasStarted = true;
+    BOOST_TEST(!queue->push(started, now));
+    BOOST_TEST(pop()->id == started.id);
+}
+
 BOOST_AUTO_TEST_CASE(queue_removed_isGone)
 {
     const RequestFacts facts = request("a");
--- a/src/zinniadoor/serving/class_queue.cpp
+++ b/src/zinniadoor/serving/class_queue.cpp
@@ -21,7 +21,8 @@
     if (isNew)
         ring_.push_back(request.organisation);
     Line &line = organisation.lines[request.model];
-    places_[request.id] = line.insert(line.end(), Waiting { request, now });
+    const auto place = request.hasStarted ? line.begin() : line.end();
+    places_[request.id] = line.insert(place, Waiting { request, now });
     ++waitingByModel_[request.model];
     ++organisation.count;
     organisation.tokens += tokenCost(request);
--- a/src/zinniadoor/serving/fair_queue.cpp
+++ b/src/zinniadoor/serving/fair_queue.cpp
@@ -25,9 +25,7 @@
             return Refusal { { base::ReasonCode::Conflict, "the request is waiting already" },
                              absl::ZeroDuration() };
         }
-        if (auto refusal = checkRoom(request, now))
-            return refusal;
-        if (auto refusal = detail::checkDeadline(request, estimatedWait(request, now), now))
+        if (auto refusal = checkAdmission(request, now))
             return refusal;
         queueOf(request.urgency).push(request, now);
         rate_.setBusy(true, now);
@@ -88,6 +86,16 @@
         return urgency == Urgency::Urgent ? urgent_ : deferable_;
     }
 
+    // A request that has started waits first in its line, and only its deadline can end it.
+    std::optional<Refusal> checkAdmission(const RequestFacts &request, absl::Time now)
+    {
+        if (request.hasStarted)
+            return detail::checkDeadline(request, options_, absl::ZeroDuration(), now);
+        if (auto refusal = checkRoom(request, now))
+            return refusal;
+        return detail::checkDeadline(request, options_, estimatedWait(request, now), now);
+    }
+
     std::optional<Refusal> checkRoom(const RequestFacts &request, absl::Time now)
     {
         const bool isUrgent = request.urgency == Urgency::Urgent;
--- a/src/zinniadoor/serving/fifo_queue.cpp
+++ b/src/zinniadoor/serving/fifo_queue.cpp
@@ -23,7 +23,7 @@
             const auto cost = static_cast<double>(tokenCost(request));
             return detail::fullQueue("the queue is full", rate_.timeFor(cost, now));
         }
-        if (auto refusal = detail::checkDeadline(request, rate_.timeFor(ahead, now), now))
+        if (auto refusal = detail::checkDeadline(request, options_, rate_.timeFor(ahead, now), now))
             return refusal;
         queue_.push_back({ request, now });
         tokens_ += tokenCost(request);
--- a/src/zinniadoor/serving/first_token_router.cpp
+++ b/src/zinniadoor/serving/first_token_router.cpp
@@ -4,6 +4,7 @@
 
 #include "route_rules.hpp"
 #include "stable_digest.hpp"
+#include "urgent_reserve.hpp"
 
 namespace zinniadoor::serving {
 
@@ -31,9 +32,7 @@
                        std::uint64_t seed) override
     {
         const auto suitable = detail::suitable(query, table);
-        auto free = detail::withRoom(subsetOf(suitable), query, options_, now);
-        if (free.empty())
-            free = detail::withRoom(suitable, query, options_, now);
+        auto free = freeFor(query, suitable, now);
         if (free.empty())
             return detail::noneFits(suitable, now);
         free = matchingRole(free, query.phase);
@@ -43,6 +42,24 @@
     }
 
 private:
+    // Urgent requests take any endpoint once those without deferable work are full.
+    Candidates freeFor(const RouteQuery &query, const Candidates &suitable, absl::Time now) const
+    {
+        // Without a prefill it holds up nobody.
+        if (prefillTokens(query.request) == 0)
+            return detail::withRoom(suitable, query, options_, now);
+        const bool isUrgent = query.request.urgency == Urgency::Urgent;
+        const Candidates preferred = isUrgent
+            ? detail::freeOfDeferable(suitable, options_.urgentFill)
+            : detail::openToDeferable(suitable, options_.urgentFill);
+        auto free = detail::withRoom(subsetOf(preferred), query, options_, now);
+        if (free.empty())
+            free = detail::withRoom(preferred, query, options_, now);
+        if (free.empty() && isUrgent)
+            free = detail::withRoom(suitable, query, options_, now);
+        return free;
+    }
+
     // Rendezvous hashing: each instance looks at its own part of a large fleet, and the part
     // changes little when endpoints come and go.
     Candidates subsetOf(const Candidates &all) const
--- a/src/zinniadoor/serving/queue_rules.cpp
+++ b/src/zinniadoor/serving/queue_rules.cpp
@@ -21,10 +21,10 @@
     return Refusal { { base::ReasonCode::Overloaded, text }, boundedRetryAfter(untilRoom) };
 }
 
-std::optional<Refusal> checkDeadline(const RequestFacts &request, absl::Duration wait,
-                                     absl::Time now)
+std::optional<Refusal> checkDeadline(const RequestFacts &request, const QueueOptions &options,
+                                     absl::Duration wait, absl::Time now)
 {
-    const absl::Duration slack = request.deadline - now - request.serviceTime;
+    const absl::Duration slack = request.deadline - now - request.serviceTime - options.startMargin;
     if (slack < absl::ZeroDuration()) {
         return Refusal { { base::ReasonCode::Timeout, "the deadline is too near to be met" },
                          MinRetryAfter };
@@ -39,7 +39,7 @@
 std::optional<Refusal> checkWaiting(const Waiting &waiting, const QueueOptions &options,
                                     absl::Duration drainTime, absl::Time now)
 {
-    if (now + waiting.request.serviceTime > waiting.request.deadline) {
+    if (now + waiting.request.serviceTime + options.startMargin > waiting.request.deadline) {
         return Refusal { { base::ReasonCode::Timeout, "the deadline passed in the queue" },
                          boundedRetryAfter(drainTime) };
     }
--- a/src/zinniadoor/serving/queue_rules.hpp
+++ b/src/zinniadoor/serving/queue_rules.hpp
@@ -19,8 +19,8 @@
 Refusal fullQueue(const char *text, absl::Duration untilRoom);
 
 /// Refuses a request that would start after `wait` and so miss its deadline.
-std::optional<Refusal> checkDeadline(const RequestFacts &request, absl::Duration wait,
-                                     absl::Time now);
+std::optional<Refusal> checkDeadline(const RequestFacts &request, const QueueOptions &options,
+                                     absl::Duration wait, absl::Time now);
 
 /// Why a waiting request must be given up now; nothing while it may go on waiting.
 std::optional<Refusal> checkWaiting(const Waiting &waiting, const QueueOptions &options,
--- a/tests/bench/results.cpp
+++ b/tests/bench/results.cpp
@@ -25,9 +25,11 @@
             continue;
         ++summary.offered;
         summary.good += record.end == RequestEnd::Good ? 1 : 0;
+        summary.goodTokens += record.end == RequestEnd::Good ? record.tokens : 0;
         summary.late += record.end == RequestEnd::Late ? 1 : 0;
         summary.refused += record.end == RequestEnd::Refused ? 1 : 0;
         summary.failed += record.end == RequestEnd::Failed ? 1 : 0;
+        summary.open += record.end == RequestEnd::Open ? 1 : 0;
         if (record.firstToken)
             firstTokens.push_back(absl::ToDoubleSeconds(*record.firstToken));
     }
@@ -73,16 +75,18 @@
 
 std::string tableOf(const Scenario &scenario, const std::vector<RunResult> &runs)
 {
-    std::string table = "| variant | class | offered | good | good share | late | refused | failed "
+    std::string table = "| variant | class | offered | good | good share | good tokens | late | "
+                        "refused | failed | open "
                         "| first token p50 / p95 / p99 (ms) |\n| --- | --- | --- | --- | --- | "
-                        "--- | --- | --- | --- |\n";
+                        "--- | --- | --- | --- | --- | --- |\n";
     for (const RunResult &run : runs) {
         for (const Summary &row : summarise(scenario, run)) {
             absl::StrAppendFormat(
-                &table, "| %s | %s | %d | %d | %.3f | %d | %d | %d | %.0f / %.0f / %.0f |\n",
+                &table,
+                "| %s | %s | %d | %d | %.3f | %d | %d | %d | %d | %d | %.0f / %.0f / %.0f |\n",
                 run.variant, row.name, row.offered, row.good, shareOf(row.good, row.offered),
-                row.late, row.refused, row.failed, row.firstTokenP50 * 1000,
-                row.firstTokenP95 * 1000, row.firstTokenP99 * 1000);
+                row.goodTokens, row.late, row.refused, row.failed, row.open,
+                row.firstTokenP50 * 1000, row.firstTokenP95 * 1000, row.firstTokenP99 * 1000);
         }
     }
     table += "\n| variant | role changes | retries per call | streams moved | peak to mean, mean / "
@@ -102,16 +106,19 @@
 std::string csvOf(const Scenario &scenario, const std::vector<RunResult> &runs)
 {
     std::ostringstream out;
-    out << "variant,class,offered,good,late,refused,failed,first_token_p50_s,first_token_p95_s,"
+    out << "variant,class,offered,good,good_tokens,late,refused,failed,open,first_token_p50_s,"
+           "first_token_p95_"
+           "s,"
            "first_token_p99_s,role_changes,first_calls,retries,moves,peak_to_mean_mean,"
            "peak_to_mean_p95\n";
     for (const RunResult &run : runs) {
         for (const Summary &row : summarise(scenario, run)) {
             out << run.variant << ',' << row.name << ',' << row.offered << ',' << row.good << ','
-                << row.late << ',' << row.refused << ',' << row.failed << ',' << row.firstTokenP50
-                << ',' << row.firstTokenP95 << ',' << row.firstTokenP99 << ',' << run.roleChanges
-                << ',' << run.firstCalls << ',' << run.retries << ',' << run.moves << ','
-                << meanOf(run.peakToMean) << ',' << percentile(run.peakToMean, 0.95) << '\n';
+                << row.late << ',' << row.refused << ',' << row.failed << ',' << row.open << ','
+                << row.firstTokenP50 << ',' << row.firstTokenP95 << ',' << row.firstTokenP99 << ','
+                << run.roleChanges << ',' << run.firstCalls << ',' << run.retries << ','
+                << run.moves << ',' << meanOf(run.peakToMean) << ','
+                << percentile(run.peakToMean, 0.95) << '\n';
         }
     }
     return out.str();
@@ -135,9 +142,11 @@
             variant["classes"].push_back({ { "class", row.name },
                                            { "offered", row.offered },
                                            { "good", row.good },
+                                           { "good_tokens", row.goodTokens },
                                            { "late", row.late },
                                            { "refused", row.refused },
                                            { "failed", row.failed },
+                                           { "open", row.open },
                                            { "first_token_p50_s", row.firstTokenP50 },
                                            { "first_token_p95_s", row.firstTokenP95 },
                                            { "first_token_p99_s", row.firstTokenP99 } });
--- a/tests/bench/results.hpp
+++ b/tests/bench/results.hpp
@@ -12,14 +12,20 @@
 
 namespace zinniadoor::bench {
 
-enum class RequestEnd : std::uint8_t { Good, Late, Refused, Failed };
+enum class RequestEnd : std::uint8_t {
+    Open, ///< Waiting or running when the run ended.
+    Good,
+    Late,
+    Refused,
+    Failed,
+};
 
 /// What became of one arrival. Times count from its intended arrival.
 struct RequestRecord
 {
     std::size_t requestClass = 0;
     absl::Duration at; ///< Intended arrival since the start of the run.
-    RequestEnd end = RequestEnd::Failed;
+    RequestEnd end = RequestEnd::Open;
     std::optional<absl::Duration> firstToken;
     absl::Duration whole; ///< Meaningful for Good and Late.
     std::uint32_t tokens = 0;
@@ -35,8 +41,8 @@
     std::uint64_t moves = 0; ///< Streams moved off leaving engines.
     std::uint64_t roleChanges = 0;
     std::vector<double> peakToMean; ///< In-flight over equal engines, sampled.
-    std::uint64_t tokensOnReclaimable = 0;
-    std::uint64_t tokens = 0;
+    std::uint64_t tokensOnReclaimable = 0; ///< Before a zone was lost.
+    std::uint64_t tokens = 0; ///< Output; before a zone was lost.
     double spend = 0; ///< Price of the engines over the run.
 };
 
@@ -46,9 +52,11 @@
     std::string name;
     std::uint64_t offered = 0;
     std::uint64_t good = 0;
+    std::uint64_t goodTokens = 0; ///< Output tokens of good answers.
     std::uint64_t late = 0;
     std::uint64_t refused = 0;
     std::uint64_t failed = 0;
+    std::uint64_t open = 0;
     double firstTokenP50 = 0; ///< Seconds, of all requests that got one.
     double firstTokenP95 = 0;
     double firstTokenP99 = 0;
--- a/tests/bench/virtual_instance.cpp
+++ b/tests/bench/virtual_instance.cpp
@@ -68,6 +68,10 @@
     for (const control::Endpoint &endpoint : endpoints)
         ids.push_back(endpoint.id);
     ejection_.setEndpoints(ids);
+    for (const Fault &fault : scenario.faults) {
+        if (fault.kind == FaultKind::Reclaim)
+            firstLoss_ = std::min(firstLoss_, loop.now() + fault.at);
+    }
 }
 
 void VirtualInstance::submit(const Arrival &arrival, std::size_t record)
@@ -98,12 +102,14 @@
     const double prefill = serving::prefillTokens(facts) / pace.prefillTokensPerSecond;
     const double decode = facts.maxOutputTokens / pace.tokensPerSecond;
     facts.serviceTime = absl::Seconds(prefill + decode);
+    facts.hasStarted = live.tokensDone > 0;
     if (live.phase == Phase::Prefill)
         facts.maxOutputTokens = 1;
 }
 
 void VirtualInstance::enqueue(Live &live)
 {
+    live.job = 0;
     describePhase(live);
     serving::AdmissionQueue &queue = live.phase == Phase::Decode ? *decodeQueue_ : *queue_;
     if (queue.push(live.facts, loop_.now()))
@@ -118,8 +124,17 @@
     return router_->choose(query, table_, loop_.now(), random_());
 }
 
+void VirtualInstance::expire()
+{
+    for (serving::AdmissionQueue *queue : { queue_.get(), decodeQueue_.get() }) {
+        for (const serving::ExpiredRequest &expired : queue->expire(loop_.now()))
+            finish(expired.request.id, RequestEnd::Refused);
+    }
+}
+
 void VirtualInstance::pump()
 {
+    expire();
     while (startOne(*decodeQueue_)) { }
     while (startOne(*queue_)) { }
 }
@@ -188,13 +203,20 @@
     ejection_.noteSuccess(live.endpoint, loop_.now() - live.sentAt, loop_.now());
 }
 
-void VirtualInstance::onFinish(const base::RequestId &id)
+void VirtualInstance::countTokens(const Live &live)
 {
-    Live &live = *live_.at(id);
-    table_.noteFinished(id, loop_.now());
+    if (loop_.now() >= firstLoss_)
+        return;
     result_.tokens += live.facts.maxOutputTokens;
     if (fleet_.find(live.endpoint).endpoint.reclaimable)
         result_.tokensOnReclaimable += live.facts.maxOutputTokens;
+}
+
+void VirtualInstance::onFinish(const base::RequestId &id)
+{
+    Live &live = *live_.at(id);
+    table_.noteFinished(id, loop_.now());
+    countTokens(live);
     if (live.phase == Phase::Prefill && live.tokensDone + 1 < live.outputTokens) {
         live.tokensDone += 1;
         live.hasKv = true;
@@ -218,6 +240,7 @@
 void VirtualInstance::onBroken(const base::RequestId &id, std::uint32_t tokens)
 {
     Live &live = *live_.at(id);
+    live.job = 0;
     table_.noteFinished(id, loop_.now());
     // Without resuming the answer begins afresh.
     live.tokensDone = variant_.drain ? live.tokensDone + tokens : 0;
@@ -260,10 +283,6 @@
     }
     for (const FleetEngine &engine : fleet_.all())
         table_.setWeight(engine.endpoint.id, ejection_.weight(engine.endpoint.id, now));
-    for (serving::AdmissionQueue *queue : { queue_.get(), decodeQueue_.get() }) {
-        for (const serving::ExpiredRequest &expired : queue->expire(now))
-            finish(expired.request.id, RequestEnd::Refused);
-    }
     moveDue();
     pump();
 }
@@ -311,7 +330,10 @@
 {
     if (live.job == 0 || !fleet_.find(live.endpoint).isLeaving)
         return true;
-    const RouteChoice choice = choose(live);
+    Live moved = live;
+    moved.hasKv = action == serving::DrainAction::MoveKv;
+    describePhase(moved);
+    const RouteChoice choice = choose(moved);
     if (!choice.endpoint)
         return false;
     live.tokensDone += fleet_.find(live.endpoint).engine->cancel(live.job);
--- a/tests/bench/virtual_instance.hpp
+++ b/tests/bench/virtual_instance.hpp
@@ -59,12 +59,14 @@
 
     void enqueue(Live &live);
     void describePhase(Live &live);
+    void expire();
     void pump();
     bool startOne(serving::AdmissionQueue &queue);
     serving::RouteChoice choose(const Live &live);
     void start(Live &live, const base::EndpointId &endpoint, absl::Duration delay);
     void begin(const base::RequestId &id);
     void onFirstToken(const base::RequestId &id);
+    void countTokens(const Live &live);
     void onFinish(const base::RequestId &id);
     void onBroken(const base::RequestId &id, std::uint32_t tokens);
     void onRefused(Live &live);
@@ -89,6 +91,7 @@
     absl::flat_hash_map<base::RequestId, std::unique_ptr<Live>> live_;
     std::vector<serving::DrainStep> moves_;
     std::uint64_t ticks_ = 0;
+    absl::Time firstLoss_ = absl::InfiniteFuture(); ///< Of a zone.
 };
 
 } // namespace zinniadoor::bench
