--- a/include/zinniadoor/control/peer_messages.hpp
+++ b/include/zinniadoor/control/peer_messages.hpp
@@ -28,7 +28,7 @@
     std::uint32_t member = 0; ///< Short name of "<instance>#<incarnation>".
     std::uint32_t sequence = 0; ///< Of the newest heartbeat heard of.
     std::uint32_t bundleVersion = 0;
-    std::uint8_t draining = 0; ///< Not 0: takes no new work.
+    bool draining = false; ///< Takes no new work.
 
     template <typename Archive>
     void serialize(Archive &archive)
@@ -72,7 +72,7 @@
     base::DataCentreId dataCentre;
     std::uint64_t bundleVersion = 0;
     base::Offset logOffset = 0; ///< Last one applied.
-    std::uint8_t draining = 0; ///< Not 0: takes no new work.
+    bool draining = false; ///< Takes no new work.
     std::vector<MemberNews> members;
     std::vector<EndpointInFlight> inFlight;
     std::vector<std::uint64_t> crashDigests;
@@ -106,7 +106,7 @@
     base::InstanceId instance;
     base::Incarnation incarnation = 0;
     std::uint64_t sequence = 0; ///< Of the ask.
-    std::uint8_t vouches = 0; ///< Not 0: the voucher vouches.
+    bool vouches = false;
 
     template <typename Archive>
     void serialize(Archive &archive)
@@ -265,8 +265,36 @@
 
 constexpr std::size_t MaxStatePartBytes = 48UL * 1024;
 
-using PeerMessage = std::variant<Heartbeat, VouchAsk, VouchAnswer, BorrowAsk, BorrowAnswer,
-                                 LoanReturn, UsageCopy, UsageCopyAck, StateAsk, StateAnswer>;
+/// A request body was in flight on an endpoint that crashed.
+struct CrashReport
+{
+    std::string bodyDigest;
+    base::EndpointId endpoint;
+    std::uint32_t ageMilliseconds = 0;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(bodyDigest, endpoint, ageMilliseconds);
+    }
+};
+
+/// Told to all peers at once, so that a caller who tries elsewhere is recognised there.
+struct CrashNews
+{
+    base::InstanceId instance;
+    std::vector<CrashReport> crashes;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(instance, crashes);
+    }
+};
+
+using PeerMessage
+    = std::variant<Heartbeat, VouchAsk, VouchAnswer, BorrowAsk, BorrowAnswer, LoanReturn, UsageCopy,
+                   UsageCopyAck, StateAsk, StateAnswer, CrashNews>;
 
 /// A message and the instance it goes to.
 struct Outgoing
--- a/include/zinniadoor/serving/role_plan.hpp
+++ b/include/zinniadoor/serving/role_plan.hpp
@@ -26,7 +26,7 @@
 struct RoleInputs
 {
     std::vector<PlannedEngine> engines;
-    double prefillDemand = 0; ///< Tokens a second asked for since the last call.
+    double prefillDemand = 0; ///< Tokens a second asked for, on average since the last call.
     double decodeDemand = 0;
     double prefillPace = 8000; ///< Tokens a second of one engine that does nothing else.
     double decodePace = 800;
