--- a/src/zinniadoor/serving/role_plan.cpp
+++ b/src/zinniadoor/serving/role_plan.cpp
@@ -34,13 +34,17 @@
     explicit ThresholdRolePlanner(const RolePlanOptions &options)
         : options_(options)
         , changes_(options)
+        , prefill_(options.thresholdSmoothing)
+        , decode_(options.thresholdSmoothing)
     { }
 
     std::vector<RoleOrder> plan(const RoleInputs &inputs, absl::Time now) override
     {
         const RoleCounts counts = detail::countRoles(inputs.engines);
-        const double prefill = useOf(inputs.prefillDemand, counts.prefill, inputs.prefillPace);
-        const double decode = useOf(inputs.decodeDemand, counts.decode, inputs.decodePace);
+        const double prefill = useOf(smoothed(prefill_, inputs.prefillDemand, now), counts.prefill,
+                                     inputs.prefillPace);
+        const double decode
+            = useOf(smoothed(decode_, inputs.decodeDemand, now), counts.decode, inputs.decodePace);
         if (prefill > options_.highUse && decode < options_.lowUse && counts.decode > 1)
             return changes_.choose(inputs, Role::Decode, Role::Prefill, 1, now);
         if (decode > options_.highUse && prefill < options_.lowUse && counts.prefill > 1)
@@ -49,8 +53,18 @@
     }
 
 private:
+    double smoothed(DemandForecast &forecast, double demand, absl::Time now) const
+    {
+        if (options_.thresholdSmoothing == absl::ZeroDuration())
+            return demand;
+        forecast.add(demand, now);
+        return forecast.at(absl::ZeroDuration());
+    }
+
     RolePlanOptions options_;
     detail::RoleChanges changes_;
+    DemandForecast prefill_;
+    DemandForecast decode_;
 };
 
 /// Demand in engines of each role.
--- a/tests/bench/scenario.cpp
+++ b/tests/bench/scenario.cpp
@@ -120,7 +120,8 @@
     variant.queue = readChoice(reader, "queue", "fair", { "fifo", "fair" });
     variant.router = readChoice(reader, "router", "first_token",
                                 { "round_robin", "least_in_flight", "first_token" });
-    variant.roles = readChoice(reader, "roles", "static", { "static", "threshold", "forecast" });
+    variant.roles = readChoice(reader, "roles", "static",
+                               { "static", "threshold", "threshold_smoothed", "forecast" });
     variant.retry = readChoice(reader, "retry", "budget", { "plain", "budget" });
     variant.ejection = reader.booleanOr("ejection", true);
     variant.drain = reader.booleanOr("drain", true);
--- a/tests/bench/scenario.hpp
+++ b/tests/bench/scenario.hpp
@@ -70,7 +70,7 @@
     std::string name;
     std::string queue = "fair"; ///< fifo, fair
     std::string router = "first_token"; ///< round_robin, least_in_flight, first_token
-    std::string roles = "static"; ///< static, threshold, forecast
+    std::string roles = "static"; ///< static, threshold, threshold_smoothed, forecast
     std::string retry = "budget"; ///< plain, budget
     bool ejection = true;
     bool drain = true; ///< Streams of leaving endpoints are moved.
--- a/tests/bench/virtual_run.cpp
+++ b/tests/bench/virtual_run.cpp
@@ -21,7 +21,9 @@
 {
     serving::RolePlanOptions options;
     options.changeTime = scenario.pace.roleChange;
-    if (variant.roles == "threshold")
+    if (variant.roles == "threshold_smoothed")
+        options.thresholdSmoothing = options.smoothing;
+    if (variant.roles == "threshold" || variant.roles == "threshold_smoothed")
         return serving::thresholdRolePlanner(options);
     if (variant.roles == "forecast")
         return serving::forecastRolePlanner(options);
