--- a/src/zinniadoor/daemon/duty_managers.cpp
+++ b/src/zinniadoor/daemon/duty_managers.cpp
@@ -114,8 +114,8 @@
     // Every instance plans for the whole fleet from the same figures, so that a new holder of a
     // lease goes on where the old one stopped; only holders act on it.
     serving::RoleInputs inputs;
-    inputs.prefillDemand = demand.prefillPerSecond * absl::ToDoubleSeconds(PlanInterval);
-    inputs.decodeDemand = demand.decodePerSecond * absl::ToDoubleSeconds(PlanInterval);
+    inputs.prefillDemand = demand.prefillPerSecond;
+    inputs.decodeDemand = demand.decodePerSecond;
     inputs.prefillPace = prefillPace_;
     inputs.decodePace = decodePace_;
     for (const auto &[id, planned] : planned_) {
@@ -127,8 +127,8 @@
         engine.dataCentre = planned.endpoint.dataCentre;
         engine.role = view->role;
         engine.requests = static_cast<std::uint32_t>(std::max(0.0, view->requests(now)));
-        engine.isAvailable
-            = view->state == serving::EndpointState::Live && !planned.wanted && !isOpen(id);
+        engine.isLive = view->state == serving::EndpointState::Live;
+        engine.isChanging = planned.wanted.has_value() || isOpen(id);
         inputs.engines.push_back(engine);
     }
     if (inputs.engines.empty())
