--- a/src/zinniadoor/control/action_test.cpp
+++ b/src/zinniadoor/control/action_test.cpp
@@ -189,6 +189,32 @@
         BOOST_TEST(answers[answer] > 100, nameOf(answer) << " " << answers[answer]);
 }
 
+BOOST_AUTO_TEST_CASE(action_claimLateOrAbandoned_isGivenBackAndNotRun)
+{
+    const Process self { base::InstanceId("i"), 1 };
+    for (const bool late : { false, true }) {
+        ActionKeeper keeper(self, {});
+        State state;
+        const FrameWatch watch;
+        const ActionCall call { { Shop, "k" }, "a" };
+        const absl::Time now = absl::UnixEpoch();
+        const ActionDecision claim = keeper.claimAction(state, watch, call, true, now, now);
+        BOOST_REQUIRE(claim.record.has_value());
+        if (!late)
+            keeper.abandon(call.key, claim.claim);
+        const InstanceStarted started { self.instance, 1, base::DataCentreId("a"), "a", {} };
+        state.apply({ self.instance, 1, 1, 0, 0, { started, *claim.record } }, 1);
+        BOOST_REQUIRE(state.actions().find(call.key) != nullptr);
+        const absl::Time asked = late ? now + absl::Seconds(10) : now;
+        const ActionDecision run = keeper.runAction(state, watch, call, claim.claim, asked);
+        BOOST_TEST((run.answer == ActionAnswer::NotRun));
+        const std::vector<Record> records = keeper.giveBackAbandoned(state);
+        BOOST_REQUIRE(records.size() == 1);
+        state.apply({ self.instance, 1, 2, 0, 0, records }, 2);
+        BOOST_TEST((state.actions().find(call.key) == nullptr));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(action_datedKey_isRefusedOutsideRetention)
 {
     const absl::Time wall = absl::FromUnixMillis(0x0190'0000'0000);
--- a/src/zinniadoor/control/order_test.cpp
+++ b/src/zinniadoor/control/order_test.cpp
@@ -40,6 +40,7 @@
     Process sender;
     absl::Time arrivesAt;
     absl::Time answerAt;
+    bool frozenBeforeSend = false; ///< The bytes are still in the sender.
     std::optional<OrderResult> result;
 };
 
@@ -81,7 +82,14 @@
         const absl::Time arrival = world.now + world.duration(absl::ZeroDuration(), Times.sending);
         // An answer that is lost is made up for by asking the engine later.
         const absl::Duration answer = world.duration(absl::ZeroDuration(), absl::Seconds(2));
-        sent.push_back({ *step.send, node.self, arrival, arrival + answer, std::nullopt });
+        SentOrder entry { *step.send, node.self, arrival, arrival + answer, false, std::nullopt };
+        if (world.chance(0.1)) {
+            const absl::Duration frozen = world.duration(absl::Seconds(1), absl::Seconds(8));
+            entry.frozenBeforeSend = true;
+            entry.arrivesAt += frozen;
+            entry.answerAt += frozen;
+        }
+        sent.push_back(entry);
     }
 
     void hearAnswers(Node &node, std::vector<OrderKeeper> &own)
@@ -106,18 +114,50 @@
         }
     }
 
-    /// Bytes of an ended process arrive a little later than others.
+    /// Bytes that an ended process had sent arrive a little later than others.
     void onKill(const Node &node)
     {
         for (SentOrder &entry : sent) {
             if (entry.sender == node.self && !entry.result)
-                entry.arrivesAt += Times.bytesOnTheirWay - Times.sending;
+                entry.arrivesAt = entry.frozenBeforeSend
+                    ? absl::InfiniteFuture()
+                    : entry.arrivesAt + Times.bytesOnTheirWay - Times.sending;
         }
     }
 };
 
 BOOST_FIXTURE_TEST_SUITE(OrderTest, OrderFixture)
 
+BOOST_AUTO_TEST_CASE(slot_whileLastIsOpenOrSenderMayLive_staysAsItIs)
+{
+    State state;
+    base::Offset offset = 0;
+    const auto apply = [&](const char *name, std::uint64_t sequence, Record record) {
+        const base::InstanceId id(name);
+        Frame frame { id, 1, sequence, 0, 0, { std::move(record) } };
+        if (sequence == 1)
+            frame.records.insert(frame.records.begin(),
+                                 InstanceStarted { id, 1, Centre, name, {} });
+        return state.apply(frame, ++offset).records.back().hasValue();
+    };
+    const auto claim = [](const char *name, base::Offset supersedes, ClaimBasis basis) {
+        return LeaseClaimed { "orders/a", base::InstanceId(name), 1, supersedes, basis };
+    };
+    const base::EndpointId engine("unfenced");
+    const auto role = static_cast<std::uint8_t>(ports::EndpointOrderKind::Role);
+    BOOST_TEST(apply("i1", 1, claim("i1", 0, ClaimBasis::Free)));
+    BOOST_TEST(apply("i1", 2, OrderOpened { engine, 1, Centre, 1, role, "decode" }));
+    BOOST_TEST(!apply("i1", 3, OrderOpened { engine, 2, Centre, 1, role, "prefill" }));
+    BOOST_TEST(apply("i2", 1, claim("i2", 3, ClaimBasis::Lapsed))); // epoch 4
+    for (const OrderResult result : { OrderResult::SenderGone, OrderResult::Fenced,
+                                      OrderResult::EndpointReplaced, OrderResult::Done })
+        BOOST_TEST(!apply("i2", offset, OrderClosed { engine, 1, result }));
+    BOOST_TEST(!apply("i2", offset, OrderOpened { engine, 2, Centre, 4, role, "prefill" }));
+    BOOST_TEST(apply("i1", offset, OrderClosed { engine, 1, OrderResult::Done }));
+    BOOST_TEST(!apply("i1", offset, OrderOpened { engine, 2, Centre, 1, role, "prefill" }));
+    BOOST_TEST(apply("i2", offset, OrderOpened { engine, 2, Centre, 4, role, "prefill" }));
+}
+
 BOOST_AUTO_TEST_CASE(order_randomSchedules_neverConflict)
 {
     constexpr std::uint64_t Schedules = 200;
--- a/src/zinniadoor/control/snapshot_test.cpp
+++ b/src/zinniadoor/control/snapshot_test.cpp
@@ -36,6 +36,10 @@
             node.add(UsageCounted { node.self.instance,
                                     node.self.incarnation,
                                     { { number, base::OrganisationId("shop"), number, 1 } } });
+        if (number % 12 == 0) // A copy of what was counted before.
+            node.add(UsageCounted { node.self.instance,
+                                    node.self.incarnation,
+                                    { { number - 8, base::OrganisationId("shop"), 1, 1 } } });
         if (number % 7 == 0)
             node.add(ActionClaimed { base::OrganisationId("shop"), absl::StrCat("k", number), "d",
                                      node.self.instance, node.self.incarnation, number, 1 });
