--- a/include/zinniadoor/control/peer_messages.hpp
+++ b/include/zinniadoor/control/peer_messages.hpp
@@ -27,13 +27,12 @@
 {
     std::uint32_t member = 0; ///< Short name of "<instance>#<incarnation>".
     std::uint32_t sequence = 0; ///< Of the newest heartbeat heard of.
-    std::uint32_t bundleVersion = 0;
     bool draining = false; ///< Takes no new work.
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(member, sequence, bundleVersion, draining);
+        archive(member, sequence, draining);
     }
 };
 
@@ -158,12 +157,11 @@
     double tokens = 0; ///< 0 when a token loan is refused.
     std::uint32_t milliseconds = 0; ///< From the instant the borrower asked, less its margin.
     float spareTokens = 0; ///< What is left to give.
-    std::uint32_t emptyMilliseconds = 0; ///< No tokens are to be had for about this long.
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(ask, loan, units, tokens, milliseconds, spareTokens, emptyMilliseconds);
+        archive(ask, loan, units, tokens, milliseconds, spareTokens);
     }
 };
 
@@ -265,8 +263,36 @@
 
 constexpr std::size_t MaxStatePartBytes = 48UL * 1024;
 
-using PeerMessage = std::variant<Heartbeat, VouchAsk, VouchAnswer, BorrowAsk, BorrowAnswer,
-                                 LoanReturn, UsageCopy, UsageCopyAck, StateAsk, StateAnswer>;
+/// A request body was in flight on an endpoint that crashed.
+struct CrashReport
+{
+    std::string bodyDigest;
+    base::EndpointId endpoint;
+    std::uint32_t ageMilliseconds = 0;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(bodyDigest, endpoint, ageMilliseconds);
+    }
+};
+
+/// Told to all peers at once, so that a caller who tries elsewhere is recognised there.
+struct CrashNews
+{
+    base::InstanceId instance;
+    std::vector<CrashReport> crashes;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(instance, crashes);
+    }
+};
+
+using PeerMessage
+    = std::variant<Heartbeat, VouchAsk, VouchAnswer, BorrowAsk, BorrowAnswer, LoanReturn, UsageCopy,
+                   UsageCopyAck, StateAsk, StateAnswer, CrashNews>;
 
 /// A message and the instance it goes to.
 struct Outgoing
--- a/include/zinniadoor/serving/role_plan.hpp
+++ b/include/zinniadoor/serving/role_plan.hpp
@@ -18,14 +18,15 @@
     base::DataCentreId dataCentre;
     control::Role role = control::Role::Mixed;
     std::uint32_t requests = 0; ///< In flight; they end before the role changes.
-    bool isAvailable = true; ///< Live, and no order to it is open.
+    bool isLive = true; ///< False while it leaves or is gone.
+    bool isChanging = false; ///< An order to it is open.
 };
 
 /// State of the fleet at one instant.
 struct RoleInputs
 {
     std::vector<PlannedEngine> engines;
-    double prefillDemand = 0; ///< Tokens a second asked for since the last call.
+    double prefillDemand = 0; ///< Tokens a second asked for, on average since the last call.
     double decodeDemand = 0;
     double prefillPace = 8000; ///< Tokens a second of one engine that does nothing else.
     double decodePace = 800;
@@ -49,6 +50,7 @@
     double headroom = 0.85; ///< Share of an engine's pace that the plan relies on.
     double gainOverCost = 2; ///< Engine time to gain for each lost.
     std::uint32_t maxChangingPerDataCentre = 2; ///< Engines changing role at once.
+    absl::Duration thresholdSmoothing; ///< Of the threshold rule; zero: demand as measured.
     double highUse = 0.9; ///< Of the threshold rule: use of one role that calls for help.
     double lowUse = 0.75; ///< Of the threshold rule: use of a role that can give an engine.
 };
@@ -60,7 +62,7 @@
 public:
     virtual ~RolePlanner() = default;
 
-    /// Orders wanted now. An engine named in one is not available until its order is closed.
+    /// Orders wanted now. An engine named in one is changing until its order is closed.
     virtual std::vector<RoleOrder> plan(const RoleInputs &inputs, absl::Time now) = 0;
 };
 
--- a/src/zinniadoor/daemon/duty_managers.cpp
+++ b/src/zinniadoor/daemon/duty_managers.cpp
@@ -14,15 +14,19 @@
 
 } // namespace
 
-ReportManager::ReportManager(ControlLoop &control, const LeaseManager &leases,
-                             ReportWorker &worker, Metrics &metrics)
+ReportManager::ReportManager(ControlLoop &control, const LeaseManager &leases, ReportWorker &worker,
+                             Metrics &metrics, absl::Duration lease)
     : control_(control)
     , leases_(leases)
     , worker_(worker)
     , metrics_(metrics)
 {
+    // The lease guard ends a call that outlives the lease, so this much is left for it as a rule
+    // and not for safety.
+    control::ReportTimes times;
+    times.sending = std::min(times.sending, lease / 4);
     for (std::uint32_t shard = 0; shard < control::UsageShards; ++shard)
-        keepers_.emplace_back(shard, control::ReportTimes {});
+        keepers_.emplace_back(shard, times);
 }
 
 void ReportManager::tick(absl::Time now, absl::Time wallTime)
@@ -110,8 +114,8 @@
     // Every instance plans for the whole fleet from the same figures, so that a new holder of a
     // lease goes on where the old one stopped; only holders act on it.
     serving::RoleInputs inputs;
-    inputs.prefillDemand = demand.prefillPerSecond * absl::ToDoubleSeconds(PlanInterval);
-    inputs.decodeDemand = demand.decodePerSecond * absl::ToDoubleSeconds(PlanInterval);
+    inputs.prefillDemand = demand.prefillPerSecond;
+    inputs.decodeDemand = demand.decodePerSecond;
     inputs.prefillPace = prefillPace_;
     inputs.decodePace = decodePace_;
     for (const auto &[id, planned] : planned_) {
@@ -123,8 +127,8 @@
         engine.dataCentre = planned.endpoint.dataCentre;
         engine.role = view->role;
         engine.requests = static_cast<std::uint32_t>(std::max(0.0, view->requests(now)));
-        engine.isAvailable = view->state == serving::EndpointState::Live && !planned.wanted
-            && !isOpen(id);
+        engine.isLive = view->state == serving::EndpointState::Live;
+        engine.isChanging = planned.wanted.has_value() || isOpen(id);
         inputs.engines.push_back(engine);
     }
     if (inputs.engines.empty())
@@ -133,8 +137,8 @@
         const auto found = planned_.find(order.endpoint);
         if (found == planned_.end() || leaseOf(order.dataCentre) == nullptr)
             continue;
-        found->second.wanted = control::WantedOrder { ports::EndpointOrderKind::Role,
-                                                      control::nameOf(order.role) };
+        found->second.wanted
+            = control::WantedOrder { ports::EndpointOrderKind::Role, control::nameOf(order.role) };
     }
 }
 
@@ -145,8 +149,7 @@
         planned.wanted.reset();
         return;
     }
-    const control::EndpointSlots *slots
-        = parts_.control.state().orders().find(planned.endpoint.id);
+    const control::EndpointSlots *slots = parts_.control.state().orders().find(planned.endpoint.id);
     const bool fulfilled = planned.wanted && slots != nullptr && !slots->open
         && slots->lastDoneArgument == planned.wanted->argument;
     if (fulfilled) {
@@ -177,8 +180,9 @@
     // An order whose fate is not known keeps its slot open: it might still arrive.
     if (unknown)
         return;
-    found->second.keeper.onOutcome(
-        ended.order.slot, ended.status ? control::OrderResult::Done : control::OrderResult::Refused);
+    found->second.keeper.onOutcome(ended.order.slot,
+                                   ended.status ? control::OrderResult::Done
+                                                : control::OrderResult::Refused);
     if (!ended.status)
         found->second.wanted.reset();
 }
