--- a/include/zinniadoor/control/share_account.hpp
+++ b/include/zinniadoor/control/share_account.hpp
@@ -78,8 +78,8 @@
     Grant lendShare(const LoanKey &key, std::int64_t units, absl::Duration duration,
                     absl::Time now);
 
-    /// Gives away up to `tokens` and blocks their room until the return. A loan of that name that
-    /// stands already gives nothing.
+    /// Gives away up to `tokens` and blocks their room until the return. They may come from what
+    /// was borrowed, if that lasts as long. A loan of that name that stands gives nothing.
     Grant lendTokens(const LoanKey &key, double tokens, absl::Duration duration, absl::Time now);
 
     /// Ends a loan early and takes back `tokens`; a loan that has ended already is ignored.
@@ -92,15 +92,14 @@
     void borrowShare(std::uint64_t loan, std::int64_t units, double tokens, absl::Time until,
                      absl::Time now);
 
-    /// Stops using a loan. Returns the tokens that no longer fit and have to go back.
-    double giveBack(std::uint64_t loan, absl::Time now);
+    /// False while tokens lent on still need the room that comes with the loan.
+    bool mayGiveBack(std::uint64_t loan, absl::Time now);
 
-    /// Takes in tokens of a token loan, also above the capacity: the lender keeps their room
-    /// blocked until `settle`, which must follow in the same call.
-    void creditTokens(double tokens) { level_ += tokens; }
+    /// Stops using a loan of either kind. Returns the tokens that no longer fit and may go back.
+    double giveBack(std::uint64_t loan, absl::Time now);
 
-    /// Cuts the level to the capacity and returns the excess.
-    double settle();
+    /// Takes in tokens of a token loan with room for them until `until`.
+    void borrowTokens(std::uint64_t loan, double tokens, absl::Time until, absl::Time now);
 
     double level() const { return level_; }
     double ratePerSecond() const { return rateOf(unitsInUse()); }
@@ -112,7 +111,7 @@
     std::int64_t borrowedUnits() const { return borrowedUnits_; }
     std::int64_t ownUnits() const { return ownUsable_ ? ownUnits_ : 0; }
     std::int64_t lendableUnits() const;
-    double lendableTokens() const;
+    double lendableTokens(absl::Duration duration, absl::Time now) const;
     absl::Time ownUntil() const { return ownUntil_; }
 
 private:
@@ -131,16 +130,19 @@
     struct Borrowed
     {
         std::int64_t units = 0;
+        double room = 0;
         absl::Time until;
     };
 
+    double settle();
     double rateOf(std::int64_t units) const;
     double capacityOf(std::int64_t units) const;
     std::int64_t freeOwnUnits() const;
     std::int64_t stayingUnits() const;
-    double ownCapacity() const;
+    double lastingCapacity(absl::Time end) const;
     absl::Duration withinAuthority(absl::Duration duration, absl::Time now) const;
     void block(Lent &lent, Blocked blocked);
+    void sumBorrowed();
     void endBorrowed(absl::Time now);
     void endLent(absl::Time now);
     void sumLent();
@@ -159,6 +161,7 @@
     double lentRoom_ = 0;
     std::map<std::uint64_t, Borrowed> borrowed_;
     std::int64_t borrowedUnits_ = 0;
+    double borrowedRoom_ = 0;
 };
 
 } // namespace zinniadoor::control
