--- a/src/zinniadoor/adapters/curl_endpoint_client_test.cpp
+++ b/src/zinniadoor/adapters/curl_endpoint_client_test.cpp
@@ -8,11 +8,15 @@
 #include "absl/strings/str_cat.h"
 #include "absl/synchronization/mutex.h"
 
+#include "zinniadoor/adapters/sizes.hpp"
+
 #include "test_sockets.hpp"
 
 namespace {
 
 using namespace zinniadoor;
+using adapters::KibiByte;
+using adapters::MebiByte;
 using adapters::test::eventually;
 using adapters::test::TestConnection;
 using adapters::test::TestListener;
@@ -213,6 +217,94 @@
     BOOST_TEST(fresh.seesEnd());
 }
 
+BOOST_AUTO_TEST_CASE(endpointClient_hostileAnswers_endIncompleteAndOthersAreServed)
+{
+    const std::string endless(512 * KibiByte, 'h');
+    for (const std::string &answer :
+         { std::string("nonsense\r\n\r\n"), "HTTP/1.1 200 OK\r\nA: " + endless,
+           "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n" + std::string("short"),
+           std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n"),
+           std::string("HTTP/1.1 200 OK\r\nContent-Length: -5\r\n\r\n"), std::string("\0\1\2\3", 4),
+           std::string() }) {
+        const auto hostile = std::make_shared<RecordingObserver>();
+        BOOST_REQUIRE(client->start(request(), hostile).hasValue());
+        {
+            const TestConnection endpoint = listener.accept();
+            endpoint.receiveUntil("{}");
+            endpoint.send(answer);
+        }
+        BOOST_REQUIRE(hostile->waitForEnd());
+        BOOST_TEST(!hostile->last.complete, answer.substr(0, 60));
+        BOOST_TEST(hostile->last.mayHaveRun);
+    }
+    start(request());
+    const TestConnection endpoint = listener.accept();
+    endpoint.receiveUntil("{}");
+    endpoint.send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    BOOST_REQUIRE(observer->waitForEnd());
+    BOOST_TEST(observer->last.complete);
+}
+
+BOOST_AUTO_TEST_CASE(endpointClient_pausedCall_takesBoundedBytesFromEndpoint)
+{
+    constexpr std::size_t Much = 64 * MebiByte;
+    observer->refusing = true;
+    const auto id = start(request());
+    const TestConnection endpoint = listener.accept();
+    endpoint.receiveUntil("{}");
+    endpoint.send(absl::StrCat("HTTP/1.1 200 OK\r\nContent-Length: ", Much, "\r\n\r\n"));
+    BOOST_TEST(endpoint.sendWhatFits(Much) < Much);
+    client->cancel(id);
+    BOOST_REQUIRE(observer->waitForEnd());
+    BOOST_TEST(observer->refusals == 1);
+}
+
+BOOST_AUTO_TEST_CASE(endpointClient_headersThatBreakOutOfTheirLine_areRefused)
+{
+    for (const ports::HttpHeader &header :
+         { ports::HttpHeader { "A", "b\r\nC: d" }, ports::HttpHeader { "A\nB", "c" },
+           ports::HttpHeader { "A:B", "c" }, ports::HttpHeader { "", "c" } }) {
+        ports::EndpointRequest call = request();
+        call.headers.push_back(header);
+        BOOST_TEST(
+            (client->start(call, observer).lastReason().code == base::ReasonCode::InvalidArgument));
+    }
+    BOOST_TEST(observer->ends == 0);
+}
+
+BOOST_AUTO_TEST_CASE(endpointClient_tooManyCalls_areRefusedAtOnce)
+{
+    adapters::CurlClientOptions options;
+    options.maxCalls = 2;
+    const auto small = adapters::curlEndpointClient(options);
+    for (std::size_t i = 0; i < options.maxCalls; ++i)
+        BOOST_TEST(small->start(request(), observer).hasValue());
+    BOOST_TEST(
+        (small->start(request(), observer).lastReason().code == base::ReasonCode::Overloaded));
+}
+
+BOOST_AUTO_TEST_CASE(endpointClient_methodsAndHeaders_arriveAsGiven)
+{
+    for (const char *method : { "GET", "DELETE", "PUT" }) {
+        const auto each = std::make_shared<RecordingObserver>();
+        ports::EndpointRequest call = request("/a/../b?q=%20");
+        call.method = method;
+        call.body = "";
+        call.headers = { { "X-Empty", "" }, { "Transfer-Encoding", "chunked" } };
+        BOOST_REQUIRE(client->start(call, each).hasValue());
+        const TestConnection endpoint = listener.accept();
+        const std::string received = endpoint.receiveUntil("\r\n\r\n");
+        BOOST_TEST(received.find(absl::StrCat(method, " /a/../b?q=%20 HTTP/1.1\r\n")) == 0u);
+        BOOST_TEST(received.find("X-Empty:\r\n") != std::string::npos);
+        BOOST_TEST(received.find("chunked") == std::string::npos);
+        endpoint.send("HTTP/1.1 302 Found\r\nLocation: /elsewhere\r\nConnection: close\r\n"
+                      "Content-Length: 0\r\n\r\n");
+        BOOST_REQUIRE(each->waitForEnd());
+        BOOST_TEST(each->status == 302);
+        BOOST_TEST(each->last.complete);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(endpointClient_destroyed_endsRunningCalls)
 {
     start(request());
--- a/src/zinniadoor/adapters/peer_socket.cpp
+++ b/src/zinniadoor/adapters/peer_socket.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <cerrno>
 #include <map>
 #include <set>
 #include <thread>
@@ -93,6 +94,7 @@
     base::Outcome<PeerConnection *> connectionTo(const std::string &address);
     PeerConnection &addConnection(int socket);
     bool makeRoom(bool accepted);
+    bool closeQuietest(bool accepted);
 
     const PeerSocketOptions options_;
     const std::unique_ptr<detail::PeerPort> bound_;
@@ -195,6 +197,9 @@
     for (int i = 0; i < AcceptsPerTurn; ++i) {
         const int socket
             = accept4(bound_->listener(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        // Without a free descriptor the listener would stay readable and the thread busy.
+        if (socket < 0 && (errno == EMFILE || errno == ENFILE) && closeQuietest(true))
+            continue;
         if (socket < 0)
             return;
         if (makeRoom(true))
@@ -407,23 +412,25 @@
     return *connections_.emplace(id, std::move(added)).first->second;
 }
 
-// Closes the connection that has been quiet for longest when that direction is at its limit.
 bool PeerSocket::makeRoom(bool accepted)
 {
-    std::size_t count = 0;
+    const auto inDirection
+        = [accepted](const auto &entry) { return entry.second->address.empty() == accepted; };
+    const auto count = std::count_if(connections_.begin(), connections_.end(), inDirection);
+    return static_cast<std::size_t>(count) < options_.maxConnections || closeQuietest(accepted);
+}
+
+// Closes the connection in that direction that has been quiet for longest and has no open call.
+bool PeerSocket::closeQuietest(bool accepted)
+{
     const PeerConnection *quietest = nullptr;
     for (const auto &entry : connections_) {
         const PeerConnection &connection = *entry.second;
-        if (connection.address.empty() != accepted)
+        if (connection.address.empty() != accepted || connection.openCalls > 0)
             continue;
-        ++count;
-        const bool quieter
-            = quietest == nullptr || connection.lastReceived() < quietest->lastReceived();
-        if (connection.openCalls == 0 && quieter)
+        if (quietest == nullptr || connection.lastReceived() < quietest->lastReceived())
             quietest = &connection;
     }
-    if (count < options_.maxConnections)
-        return true;
     if (quietest == nullptr)
         return false;
     closeConnection(quietest->id(), "");
--- a/src/zinniadoor/adapters/test_sockets.hpp
+++ b/src/zinniadoor/adapters/test_sockets.hpp
@@ -15,6 +15,8 @@
 #include "absl/time/clock.h"
 #include "absl/time/time.h"
 
+#include "zinniadoor/adapters/sizes.hpp"
+
 #include "socket_address.hpp"
 
 namespace zinniadoor::adapters::test {
@@ -77,13 +79,29 @@
         return true;
     }
 
+    /// Sends up to `limit` bytes until none has fitted for half a second; returns their number.
+    std::size_t sendWhatFits(std::size_t limit) const
+    {
+        constexpr int QuietMilliseconds = 500;
+        const std::string block(64 * KibiByte, 'x');
+        std::size_t total = 0;
+        pollfd waiting { socket_, POLLOUT, 0 };
+        while (total < limit && poll(&waiting, 1, QuietMilliseconds) > 0) {
+            const ssize_t sent
+                = ::send(socket_, block.data(), block.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+            if (sent > 0)
+                total += static_cast<std::size_t>(sent);
+        }
+        return total;
+    }
+
     /// Some bytes; empty at the end, on a reset or after a generous deadline.
     std::string receive() const
     {
         pollfd waiting { socket_, POLLIN, 0 };
         if (poll(&waiting, 1, GenerousMilliseconds) <= 0)
             return "";
-        char buffer[16 * 1024];
+        char buffer[16 * KibiByte];
         const ssize_t got = recv(socket_, buffer, sizeof(buffer), 0);
         return got <= 0 ? "" : std::string(buffer, static_cast<std::size_t>(got));
     }
