--- a/include/zinniadoor/control/snapshot.hpp
+++ b/include/zinniadoor/control/snapshot.hpp
@@ -43,6 +43,25 @@
     std::map<Process, Parts> begun_;
 };
 
+/// A page of the log with its frames read and prepared.
+struct PreparedPage
+{
+    struct Entry
+    {
+        base::Offset offset = 0;
+        std::optional<PreparedFrame> frame; ///< None where the record is no frame.
+    };
+
+    std::vector<Entry> entries;
+    base::Offset firstOffset = 0;
+    base::Offset lastOffset = 0;
+    std::uint64_t bytes = 0;
+};
+
+/// Reads the frames of a page: the costly part of a replay, which needs no state and may run on
+/// another thread.
+PreparedPage preparePage(const ports::LogPage &page);
+
 /// Hears of every frame that a Replayer applied.
 class ReplayObserver
 {
@@ -76,17 +95,22 @@
     ReplayRead nextRead() const;
 
     /// What the read that `nextRead` asked for gave.
-    void onPage(const ports::LogPage &page, ReplayObserver &observer);
+    void onPage(const PreparedPage &page, ReplayObserver &observer);
 
     /// The read failed with Gone.
     void onGone();
 
-    /// Whether all records that the last page told of are applied.
-    bool caughtUp() const { return phase_ == Phase::Apply && caughtUp_; }
+    /// Whether the state is that of all readers, up to the end that the last page told of. A
+    /// process acts on the state only then.
+    bool caughtUp() const { return phase_ == Phase::Apply && atEnd_ && !historyLost_; }
 
-    /// The log's beginning is gone and no snapshot is left: the state lacks what came before.
+    /// The log's beginning is gone and no snapshot is left: the state lacks what came before and
+    /// may differ from that of others. Ends when another instance writes a snapshot.
     bool historyLost() const { return historyLost_; }
 
+    /// Whether the log was read to the end that the last page told of.
+    bool atEnd() const { return phase_ == Phase::Apply && atEnd_; }
+
     const State &state() const { return state_; }
 
     std::uint64_t recordsRead() const { return recordsRead_; }
@@ -95,13 +119,14 @@
 private:
     enum class Phase { Locate, Tail, Snapshot, Scan, Apply };
 
-    void onLocated(const ports::LogPage &page);
-    void onTail(const ports::LogPage &page);
-    void onParts(const ports::LogPage &page, ReplayObserver &observer);
-    void onEntries(const ports::LogPage &page, ReplayObserver &observer);
+    void onLocated(const PreparedPage &page);
+    void onTail(const PreparedPage &page);
+    void onParts(const PreparedPage &page, ReplayObserver &observer);
+    void onEntries(const PreparedPage &page, ReplayObserver &observer);
     void beginCollecting(Phase phase, base::Offset after);
     void beginWithoutSnapshot(base::Offset firstOffset);
     void load(State state, ReplayObserver &observer);
+    bool bridgeLostHistory(const Frame &frame, ReplayObserver &observer);
 
     Phase phase_ = Phase::Locate;
     base::Offset readAfter_ = 0;
@@ -109,7 +134,7 @@
     State state_;
     SnapshotCollector collector_;
     int attempts_ = 0;
-    bool caughtUp_ = false;
+    bool atEnd_ = false;
     bool historyLost_ = false;
     std::uint64_t recordsRead_ = 0;
     std::uint64_t bytesRead_ = 0;
--- a/src/zinniadoor/adapters/test_sockets.hpp
+++ b/src/zinniadoor/adapters/test_sockets.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cerrno>
 #include <chrono>
 #include <functional>
 #include <string>
@@ -108,12 +109,28 @@
         return all;
     }
 
-    /// True once the other side closed or reset the connection.
+    /// True once the other side closed or reset the connection. One look is not enough: just as
+    /// the end arrives, the kernel may show it as readable before it shows it as the end.
     bool seesEnd() const
     {
-        pollfd waiting { socket_, POLLIN | POLLRDHUP, 0 };
-        poll(&waiting, 1, GenerousMilliseconds);
-        return (waiting.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+        return eventually([this] {
+            pollfd waiting { socket_, POLLRDHUP, 0 };
+            poll(&waiting, 1, 0);
+            return (waiting.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+        });
+    }
+
+    /// True once the connection ends by a reset.
+    bool seesReset() const
+    {
+        char byte = 0;
+        pollfd waiting { socket_, POLLIN, 0 };
+        while (poll(&waiting, 1, GenerousMilliseconds) > 0) {
+            const ssize_t got = recv(socket_, &byte, 1, 0);
+            if (got <= 0)
+                return got < 0 && errno == ECONNRESET;
+        }
+        return false;
     }
 
     /// Bytes wait to be received.
