--- a/src/zinniadoor/daemon/core.cpp
+++ b/src/zinniadoor/daemon/core.cpp
@@ -54,6 +54,8 @@
     timing.lease = settings.lease;
     timing.vouchTime = settings.vouch;
     timing.silence = settings.peerSilence;
+    // Several asks may be lost before a voucher takes the holder for gone.
+    timing.askInterval = std::min(timing.askInterval, settings.peerSilence / 4);
     timing.holderLimit = settings.vouchLimit;
     timing.claimLimit = 2 * settings.vouchLimit;
     return timing;
--- a/tests/e2e/cluster.cpp
+++ b/tests/e2e/cluster.cpp
@@ -118,6 +118,15 @@
     return version_;
 }
 
+void Cluster::republishStale()
+{
+    const std::string stale = lastText_ + "# from another operator\n";
+    control::BundlePublished record;
+    record.yaml = stale;
+    record.signatures.push_back(*control::signText(stale, OperatorId, operatorKey_.secretKey));
+    append(record);
+}
+
 void Cluster::withdrawKey(std::size_t organisation)
 {
     control::KeyWithdrawn record;
--- a/tests/e2e/cluster.hpp
+++ b/tests/e2e/cluster.hpp
@@ -53,6 +53,9 @@
     /// Publishes the next version, with the YAML lines changed by `edit`; returns its version.
     std::uint64_t publish(const std::function<std::string(std::string)> &edit = {});
 
+    /// Publishes another successor of the version before, as an operator who lost a race does.
+    void republishStale();
+
     /// Publishes the withdrawal of an organisation's key.
     void withdrawKey(std::size_t organisation);
 
