--- a/include/zinniadoor/daemon/action_request.hpp
+++ b/include/zinniadoor/daemon/action_request.hpp
@@ -51,6 +51,7 @@
     ActionServices &actions_;
     control::Route route_;
     control::ActionCall call_;
+    std::uint64_t claim_ = 0; ///< Names this request's claim.
     State state_ = State::Claiming;
     bool callerGone_ = false;
     std::optional<CallToken> running_;
--- a/include/zinniadoor/daemon/control_loop.hpp
+++ b/include/zinniadoor/daemon/control_loop.hpp
@@ -29,6 +29,9 @@
     /// The configuration in force without the keys withdrawn since.
     virtual void onConfiguration(const control::Bundle &bundle) = 0;
 
+    /// A frame of this process was read in the log.
+    virtual void onOwnFrame(const control::Frame &frame, const control::ApplyResult &result) = 0;
+
     /// Some frames were applied, read at `readAt`.
     virtual void onApplied(absl::Time readAt) = 0;
 };
--- a/include/zinniadoor/daemon/core.hpp
+++ b/include/zinniadoor/daemon/core.hpp
@@ -95,6 +95,7 @@
     void publishStatus();
 
     void onConfiguration(const control::Bundle &bundle) override;
+    void onOwnFrame(const control::Frame &frame, const control::ApplyResult &result) override;
     void onApplied(absl::Time readAt) override;
     std::unique_ptr<Request> start(std::shared_ptr<ports::CallerExchange> exchange,
                                    const base::RequestId &id, const Caller &caller,
--- a/include/zinniadoor/daemon/core_messages.hpp
+++ b/include/zinniadoor/daemon/core_messages.hpp
@@ -10,6 +10,7 @@
 
 #include "zinniadoor/base/outcome.hpp"
 #include "zinniadoor/base/ring.hpp"
+#include "zinniadoor/control/snapshot.hpp"
 #include "zinniadoor/ports/caller_server.hpp"
 #include "zinniadoor/ports/log.hpp"
 #include "zinniadoor/ports/peer_link.hpp"
@@ -38,7 +39,7 @@
 
 struct LogRead
 {
-    ports::LogPage page;
+    control::PreparedPage page;
     base::Offset after = 0; ///< The page holds what follows this offset.
     absl::Time readAt; ///< Monotonic, taken after the answer came.
 };
--- a/src/zinniadoor/daemon/action_request.cpp
+++ b/src/zinniadoor/daemon/action_request.cpp
@@ -70,6 +70,7 @@
     control::ActionDecision decision = actions_.keeper.claimAction(
         actions_.control.state(), actions_.control.watch(), call_, actions_.control.isCurrent(now),
         now, services().clock.wallTime());
+    claim_ = decision.claim;
     if (decision.record && !actions_.control.append(*decision.record)) {
         actions_.keeper.dropClaim(call_.key);
         decision.answer = control::ActionAnswer::NotRun;
@@ -80,8 +81,9 @@
 void ActionRequest::onApplied()
 {
     if (state_ == State::Claiming) {
-        const control::ActionDecision decision = actions_.keeper.runAction(
-            actions_.control.state(), actions_.control.watch(), call_, services().clock.now());
+        const control::ActionDecision decision
+            = actions_.keeper.runAction(actions_.control.state(), actions_.control.watch(), call_,
+                                        claim_, services().clock.now());
         if (decision.record)
             actions_.control.append(*decision.record);
         follow(decision);
@@ -260,7 +262,7 @@
     callerGone_ = true;
     if (state_ != State::Claiming)
         return; // The call goes on, so that its outcome is known to whoever asks again.
-    actions_.keeper.abandon(call_.key);
+    actions_.keeper.abandon(call_.key, claim_);
     state_ = State::Ended;
     markDone();
 }
@@ -270,7 +272,7 @@
     // A running call is not broken off: nobody could tell afterwards whether it ran.
     if (state_ != State::Claiming)
         return;
-    actions_.keeper.abandon(call_.key);
+    actions_.keeper.abandon(call_.key, claim_);
     refuseOnce(errorAnswerOf(reason, RunState::NotRun));
 }
 
--- a/src/zinniadoor/daemon/control_loop.cpp
+++ b/src/zinniadoor/daemon/control_loop.cpp
@@ -90,10 +90,12 @@
 }
 
 void ControlLoop::onApplied(const control::Frame &frame, base::Offset offset,
-                            const control::ApplyResult &)
+                            const control::ApplyResult &result)
 {
-    if (frame.writer == self_.instance && frame.incarnation == self_.incarnation)
+    if (frame.writer == self_.instance && frame.incarnation == self_.incarnation) {
         writer_.onRead(frame.sequence, offset);
+        parts_.observer.onOwnFrame(frame, result);
+    }
     for (const control::Rejection &rejection : state().configuration().rejections()) {
         if (rejection.offset != offset)
             continue;
--- a/src/zinniadoor/daemon/core.cpp
+++ b/src/zinniadoor/daemon/core.cpp
@@ -407,6 +407,11 @@
     leases_.setScopes({ scopes.begin(), scopes.end() });
 }
 
+void Core::onOwnFrame(const control::Frame &frame, const control::ApplyResult &result)
+{
+    actionKeeper_.onOwnFrame(frame, result);
+}
+
 void Core::onApplied(absl::Time readAt)
 {
     learnPeers(readAt);
--- a/src/zinniadoor/daemon/log_threads.cpp
+++ b/src/zinniadoor/daemon/log_threads.cpp
@@ -51,7 +51,8 @@
         const absl::Duration wait = request->mayWait ? options_.wait : absl::ZeroDuration();
         base::Outcome<ports::LogPage> page = log_->readAfter(request->after, request->limit, wait);
         if (page) {
-            tell(LogRead { std::move(*page), request->after, clock_.now() });
+            const absl::Time readAt = clock_.now();
+            tell(LogRead { control::preparePage(*page), request->after, readAt });
             continue;
         }
         absl::SleepFor(FailurePause);
