Router: an equal part of a full fleet's slots for each instance

Cause: an instance sees a slot that it freed itself before its peers do, so those with little work in flight got too few: p95 to first token of quiet organisations was 1.5 to 5.7 s.

--- a/include/zinniadoor/serving/endpoint_table.hpp
+++ b/include/zinniadoor/serving/endpoint_table.hpp
@@ -117,6 +117,9 @@
     void notePeer(const base::InstanceId &peer, const std::vector<PeerLoad> &loads, absl::Time now);
     void forgetPeer(const base::InstanceId &peer, absl::Time now);
 
+    /// Instances known to send work, this one included.
+    std::size_t instanceCount() const { return peers_.size() + 1; }
+
     /// Own work per endpoint, to tell peers.
     std::vector<PeerLoad> ownLoads() const;
 
--- a/include/zinniadoor/serving/router.hpp
+++ b/include/zinniadoor/serving/router.hpp
@@ -26,6 +26,8 @@
     double urgentReserve = 0.125; ///< Share of an endpoint's slots closed to deferable work.
     double urgentFill = 0.65; ///< Of the slots of endpoints that are kept for urgent work.
     double urgentOnReclaimable = 0.5; ///< Share of urgent work above which the rest is preferred.
+    double fullFleet = 0.97; ///< Share of all slots taken from which on each instance keeps to
+    double overShare = 1.05; ///< this many times its equal part of them.
     double affinitySlack = 1.25; ///< Load over the mean up to which a cached prefix attracts.
     double priceTie = 0.1; ///< Relative difference of estimates within which price decides.
     absl::Duration priceTieFloor = absl::Milliseconds(50);
--- a/src/zinniadoor/serving/first_token_router.cpp
+++ b/src/zinniadoor/serving/first_token_router.cpp
@@ -32,7 +32,7 @@
                        std::uint64_t seed) override
     {
         const auto suitable = detail::suitable(query, table);
-        auto free = freeFor(query, suitable, now);
+        auto free = freeFor(query, table, suitable, now);
         if (free.empty())
             return detail::noneFits(suitable, now);
         free = matchingRole(free, query.phase);
@@ -43,8 +43,11 @@
 
 private:
     // Urgent requests take any endpoint once those without deferable work are full.
-    Candidates freeFor(const RouteQuery &query, const Candidates &suitable, absl::Time now) const
+    Candidates freeFor(const RouteQuery &query, const EndpointTable &table,
+                       const Candidates &suitable, absl::Time now) const
     {
+        if (isOverShare(suitable, table, now))
+            return {};
         // Without a prefill it holds up nobody.
         if (prefillTokens(query.request) == 0)
             return detail::withRoom(suitable, query, options_, now);
@@ -60,6 +63,22 @@
         return free;
     }
 
+    // An instance sees a slot that it freed itself before the others do, so one with much work
+    // in flight would keep all slots of a full fleet to itself.
+    bool isOverShare(const Candidates &suitable, const EndpointTable &table, absl::Time now) const
+    {
+        double slots = 0;
+        double requests = 0;
+        double own = 0;
+        for (const EndpointView *view : suitable) {
+            slots += view->endpoint.slots;
+            requests += view->requests(now);
+            own += static_cast<double>(view->own.requests);
+        }
+        const double share = slots / static_cast<double>(table.instanceCount());
+        return requests >= options_.fullFleet * slots && own >= share * options_.overShare;
+    }
+
     // Rendezvous hashing: each instance looks at its own part of a large fleet, and the part
     // changes little when endpoints come and go.
     Candidates subsetOf(const Candidates &all) const
--- a/src/zinniadoor/serving/router_test.cpp
+++ b/src/zinniadoor/serving/router_test.cpp
@@ -181,6 +181,24 @@
     BOOST_TEST(chooseMany(*firstTokenRouter(options), 20)["steady"] == 20);
 }
 
+BOOST_AUTO_TEST_CASE(router_fullFleetAndOwnShareUsed_leavesTheLastSlotToPeers)
+{
+    options.fullFleet = 0.9;
+    control::Endpoint large = endpoint("a");
+    large.slots = 10;
+    table.setEndpoints({ large });
+    PeerLoad load;
+    load.endpoint = base::EndpointId("a");
+    load.work.requests = 3;
+    load.work.urgent = 3;
+    table.notePeer(base::InstanceId("peer"), { load }, now);
+    const auto router = firstTokenRouter(options);
+    send("a", 5);
+    BOOST_TEST(chooseMany(*router, 20)["none"] == 0);
+    send("a", 6);
+    BOOST_TEST(chooseMany(*router, 20)["none"] == 20);
+}
+
 BOOST_AUTO_TEST_CASE(router_tooLittleMemory_choosesAnother)
 {
     table.setEndpoints({ endpoint("a"), endpoint("b") });
