Lease guard: bound what the kernel still sends for a frozen process

Cause: a sender frozen in a blocked send: its kernel sent the rest once the peer read, after the lease. TCP_USER_TIMEOUT counts from the first probe of a closed window, which itself comes a retransmission timeout (at least 200 ms) later, so the time set as the limit was not the limit. Change: the limit is at least 300 ms and TCP_USER_TIMEOUT is the limit less 250 ms. Ruled out: shorter socket buffers (one order alone may wait in them).

--- a/include/zinniadoor/adapters/lease_guard.hpp
+++ b/include/zinniadoor/adapters/lease_guard.hpp
@@ -10,8 +10,8 @@
 
 struct LeaseGuardOptions
 {
-    /// Longest time that the kernel may keep trying to deliver bytes it has taken. The guard
-    /// expires this much before the lease, so that nothing arrives after it.
+    /// Longest time for which the kernel may go on trying to deliver bytes it has taken; at least
+    /// 300 ms. The guard expires this much before the lease, so that nothing is sent after it.
     absl::Duration unacknowledgedLimit = absl::Milliseconds(500);
 };
 
@@ -46,7 +46,7 @@
     void release();
 
 private:
-    const LeaseGuardOptions options_;
+    const absl::Duration unacknowledgedLimit_;
     std::size_t slot_;
     timer_t timer_ {};
     bool ready_ = false;
--- a/src/zinniadoor/adapters/lease_guard.cpp
+++ b/src/zinniadoor/adapters/lease_guard.cpp
@@ -1,5 +1,6 @@
 #include "zinniadoor/adapters/lease_guard.hpp"
 
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <cerrno>
@@ -20,6 +21,8 @@
 
 constexpr std::size_t MaxGuards = 64;
 constexpr int SignalAboveFirst = 5;
+constexpr absl::Duration LeastUnacknowledgedLimit = absl::Milliseconds(300);
+constexpr absl::Duration FirstProbeAllowance = absl::Milliseconds(250);
 constexpr std::int64_t NanosecondsPerSecond = 1'000'000'000;
 constexpr std::int64_t Never = std::numeric_limits<std::int64_t>::min();
 
@@ -113,7 +116,7 @@
 } // namespace
 
 LeaseGuard::LeaseGuard(const LeaseGuardOptions &options)
-    : options_(options)
+    : unacknowledgedLimit_(std::max(options.unacknowledgedLimit, LeastUnacknowledgedLimit))
     , slot_(takeSlot())
 {
     static const bool installed = installHandler();
@@ -143,11 +146,11 @@
     if (!ready_)
         return;
     Slot &slot = slots[slot_];
-    const std::int64_t deadline = absl::ToUnixNanos(validUntil - options_.unacknowledgedLimit);
+    const std::int64_t deadline = absl::ToUnixNanos(validUntil - unacknowledgedLimit_);
     slot.deadline = deadline;
     slot.expired = bootNanoseconds() >= deadline;
     itimerspec when {};
-    when.it_value = absl::ToTimespec(validUntil - options_.unacknowledgedLimit);
+    when.it_value = absl::ToTimespec(validUntil - unacknowledgedLimit_);
     const bool set = !slot.expired && timer_settime(timer_, TIMER_ABSTIME, &when, nullptr) == 0;
     if (!set)
         disarm();
@@ -172,6 +175,9 @@
     return slot.expired || bootNanoseconds() >= slot.deadline;
 }
 
+// TCP_USER_TIMEOUT counts from the first probe of a closed window, and that one comes only after
+// the retransmission timeout (at least 200 ms), so the kernel needs both times to give up.
+//
 // The check comes after the socket is known to the handler: a lease that ends before this point
 // is seen here, one that ends later finds the socket.
 bool LeaseGuard::protect(int socket)
@@ -179,7 +185,8 @@
     if (!ready_ || slots[slot_].socket >= 0)
         return false;
     const linger reset { 1, 0 };
-    const int limit = static_cast<int>(absl::ToInt64Milliseconds(options_.unacknowledgedLimit));
+    const int limit
+        = static_cast<int>(absl::ToInt64Milliseconds(unacknowledgedLimit_ - FirstProbeAllowance));
     if (setsockopt(socket, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset)) != 0
         || setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &limit, sizeof(limit)) != 0)
         return false;
--- a/src/zinniadoor/adapters/lease_guard_sender_test.cpp
+++ b/src/zinniadoor/adapters/lease_guard_sender_test.cpp
@@ -1,5 +1,5 @@
 // Started and frozen by lease_guard_test: sends under a lease that ends while it is frozen.
-// Usage: lease_guard_sender socket|order guarded|bare <port>
+// Usage: lease_guard_sender socket|flood|order guarded|bare <port>
 
 #include <cstdio>
 #include <cstring>
@@ -14,6 +14,7 @@
 
 #include "zinniadoor/adapters/lease_guard.hpp"
 #include "zinniadoor/adapters/platform_http.hpp"
+#include "zinniadoor/adapters/sizes.hpp"
 #include "zinniadoor/base/clock.hpp"
 
 #include "socket_address.hpp"
@@ -22,9 +23,10 @@
 
 using namespace zinniadoor;
 
-constexpr absl::Duration Lease = absl::Milliseconds(60);
-constexpr absl::Duration UnacknowledgedLimit = absl::Milliseconds(20);
+constexpr absl::Duration UnacknowledgedLimit = absl::Milliseconds(300);
+constexpr absl::Duration Lease = absl::Milliseconds(360); // sends in the first 60 ms
 constexpr absl::Duration Preparation = absl::Milliseconds(15); // between check and send
+constexpr std::size_t FloodBytes = 16 * adapters::MebiByte;
 
 void tellLeaseEnd(absl::Time end)
 {
@@ -32,9 +34,23 @@
     std::fflush(stdout);
 }
 
-/// Checks, prepares, sends: the harness freezes it in the preparation.
+/// More than the kernel takes: the harness freezes it while it is blocked in the send.
+bool sendFlood(int socket, const std::string &flood)
+{
+    return send(socket, flood.data(), flood.size(), MSG_NOSIGNAL) > 0;
+}
+
+/// The harness freezes it in the preparation.
+bool sendPrepared(const base::Clock &clock, int socket)
+{
+    const absl::Time prepared = clock.now() + Preparation;
+    while (clock.now() < prepared) { }
+    return send(socket, "order", std::strlen("order"), MSG_NOSIGNAL) > 0;
+}
+
+/// Checks the lease, then sends.
 int sendOnSocket(const base::Clock &clock, adapters::LeaseGuard *guard, absl::Time leaseEnd,
-                 int port)
+                 int port, const std::string &flood)
 {
     const auto address = adapters::detail::parseAddress("127.0.0.1", port);
     const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
@@ -47,9 +63,7 @@
     if (!mayStillSend)
         return 1;
     tellLeaseEnd(leaseEnd);
-    const absl::Time prepared = clock.now() + Preparation;
-    while (clock.now() < prepared) { }
-    return send(socket, "order", std::strlen("order"), MSG_NOSIGNAL) > 0 ? 0 : 1;
+    return (flood.empty() ? sendPrepared(clock, socket) : sendFlood(socket, flood)) ? 0 : 1;
 }
 
 int sendOrder(adapters::LeaseGuard *guard, absl::Time leaseEnd, int port)
@@ -71,6 +85,8 @@
     if (argumentCount != 4 || !absl::SimpleAtoi(arguments[3], &port))
         return 2;
     const auto clock = base::systemClock();
+    const bool floods = std::string(arguments[1]) == "flood";
+    const std::string flood(floods ? FloodBytes : 0, 'x'); // ready before the lease begins
     std::unique_ptr<adapters::LeaseGuard> guard;
     if (std::string(arguments[2]) == "guarded")
         guard = std::make_unique<adapters::LeaseGuard>(
@@ -80,5 +96,5 @@
         guard->arm(leaseEnd);
     if (std::string(arguments[1]) == "order")
         return sendOrder(guard.get(), leaseEnd, port);
-    return sendOnSocket(*clock, guard.get(), leaseEnd, port);
+    return sendOnSocket(*clock, guard.get(), leaseEnd, port, flood);
 }
--- a/src/zinniadoor/adapters/lease_guard_test.cpp
+++ b/src/zinniadoor/adapters/lease_guard_test.cpp
@@ -29,8 +29,11 @@
 using adapters::test::TestListener;
 
 constexpr int Freezes = 30;
+constexpr int FloodFreezes = 10; // these wait for the whole unacknowledged limit
 constexpr int AttemptsPerFreeze = 20;
-constexpr absl::Duration FrozenBeyondLease = absl::Milliseconds(30);
+constexpr absl::Duration FrozenBeyondEnd = absl::Milliseconds(30);
+constexpr absl::Duration UnacknowledgedLimit = absl::Milliseconds(300); // of the sender's guard
+constexpr absl::Duration FloodFills = absl::Milliseconds(10); // both kernels' buffers
 
 /// A process that sends under a lease.
 class Sender
@@ -95,17 +98,18 @@
         clock_nanosleep(CLOCK_BOOTTIME, TIMER_ABSTIME, &until, nullptr);
     }
 
-    /// Freezes one sender until its lease has ended. The freeze is in the window when it began
-    /// before the lease's end and before any byte arrived.
+    /// Freezes one sender until it may send no more, which is the unacknowledged limit before
+    /// its lease ends. The freeze is in the window when it began before that and before any byte
+    /// arrived.
     Arrival freezeOnce(const char *kind, const char *mode) const
     {
         const TestListener listener;
         const Sender sender(kind, mode, listener.port());
-        const absl::Time leaseEnd = sender.readLeaseEnd();
+        const absl::Time sendingEnd = sender.readLeaseEnd() - UnacknowledgedLimit;
         const TestConnection connection = listener.accept();
         sender.freeze();
-        const bool frozenInTime = clock->now() < leaseEnd;
-        waitUntil(leaseEnd + FrozenBeyondLease);
+        const bool frozenInTime = clock->now() < sendingEnd;
+        waitUntil(sendingEnd + FrozenBeyondEnd);
         const bool inWindow = frozenInTime && connection.isOpen() && !connection.hasBytes();
         sender.thaw();
         const std::string received = connection.receive();
@@ -114,19 +118,43 @@
         return received.empty() ? Arrival::Never : Arrival::Late;
     }
 
-    /// Late arrivals in `Freezes` freezes that hit the window.
-    int countLate(const char *kind, const char *mode) const
+    /// The same with a sender that is blocked because its peer doesn't read. What its kernel
+    /// still holds must not go out either when the peer reads after the lease has ended.
+    Arrival freezeFlood(const char *mode) const
+    {
+        const TestListener listener;
+        const Sender sender("flood", mode, listener.port());
+        const absl::Time leaseEnd = sender.readLeaseEnd();
+        const TestConnection connection = listener.accept();
+        waitUntil(clock->now() + FloodFills);
+        sender.freeze();
+        const bool frozenInTime = clock->now() < leaseEnd - UnacknowledgedLimit;
+        waitUntil(leaseEnd);
+        const std::size_t arrivedInTime = connection.unreadBytes();
+        std::size_t arrived = 0;
+        while (connection.hasBytes())
+            arrived += connection.receive().size();
+        sender.thaw();
+        arrived += connection.receiveAll().size();
+        if (!frozenInTime || arrivedInTime == 0)
+            return Arrival::NotInWindow;
+        return arrived > arrivedInTime ? Arrival::Late : Arrival::Never;
+    }
+
+    /// Late arrivals in so many freezes that hit the window.
+    int countLate(const char *kind, const char *mode, int freezes = Freezes) const
     {
         int late = 0;
         int hits = 0;
-        for (int i = 0; i < AttemptsPerFreeze * Freezes && hits < Freezes; ++i) {
-            const Arrival arrival = freezeOnce(kind, mode);
+        for (int i = 0; i < AttemptsPerFreeze * freezes && hits < freezes; ++i) {
+            const bool flood = std::string(kind) == "flood";
+            const Arrival arrival = flood ? freezeFlood(mode) : freezeOnce(kind, mode);
             hits += arrival == Arrival::NotInWindow ? 0 : 1;
             late += arrival == Arrival::Late ? 1 : 0;
         }
         BOOST_TEST_MESSAGE("late arrivals, " << kind << " " << mode << ": " << late << " of "
                                              << hits << " freezes");
-        BOOST_TEST(hits == Freezes);
+        BOOST_TEST(hits == freezes);
         return late;
     }
 
@@ -166,8 +194,8 @@
     const TestListener listener;
     const int socket = connectedSocket(listener);
     const TestConnection peer = listener.accept();
-    LeaseGuard guard(LeaseGuardOptions { absl::Milliseconds(1) });
-    guard.arm(clock->now() + absl::Milliseconds(200));
+    LeaseGuard guard;
+    guard.arm(clock->now() + absl::Milliseconds(700));
     BOOST_REQUIRE(guard.protect(socket));
     BOOST_TEST(!guard.protect(socket));
     BOOST_TEST(eventually([&] { return guard.expired(); }));
@@ -182,9 +210,9 @@
 {
     const TestListener listener;
     const int socket = connectedSocket(listener);
-    LeaseGuard guard(LeaseGuardOptions { absl::Milliseconds(1) });
-    LeaseGuard other(LeaseGuardOptions { absl::Milliseconds(1) });
-    const absl::Time firstEnd = clock->now() + absl::Milliseconds(50);
+    LeaseGuard guard;
+    LeaseGuard other;
+    const absl::Time firstEnd = clock->now() + absl::Milliseconds(550);
     guard.arm(firstEnd);
     BOOST_REQUIRE(guard.protect(socket));
     guard.arm(clock->now() + absl::Hours(1));
@@ -208,6 +236,12 @@
     BOOST_TEST(countLate("order", "guarded") == 0);
 }
 
+BOOST_AUTO_TEST_CASE(leaseGuard_senderFrozenInBlockedSend_kernelSendsNothingLate)
+{
+    countLate("flood", "bare", FloodFreezes);
+    BOOST_TEST(countLate("flood", "guarded", FloodFreezes) == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
--- a/src/zinniadoor/adapters/test_sockets.hpp
+++ b/src/zinniadoor/adapters/test_sockets.hpp
@@ -9,6 +9,7 @@
 
 #include <netinet/in.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -151,6 +152,14 @@
         return false;
     }
 
+    /// Bytes that have arrived and wait to be received.
+    std::size_t unreadBytes() const
+    {
+        int unread = 0;
+        ioctl(socket_, FIONREAD, &unread);
+        return static_cast<std::size_t>(unread);
+    }
+
     /// Bytes wait to be received.
     bool hasBytes() const
     {
