--- a/include/zinniadoor/control/rate_shares.hpp
+++ b/include/zinniadoor/control/rate_shares.hpp
@@ -212,6 +212,8 @@
     std::set<base::InstanceId> lost_;
     std::map<std::uint64_t, PendingAsk> pending_;
     std::map<Ticket, base::OrganisationId> tickets_;
+    std::set<base::OrganisationId>
+        left_; ///< A waiting caller has left; tokens may have to go back.
     std::uint64_t nextAsk_ = 1;
     Ticket nextTicket_ = 1;
     absl::Time nextPlan_ = absl::InfinitePast();
--- a/src/zinniadoor/control/peer_messages_test.cpp
+++ b/src/zinniadoor/control/peer_messages_test.cpp
@@ -35,7 +35,8 @@
              usage,
              UsageCopyAck { base::InstanceId("entry-1"), 3, { 1, 2 } },
              StateAsk { base::InstanceId("entry-1"), 5, 6 },
-             StateAnswer { 5, 0, 1, "bytes" } };
+             StateAnswer { 5, 0, 1, "bytes" },
+             CrashNews {} };
 }
 
 struct Fixture
--- a/src/zinniadoor/control/rate_shares.cpp
+++ b/src/zinniadoor/control/rate_shares.cpp
@@ -178,6 +178,7 @@
     if (found == tickets_.end())
         return;
     Entry *entry = find(found->second);
+    left_.insert(found->second);
     tickets_.erase(found);
     auto &waiting = entry->waiting;
     const auto place = std::find_if(waiting.begin(), waiting.end(),
@@ -208,6 +209,7 @@
     Outbox outbox;
     expireAsks(now);
     std::set<base::OrganisationId> waiting;
+    waiting.swap(left_);
     for (const auto &[ticket, organisation] : tickets_)
         waiting.insert(organisation);
     for (const base::OrganisationId &organisation : waiting)
--- a/src/zinniadoor/control/rate_shares_borrowing.cpp
+++ b/src/zinniadoor/control/rate_shares_borrowing.cpp
@@ -11,6 +11,8 @@
 
 constexpr double AskedPerNeeded = 1.5;
 constexpr double TopUpSeconds = 0.1;
+constexpr double HelpfulPart
+    = 0.5; ///< Of what was needed; an answer with less is followed by a pause.
 constexpr absl::Duration FirstEmptyPause = absl::Milliseconds(20);
 constexpr absl::Duration FirstCollectorPause = absl::Milliseconds(5);
 constexpr absl::Duration LongestEmptyPause = absl::Seconds(1);
@@ -174,10 +176,10 @@
     PeerView &peer = entry.peers[asked.lender];
     peer.spareTokens = item.spareTokens;
     peer.heardAt = now;
-    if (item.tokens > 0) {
+    if (item.tokens >= asked.needed * HelpfulPart) {
         peer.emptyPause = absl::ZeroDuration();
     } else {
-        // Where all of the rate is used, nobody has anything to give: ask less and less often.
+        // Where all of the rate is used, nobody has much to give: ask less and less often.
         const absl::Duration first
             = isCollector(entry, asked.lender) ? FirstCollectorPause : FirstEmptyPause;
         peer.emptyPause = std::clamp(2 * peer.emptyPause, first, LongestEmptyPause);
