Idle work no longer grows with organisations at the tick's pace

Change: slots are set ten times a second, heartbeats composed twenty times, the tick is 20 ms when idle.

--- a/include/zinniadoor/daemon/share_manager.hpp
+++ b/include/zinniadoor/daemon/share_manager.hpp
@@ -73,6 +73,7 @@
     std::unique_ptr<control::ShareKeeper> slots_; ///< Null before the first configuration.
     std::uint32_t slotCount_ = 0;
     base::Offset toldFrame_ = 0;
+    absl::Time nextUpkeepAt_ = absl::InfinitePast();
     absl::Time nextPlanAt_ = absl::InfinitePast();
     bool stopping_ = false;
 };
--- a/src/zinniadoor/daemon/core.cpp
+++ b/src/zinniadoor/daemon/core.cpp
@@ -12,8 +12,9 @@
 
 namespace {
 
-constexpr absl::Duration TickInterval = absl::Milliseconds(5);
-constexpr absl::Duration PeerTickInterval = absl::Milliseconds(20);
+constexpr absl::Duration BusyTickInterval = absl::Milliseconds(5);
+constexpr absl::Duration IdleTickInterval = absl::Milliseconds(20);
+constexpr absl::Duration PeerTickInterval = absl::Milliseconds(50);
 constexpr std::size_t MostMessagesPerTick = 512;
 constexpr std::size_t LoadsPerHeartbeat = 16;
 
@@ -147,7 +148,8 @@
         if (now < nextTick)
             continue;
         tick(now);
-        nextTick = now + TickInterval;
+        const bool isBusy = requests_.size() > 0 || !usage_.isIdle();
+        nextTick = now + (isBusy ? BusyTickInterval : IdleTickInterval);
     }
 }
 
--- a/src/zinniadoor/daemon/share_manager.cpp
+++ b/src/zinniadoor/daemon/share_manager.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr double RequestCost = 1;
+constexpr absl::Duration UpkeepInterval = absl::Milliseconds(100);
 constexpr absl::Duration PlanInterval = absl::Milliseconds(250);
 
 control::RateSharesOptions shareOptions(const ShareManager::Parts &parts)
@@ -115,8 +116,11 @@
 
 void ShareManager::tick(absl::Time now)
 {
-    useSlots(now);
     run(shares_.tick(now));
+    if (now < nextUpkeepAt_)
+        return;
+    nextUpkeepAt_ = now + UpkeepInterval;
+    useSlots(now); // Looks at every organisation.
     const control::VouchEffects vouching = vouches_.tick(now);
     for (const control::Outgoing &message : vouching.messages)
         parts_.messenger.send(message);
