HTTP server: report progress when a small backlog is taken

Cause: a source that pauses above a limit under 8 KiB could wait for a report that never came: the last bytes may be fewer than the step. Change: progress is also reported when all was taken after 1 KiB or more had been waiting. Ruled out: a report for each piece (one message a token to the core).

--- a/include/zinniadoor/adapters/http_server.hpp
+++ b/include/zinniadoor/adapters/http_server.hpp
@@ -27,6 +27,9 @@
 /// `CallerHandler::onProgress` comes at least once per this many bytes taken by a caller.
 constexpr std::size_t ProgressStepBytes = 4 * KibiByte;
 
+/// It also comes when all was taken after at least this many bytes had been waiting.
+constexpr std::size_t ProgressPeakBytes = KibiByte;
+
 /// Listens for callers. `handler` must outlive the server; all its functions are called on one
 /// thread. A request is handed over once it was read whole. `onProgress` also comes when the
 /// answer is finished and, within about a second, when the caller leaves.
--- a/src/zinniadoor/adapters/http_exchange.cpp
+++ b/src/zinniadoor/adapters/http_exchange.cpp
@@ -40,6 +40,7 @@
     if (finished_ || ended_ || bytes.empty())
         return;
     pending_.append(bytes);
+    peakSinceReport_ = std::max(peakSinceReport_, pending_.size());
     // The source ignores the back-pressure: better one cut stream than all of the memory.
     if (pending_.size() > maxPendingBytes_) {
         pending_.clear();
@@ -107,8 +108,10 @@
     } else {
         suspendLocked(connection);
     }
-    if (takenSinceReport_ >= ProgressStepBytes) {
+    const bool drained = pending_.empty() && peakSinceReport_ >= ProgressPeakBytes;
+    if (drained || takenSinceReport_ >= ProgressStepBytes) {
         takenSinceReport_ = 0;
+        peakSinceReport_ = pending_.size();
         result.report = true;
     }
     return result;
--- a/src/zinniadoor/adapters/http_exchange.hpp
+++ b/src/zinniadoor/adapters/http_exchange.hpp
@@ -77,6 +77,7 @@
     ByteQueue pending_ ABSL_GUARDED_BY(mutex_);
     std::size_t wholeBodyBytes_ ABSL_GUARDED_BY(mutex_) = 0;
     std::size_t takenSinceReport_ ABSL_GUARDED_BY(mutex_) = 0;
+    std::size_t peakSinceReport_ ABSL_GUARDED_BY(mutex_) = 0; ///< Of the pending bytes.
     bool ended_ ABSL_GUARDED_BY(mutex_) = false;
     bool endedWhole_ ABSL_GUARDED_BY(mutex_) = false;
     bool callerGone_ ABSL_GUARDED_BY(mutex_) = false;
--- a/src/zinniadoor/adapters/http_server_test.cpp
+++ b/src/zinniadoor/adapters/http_server_test.cpp
@@ -48,8 +48,10 @@
     exchange->write("first");
     BOOST_TEST(contains(caller.receiveUntil("first"), "chunked"));
     BOOST_TEST(exchange->pendingBytes() == 0u);
-    exchange->write("second");
+    BOOST_TEST(handler.progress == 0);
+    exchange->write(std::string(adapters::ProgressPeakBytes, 'x') + "second");
     BOOST_TEST(contains(caller.receiveUntil("second"), "second"));
+    BOOST_TEST(eventually([&] { return handler.progress == 1; }));
     exchange->endStream(true);
     BOOST_TEST(contains(caller.receiveUntil("0\r\n\r\n"), "0\r\n\r\n"));
 }
--- a/src/zinniadoor/adapters/lease_guard_test.cpp
+++ b/src/zinniadoor/adapters/lease_guard_test.cpp
@@ -23,7 +23,6 @@
 
 using namespace zinniadoor;
 using adapters::LeaseGuard;
-using adapters::LeaseGuardOptions;
 using adapters::test::eventually;
 using adapters::test::TestConnection;
 using adapters::test::TestListener;
