--- a/src/zinniadoor/control/rate_shares_borrowing.cpp
+++ b/src/zinniadoor/control/rate_shares_borrowing.cpp
@@ -2,6 +2,7 @@
 #include <cmath>
 
 #include "zinniadoor/control/rate_shares.hpp"
+#include "zinniadoor/control/token_bucket.hpp"
 
 // The borrower's side of RateShares.
 
@@ -11,8 +12,6 @@
 
 constexpr double AskedPerNeeded = 1.5;
 constexpr double TopUpSeconds = 0.1;
-constexpr double HelpfulPart
-    = 0.5; ///< Of what was needed; an answer with less is followed by a pause.
 constexpr absl::Duration FirstEmptyPause = absl::Milliseconds(20);
 constexpr absl::Duration FirstCollectorPause = absl::Milliseconds(5);
 constexpr absl::Duration LongestEmptyPause = absl::Seconds(1);
@@ -176,7 +175,7 @@
     PeerView &peer = entry.peers[asked.lender];
     peer.spareTokens = item.spareTokens;
     peer.heardAt = now;
-    if (item.tokens >= asked.needed * HelpfulPart) {
+    if (item.tokens + TokenEpsilon >= asked.needed) {
         peer.emptyPause = absl::ZeroDuration();
     } else {
         // Where all of the rate is used, nobody has much to give: ask less and less often.
