zinniadoorctl: drafts, diff, status, log tail and burn; publish waits for every instance

The tool could make keys, sign and append, but said only that a bundle stood in the log, not whether it counted nor where it was in force, and had nothing to look at a running site with. Publishing now replays the log as the instances do, says whether the record counts and why not, and waits (--wait) for a later frame with the version from each instance that has not stopped; those without are named and the exit code is 4. "bundle next" writes the version in force as a draft, "org create|set-rate" and "key issue" edit it, "key withdraw" signs and appends. "key new" became "key issue", which writes the entry itself; the demo follows. Ctrl-C ends waits so that the effect is still told; a closed pipe ends output only. Ruled out: counting only instances that wrote lately as live, as one cut off from the log would then pass unnoticed; "endpoint drain", as a bundle has no such state and the platform's leaving notice is not the operator's to give. Not tried: exit code 3.

--- a/include/zinniadoor/ctl/arguments.hpp
+++ b/include/zinniadoor/ctl/arguments.hpp
@@ -1,10 +1,13 @@
 #pragma once
 
+#include <optional>
 #include <string>
 #include <vector>
 
 #include <tclap/CmdLine.h>
 
+#include "zinniadoor/ctl/command.hpp"
+
 namespace zinniadoor::ctl {
 
 /// Command line of one subcommand: TCLAP's, but returning instead of exiting.
@@ -15,10 +18,8 @@
 
     TCLAP::CmdLine &line() { return line_; }
 
-    enum class Result { Run, HelpShown, Wrong };
-
-    /// Prints help or the fault itself.
-    Result parse(const std::vector<std::string> &arguments);
+    /// Prints help or the fault itself; then gives the exit code with which to end.
+    std::optional<ExitCode> parse(const std::vector<std::string> &arguments);
 
 private:
     std::string name_;
--- a/include/zinniadoor/ctl/command.hpp
+++ b/include/zinniadoor/ctl/command.hpp
@@ -14,7 +14,7 @@
     Failed = 1, ///< The operation failed and certainly had no effect.
     Usage = 2, ///< The command line or a file is wrong; nothing was done.
     Unknown = 3, ///< The operation may have taken effect; ask with "status".
-    Partial = 4, ///< It took effect, but not every instance has confirmed it.
+    Partial = 4, ///< Done, but not every instance has confirmed it or answered.
 };
 
 /// One subcommand, such as "bundle publish".
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -49,9 +49,6 @@
 service=127.0.0.1:$(value service port)
 
 operator=$($ctl keygen --out "$work/ama.key")
-$ctl key new >"$work/caller.key"
-key=$(sed -n 's/^key: //p' "$work/caller.key")
-entry=$(sed -n 's/^entry: //p' "$work/caller.key")
 cat >"$work/bundle.yaml" <<Y
 version: 1
 predecessor: ""
@@ -60,7 +57,7 @@
 operators:
   - {id: ama, public_key: $operator}
 organisations:
-  - {id: feathercraft, rate_per_second: 50, burst: 100, keys: [$entry]}
+  - {id: feathercraft, rate_per_second: 50, burst: 100}
 models:
   - {id: parrot-small, version: "1"}
 endpoints:
@@ -72,6 +69,7 @@
 objectives:
   - {route: chat, first_byte: 1100ms, target: 0.95}
 Y
+key=$($ctl key issue --bundle "$work/bundle.yaml" --org feathercraft)
 $ctl bundle sign --bundle "$work/bundle.yaml" --operator ama --key "$work/ama.key" >"$work/ama.sig"
 $ctl bundle publish --bundle "$work/bundle.yaml" --signature "$work/ama.sig" --platform "$platform"
 
--- a/src/zinniadoor/ctl/arguments.cpp
+++ b/src/zinniadoor/ctl/arguments.cpp
@@ -11,18 +11,18 @@
     line_.setExceptionHandling(false);
 }
 
-Arguments::Result Arguments::parse(const std::vector<std::string> &arguments)
+std::optional<ExitCode> Arguments::parse(const std::vector<std::string> &arguments)
 {
     std::vector<std::string> words { name_ };
     words.insert(words.end(), arguments.begin(), arguments.end());
     try {
         line_.parse(words);
-        return Result::Run;
+        return std::nullopt;
     } catch (const TCLAP::ExitException &) {
-        return Result::HelpShown;
+        return ExitCode::Ok;
     } catch (const TCLAP::ArgException &error) {
         std::cerr << name_ << ": " << error.error() << " " << error.argId() << "\n";
-        return Result::Wrong;
+        return ExitCode::Usage;
     }
 }
 
--- a/src/zinniadoor/ctl/bundle_commands.cpp
+++ b/src/zinniadoor/ctl/bundle_commands.cpp
@@ -4,42 +4,21 @@
 #include <optional>
 
 #include "absl/strings/ascii.h"
-#include "absl/strings/str_split.h"
+#include "absl/strings/str_cat.h"
 
-#include "zinniadoor/adapters/platform_http.hpp"
-#include "zinniadoor/control/bundle.hpp"
 #include "zinniadoor/ctl/arguments.hpp"
+#include "zinniadoor/ctl/bundle_diff.hpp"
+#include "zinniadoor/ctl/bundle_draft.hpp"
+#include "zinniadoor/ctl/bundle_source.hpp"
 #include "zinniadoor/ctl/files.hpp"
-#include "zinniadoor/ctl/log_client.hpp"
+#include "zinniadoor/ctl/output.hpp"
+
+#include "publish_command.hpp"
 
 namespace zinniadoor::ctl {
 
 namespace {
 
-constexpr absl::Duration PlatformTimeout = absl::Seconds(3);
-constexpr absl::Duration ReadBackPatience = absl::Seconds(10);
-
-struct CheckedBundle
-{
-    std::string yaml;
-    control::Bundle bundle;
-};
-
-std::optional<CheckedBundle> readBundle(const std::string &path)
-{
-    const base::Outcome<std::string> yaml = readFile(path);
-    if (!yaml) {
-        std::cerr << yaml.lastReason().text << "\n";
-        return std::nullopt;
-    }
-    const base::Outcome<control::Bundle> bundle = control::parseBundle(*yaml, path);
-    if (!bundle) {
-        std::cerr << bundle.lastReason().text << "\n";
-        return std::nullopt;
-    }
-    return CheckedBundle { *yaml, *bundle };
-}
-
 class BundleCheckCommand : public Command
 {
 public:
@@ -51,9 +30,8 @@
         Arguments parser(name(), brief());
         TCLAP::ValueArg<std::string> file("b", "bundle", "bundle file", true, "", "FILE",
                                           parser.line());
-        const Arguments::Result parsed = parser.parse(arguments);
-        if (parsed != Arguments::Result::Run)
-            return parsed == Arguments::Result::Wrong ? ExitCode::Usage : ExitCode::Ok;
+        if (const std::optional<ExitCode> ended = parser.parse(arguments))
+            return *ended;
         const std::optional<CheckedBundle> checked = readBundle(file.getValue());
         if (!checked)
             return ExitCode::Usage;
@@ -62,6 +40,66 @@
     }
 };
 
+class BundleDiffCommand : public Command
+{
+public:
+    std::string name() const override { return "bundle diff"; }
+    std::string brief() const override { return "what a bundle file changes"; }
+
+    ExitCode run(const std::vector<std::string> &arguments) override
+    {
+        Arguments parser(name(), brief());
+        TCLAP::ValueArg<std::string> to("t", "to", "the new bundle file", true, "", "FILE",
+                                        parser.line());
+        SourceArguments from(parser);
+        OutputArgument output(parser);
+        if (const std::optional<ExitCode> ended = parser.parse(arguments))
+            return *ended;
+        ExitCode code = ExitCode::Ok;
+        const std::optional<CheckedBundle> before = from.read(code);
+        if (!before)
+            return code;
+        const std::optional<CheckedBundle> after = readBundle(to.getValue());
+        if (!after)
+            return ExitCode::Usage;
+        Table table { { "change", "where", "before", "after" }, {} };
+        for (const BundleChange &change : diffBundles(before->yaml, after->yaml))
+            table.rows.push_back({ change.kind, change.where, change.before, change.after });
+        std::cout << render(table, output.format());
+        return ExitCode::Ok;
+    }
+};
+
+class BundleNextCommand : public Command
+{
+public:
+    std::string name() const override { return "bundle next"; }
+    std::string brief() const override { return "write the bundle in force as a draft to edit"; }
+
+    ExitCode run(const std::vector<std::string> &arguments) override
+    {
+        Arguments parser(name(), brief());
+        TCLAP::ValueArg<std::string> platform("p", "platform", "URL of the platform", true, "",
+                                              "URL", parser.line());
+        TCLAP::ValueArg<std::string> out("o", "out", "file for the draft", true, "", "FILE",
+                                         parser.line());
+        if (const std::optional<ExitCode> ended = parser.parse(arguments))
+            return *ended;
+        const base::Outcome<CheckedBundle> inForce = bundleInForce(*openLog(platform.getValue()));
+        if (!inForce) {
+            std::cerr << inForce.lastReason().text << "\n";
+            return ExitCode::Failed;
+        }
+        base::Outcome<BundleDraft> draft = BundleDraft::parse(inForce->yaml, "bundle in force");
+        if (!draft) {
+            std::cerr << draft.lastReason().text << "\n";
+            return ExitCode::Failed;
+        }
+        draft->makeSuccessor(control::bundleDigest(inForce->yaml), inForce->bundle.version + 1);
+        return saveDraft(*draft, out.getValue());
+    }
+};
+
 class BundleSignCommand : public Command
 {
 public:
@@ -77,9 +115,8 @@
                                          parser.line());
         TCLAP::ValueArg<std::string> key("k", "key", "file of the secret key", true, "", "FILE",
                                          parser.line());
-        const Arguments::Result parsed = parser.parse(arguments);
-        if (parsed != Arguments::Result::Run)
-            return parsed == Arguments::Result::Wrong ? ExitCode::Usage : ExitCode::Ok;
+        if (const std::optional<ExitCode> ended = parser.parse(arguments))
+            return *ended;
         const std::optional<CheckedBundle> checked = readBundle(file.getValue());
         const base::Outcome<std::string> secret = readFile(key.getValue());
         if (!secret)
@@ -98,70 +135,50 @@
     }
 };
 
-class BundlePublishCommand : public Command
+class BundleStatusCommand : public Command
 {
 public:
-    std::string name() const override { return "bundle publish"; }
-    std::string brief() const override { return "publish a signed bundle to the platform's log"; }
+    std::string name() const override { return "bundle status"; }
+    std::string brief() const override { return "the version in force, and at which instances"; }
 
     ExitCode run(const std::vector<std::string> &arguments) override
     {
         Arguments parser(name(), brief());
-        TCLAP::ValueArg<std::string> file("b", "bundle", "bundle file", true, "", "FILE",
-                                          parser.line());
-        TCLAP::MultiArg<std::string> signatureFiles("s", "signature", "output of bundle sign", true,
-                                                    "FILE", parser.line());
         TCLAP::ValueArg<std::string> platform("p", "platform", "URL of the platform", true, "",
                                               "URL", parser.line());
-        const Arguments::Result parsed = parser.parse(arguments);
-        if (parsed != Arguments::Result::Run)
-            return parsed == Arguments::Result::Wrong ? ExitCode::Usage : ExitCode::Ok;
-        const std::optional<CheckedBundle> checked = readBundle(file.getValue());
-        if (!checked)
-            return ExitCode::Usage;
-        control::BundlePublished record;
-        record.yaml = checked->yaml;
-        for (const std::string &path : signatureFiles.getValue()) {
-            if (!addSignature(path, record))
-                return ExitCode::Usage;
+        OutputArgument output(parser);
+        if (const std::optional<ExitCode> ended = parser.parse(arguments))
+            return *ended;
+        const std::unique_ptr<ports::Log> log = openLog(platform.getValue());
+        LogReplay replay(*log);
+        const base::Status read = replay.catchUp(ReadPatience);
+        if (!read) {
+            std::cerr << read.lastReason().text << "\n";
+            return ExitCode::Failed;
         }
-        return publish(record, platform.getValue());
+        std::cout << render(tableOf(replay.state()), output.format());
+        return ExitCode::Ok;
     }
 
 private:
-    static bool addSignature(const std::string &path, control::BundlePublished &record)
+    /// The log's row first, then a row for each instance that has not stopped, then rejections.
+    static Table tableOf(const control::State &state)
     {
-        const base::Outcome<std::string> text = readFile(path);
-        if (!text) {
-            std::cerr << text.lastReason().text << "\n";
-            return false;
-        }
-        const std::vector<std::string> words
-            = absl::StrSplit(absl::StripAsciiWhitespace(*text), ' ', absl::SkipEmpty());
-        if (words.size() != 2) {
-            std::cerr << path << ": is not a signature\n";
-            return false;
+        const control::ConfigurationChain &chain = state.configuration();
+        Table table { { "what", "version", "offset", "detail" }, {} };
+        table.rows.push_back({ "in force", chain.version(), chain.publishedAt(), chain.digest() });
+        for (const control::Process &process : state.instances().running()) {
+            const control::ProcessInfo *info = state.instances().find(process);
+            table.rows.push_back({ absl::StrCat("instance ", process.instance.str()),
+                                   info->bundleVersion, info->lastFrame, info->dataCentre.str() });
         }
-        record.signatures.push_back({ words[0], words[1] });
-        return true;
-    }
-
-    static ExitCode publish(const control::BundlePublished &record, const std::string &platform)
-    {
-        LogClient client(adapters::httpLog({ platform, PlatformTimeout }));
-        const AppendResult result = client.append(record, ReadBackPatience);
-        switch (result.effect) {
-        case AppendEffect::InLog:
-            std::cout << "published at offset " << result.offset << "\n";
-            return ExitCode::Ok;
-        case AppendEffect::NotInLog:
-            std::cerr << "not published: " << result.reason.text << "\n";
-            return ExitCode::Failed;
-        case AppendEffect::Unknown:
-            break;
+        for (const base::KeyId &key : chain.withdrawnKeys())
+            table.rows.push_back({ "withdrawn key", chain.version(), std::uint64_t(0), key.str() });
+        for (const control::Rejection &rejection : chain.rejections()) {
+            table.rows.push_back({ absl::StrCat("rejected from ", rejection.writer.str()),
+                                   std::uint64_t(0), rejection.offset, rejection.reason });
         }
-        std::cerr << "may or may not be published: " << result.reason.text << "\n";
-        return ExitCode::Unknown;
+        return table;
     }
 };
 
@@ -171,8 +188,11 @@
 {
     std::vector<std::unique_ptr<Command>> commands;
     commands.push_back(std::make_unique<BundleCheckCommand>());
+    commands.push_back(std::make_unique<BundleDiffCommand>());
+    commands.push_back(std::make_unique<BundleNextCommand>());
     commands.push_back(std::make_unique<BundleSignCommand>());
-    commands.push_back(std::make_unique<BundlePublishCommand>());
+    commands.push_back(bundlePublishCommand());
+    commands.push_back(std::make_unique<BundleStatusCommand>());
     return commands;
 }
 
--- a/src/zinniadoor/ctl/key_commands.cpp
+++ b/src/zinniadoor/ctl/key_commands.cpp
@@ -4,10 +4,18 @@
 
 #include <sodium.h>
 
+#include "absl/strings/ascii.h"
+#include "absl/strings/str_cat.h"
+
 #include "zinniadoor/control/bundle.hpp"
+#include "zinniadoor/control/configuration_chain.hpp"
 #include "zinniadoor/ctl/arguments.hpp"
+#include "zinniadoor/ctl/bundle_draft.hpp"
+#include "zinniadoor/ctl/bundle_source.hpp"
 #include "zinniadoor/ctl/files.hpp"
 
+#include "publish_command.hpp"
+
 namespace zinniadoor::ctl {
 
 namespace {
@@ -15,6 +23,8 @@
 constexpr std::size_t SaltBytes = 16;
 constexpr std::size_t SecretBytes = 24;
 constexpr std::size_t KeyIdBytes = 6;
+constexpr int DefaultWaitSeconds = 30;
+constexpr int MostWaitSeconds = 3600;
 
 std::string randomHex(std::size_t bytes)
 {
@@ -27,6 +37,12 @@
     return hex;
 }
 
+ExitCode fail(const base::Reason &reason, ExitCode code)
+{
+    std::cerr << reason.text << "\n";
+    return code;
+}
+
 class KeygenCommand : public Command
 {
 public:
@@ -38,39 +54,131 @@
         Arguments parser(name(), brief());
         TCLAP::ValueArg<std::string> out("o", "out", "file for the secret key", true, "", "FILE",
                                          parser.line());
-        const Arguments::Result parsed = parser.parse(arguments);
-        if (parsed != Arguments::Result::Run)
-            return parsed == Arguments::Result::Wrong ? ExitCode::Usage : ExitCode::Ok;
+        if (const std::optional<ExitCode> ended = parser.parse(arguments))
+            return *ended;
         const control::KeyPair pair = control::newSigningKey();
         const base::Status written = writeSecretFile(out.getValue(), pair.secretKey + "\n");
-        if (!written) {
-            std::cerr << written.lastReason().text << "\n";
-            return ExitCode::Failed;
-        }
+        if (!written)
+            return fail(written.lastReason(), ExitCode::Failed);
         std::cout << pair.publicKey << "\n";
         return ExitCode::Ok;
     }
 };
 
-class KeyNewCommand : public Command
+/// A caller's key: what the caller gets and what the bundle holds of it.
+struct NewKey
+{
+    std::string text;
+    control::KeyRecord record;
+};
+
+NewKey newCallerKey()
+{
+    NewKey key;
+    const std::string secret = randomHex(SecretBytes);
+    key.record.id = base::KeyId(randomHex(KeyIdBytes));
+    key.record.salt = randomHex(SaltBytes);
+    key.record.digest = control::keyDigest(key.record.salt, secret);
+    key.text = absl::StrCat("zd_", key.record.id.str(), "_", secret);
+    return key;
+}
+
+class KeyIssueCommand : public Command
 {
 public:
-    std::string name() const override { return "key new"; }
-    std::string brief() const override { return "make a caller's key and its bundle entry"; }
+    std::string name() const override { return "key issue"; }
+    std::string brief() const override { return "add a caller's key to a draft; shown only once"; }
 
     ExitCode run(const std::vector<std::string> &arguments) override
     {
         Arguments parser(name(), brief());
-        const Arguments::Result parsed = parser.parse(arguments);
-        if (parsed != Arguments::Result::Run)
-            return parsed == Arguments::Result::Wrong ? ExitCode::Usage : ExitCode::Ok;
-        const std::string id = randomHex(KeyIdBytes);
-        const std::string secret = randomHex(SecretBytes);
-        const std::string salt = randomHex(SaltBytes);
-        std::cout << "key: zd_" << id << "_" << secret << "\n"
-                  << "entry: {id: " << id << ", salt: " << salt
-                  << ", digest: " << control::keyDigest(salt, secret) << "}\n";
-        return ExitCode::Ok;
+        TCLAP::ValueArg<std::string> file("b", "bundle", "draft to edit", true, "", "FILE",
+                                          parser.line());
+        TCLAP::ValueArg<std::string> organisation("g", "org", "organisation", true, "", "ID",
+                                                  parser.line());
+        if (const std::optional<ExitCode> ended = parser.parse(arguments))
+            return *ended;
+        if (file.getValue() == "-")
+            return fail({ base::ReasonCode::InvalidArgument,
+                          "--bundle: has to be a file, as the key goes to standard output" },
+                        ExitCode::Usage);
+        const base::Outcome<std::string> text = readFile(file.getValue());
+        if (!text)
+            return fail(text.lastReason(), ExitCode::Usage);
+        base::Outcome<BundleDraft> draft = BundleDraft::parse(*text, file.getValue());
+        if (!draft)
+            return fail(draft.lastReason(), ExitCode::Usage);
+        const NewKey key = newCallerKey();
+        const base::Status added = draft->addKey(organisation.getValue(), key.record);
+        if (!added)
+            return fail(added.lastReason(), ExitCode::Usage);
+        // Shown before it is stored: a key that nobody saw would stand in the bundle for nothing.
+        std::cout << key.text << std::endl;
+        if (!std::cout)
+            return fail({ base::ReasonCode::Unavailable, "the key could not be shown; no change" },
+                        ExitCode::Failed);
+        const ExitCode saved = saveDraft(*draft, file.getValue());
+        if (saved != ExitCode::Ok)
+            std::cerr << "the draft is unchanged, the key shown is worthless\n";
+        return saved;
+    }
+};
+
+class KeyWithdrawCommand : public Command
+{
+public:
+    std::string name() const override { return "key withdraw"; }
+    std::string brief() const override { return "withdraw a caller's key at once"; }
+
+    ExitCode run(const std::vector<std::string> &arguments) override
+    {
+        Arguments parser(name(), brief());
+        TCLAP::ValueArg<std::string> id("i", "id", "key id: the middle part of zd_ID_...", true, "",
+                                        "ID", parser.line());
+        TCLAP::ValueArg<std::string> platform("p", "platform", "URL of the platform", true, "",
+                                              "URL", parser.line());
+        TCLAP::MultiArg<std::string> operators("u", "operator",
+                                               "operator id; as often as signatures are needed",
+                                               true, "ID", parser.line());
+        TCLAP::MultiArg<std::string> keys("k", "key", "secret key file of each operator, in order",
+                                          true, "FILE", parser.line());
+        TCLAP::ValueArg<int> wait("w", "wait", "seconds to wait for every instance", false,
+                                  DefaultWaitSeconds, "SECONDS", parser.line());
+        if (const std::optional<ExitCode> ended = parser.parse(arguments))
+            return *ended;
+        const bool waitFits = wait.getValue() >= 0 && wait.getValue() <= MostWaitSeconds;
+        if (!waitFits || operators.getValue().size() != keys.getValue().size())
+            return fail({ base::ReasonCode::InvalidArgument,
+                          "give one --key for each --operator, and --wait from 0 to 3600" },
+                        ExitCode::Usage);
+        const base::Outcome<CheckedBundle> inForce = bundleInForce(*openLog(platform.getValue()));
+        if (!inForce)
+            return fail(inForce.lastReason(), ExitCode::Failed);
+        control::KeyWithdrawn record;
+        record.key = base::KeyId(id.getValue());
+        record.text = control::withdrawalText(record.key, control::bundleDigest(inForce->yaml));
+        for (std::size_t i = 0; i < keys.getValue().size(); ++i) {
+            const base::Status added
+                = addSignature(operators.getValue()[i], keys.getValue()[i], record);
+            if (!added)
+                return fail(added.lastReason(), ExitCode::Usage);
+        }
+        return publishRecord(record, platform.getValue(), absl::Seconds(wait.getValue()));
+    }
+
+private:
+    static base::Status addSignature(const std::string &operatorId, const std::string &path,
+                                     control::KeyWithdrawn &record)
+    {
+        const base::Outcome<std::string> secret = readFile(path);
+        if (!secret)
+            return secret.lastReason();
+        const base::Outcome<control::Signature> signature = control::signText(
+            record.text, operatorId, std::string(absl::StripAsciiWhitespace(*secret)));
+        if (!signature)
+            return signature.lastReason();
+        record.signatures.push_back(*signature);
+        return base::Done {};
     }
 };
 
@@ -80,7 +188,8 @@
 {
     std::vector<std::unique_ptr<Command>> commands;
     commands.push_back(std::make_unique<KeygenCommand>());
-    commands.push_back(std::make_unique<KeyNewCommand>());
+    commands.push_back(std::make_unique<KeyIssueCommand>());
+    commands.push_back(std::make_unique<KeyWithdrawCommand>());
     return commands;
 }
 
--- a/src/zinniadoor/ctl/main.cpp
+++ b/src/zinniadoor/ctl/main.cpp
@@ -5,11 +5,13 @@
 #include <sodium.h>
 
 #include "zinniadoor/ctl/command.hpp"
+#include "zinniadoor/ctl/interrupt.hpp"
 
 int main(int argc, char **argv)
 {
     // A closed pipe shows up as a failed write instead of killing the tool halfway.
     std::signal(SIGPIPE, SIG_IGN);
+    zinniadoor::ctl::catchInterrupt();
     if (sodium_init() < 0)
         return static_cast<int>(zinniadoor::ctl::ExitCode::Failed);
     const std::vector<std::string> arguments(argv + 1, argv + argc);
--- /dev/null
+++ b/src/zinniadoor/ctl/organisation_commands.hpp
@@ -0,0 +1,13 @@
+#pragma once
+
+#include <memory>
+#include <vector>
+
+#include "zinniadoor/ctl/command.hpp"
+
+namespace zinniadoor::ctl {
+
+/// "org ..." and "endpoint ...".
+std::vector<std::unique_ptr<Command>> organisationCommands();
+
+} // namespace zinniadoor::ctl
--- a/src/zinniadoor/ctl/tool.cpp
+++ b/src/zinniadoor/ctl/tool.cpp
@@ -16,7 +16,7 @@
     for (const auto &command : commands)
         out << absl::StrFormat("  %-18s %s\n", command->name(), command->brief());
     out << "\nexit codes: 0 done, 1 failed without effect, 2 wrong usage or file,\n"
-        << "            3 effect unknown, 4 in effect but not confirmed by every instance\n";
+        << "            3 effect unknown, 4 not confirmed or answered by every instance\n";
 }
 
 bool beginsWith(const std::vector<std::string> &arguments, const std::vector<std::string> &words)
