Burn per organisation and route in the daemon, GET /burn

Objectives stood in the bundle but nothing counted against them. Each instance now counts whole answers by their first byte, and refused or broken requests whose reason does not lie with the caller as bad, also those turned away before they were taken. Requests beyond the organisation's rate are not counted: the rate decision does not tell a share that is missing here from a rate used up. Counts start with the process; what it counted before a restart is not kept. Ruled out: counting in Metrics, whose text has no windows.

--- a/include/zinniadoor/daemon/action_request.hpp
+++ b/include/zinniadoor/daemon/action_request.hpp
@@ -45,6 +45,7 @@
     void onBroken(const base::Reason &reason, bool mayHaveRun);
     void answerRecorded();
     void answerRan();
+    void countAnswered(int status);
     void refuseOnce(const ErrorAnswer &answer);
     void leaveEndpoint();
 
--- a/include/zinniadoor/daemon/admin_handler.hpp
+++ b/include/zinniadoor/daemon/admin_handler.hpp
@@ -9,13 +9,14 @@
 
 namespace zinniadoor::daemon {
 
-/// Serves /livez, /readyz, /metrics, /status and PUT /log_level.
+/// Serves /livez, /readyz, /metrics, /status, /burn and PUT /log_level.
 class AdminHandler : public ports::CallerHandler
 {
 public:
     struct Options
     {
         const Metrics &metrics;
+        const BurnRecorder &burn;
         std::function<CoreStatus()> status;
         base::LogOptions log;
     };
--- a/include/zinniadoor/daemon/answers.hpp
+++ b/include/zinniadoor/daemon/answers.hpp
@@ -32,6 +32,12 @@
 /// HTTP status that suits a reason.
 int statusOf(base::ReasonCode code);
 
+/// Whether a status says that the server failed, not the caller.
+constexpr bool isServerFault(int status)
+{
+    return status >= 500;
+}
+
 /// A refusal with the status that suits its reason.
 ErrorAnswer errorAnswerOf(base::Reason reason, RunState run,
                           absl::Duration retryAfter = absl::ZeroDuration());
--- a/include/zinniadoor/daemon/core.hpp
+++ b/include/zinniadoor/daemon/core.hpp
@@ -54,6 +54,7 @@
         OrderWorker &orders;
         ReportWorker &reports;
         Metrics &metrics;
+        BurnRecorder &burn;
         std::uint64_t seed = 1;
         base::Incarnation incarnation = 0;
     };
--- a/include/zinniadoor/daemon/model_call.hpp
+++ b/include/zinniadoor/daemon/model_call.hpp
@@ -14,6 +14,9 @@
 
 const char *pathOf(ModelCallKind kind);
 
+/// Name of the route in objectives and metrics.
+const char *routeNameOf(ModelCallKind kind);
+
 /// A caller's model call, checked.
 struct ModelCall
 {
--- a/include/zinniadoor/daemon/request.hpp
+++ b/include/zinniadoor/daemon/request.hpp
@@ -12,6 +12,7 @@
 #include "zinniadoor/base/ids.hpp"
 #include "zinniadoor/daemon/answers.hpp"
 #include "zinniadoor/daemon/authenticator.hpp"
+#include "zinniadoor/daemon/burn_recorder.hpp"
 #include "zinniadoor/daemon/call_table.hpp"
 #include "zinniadoor/daemon/metrics.hpp"
 #include "zinniadoor/daemon/settings.hpp"
@@ -50,6 +51,7 @@
     const Settings &settings;
     CallTable &calls;
     Metrics &metrics;
+    BurnRecorder &burn;
     serving::EndpointTable &endpoints;
     serving::Router &router;
     serving::RetryPolicy &retries;
@@ -99,6 +101,13 @@
     RequestServices &services() { return services_; }
     void markDone() { done_ = true; }
 
+    /// "chat", "completions" or a route id.
+    void setRouteName(std::string name) { routeName_ = std::move(name); }
+
+    /// Counts the whole answer, or that it failed for `code`, against the route's objective.
+    void countInTime(absl::Time firstByteAt);
+    void countFault(base::ReasonCode code);
+
     /// Answers with an error and ends the request.
     void refuse(const ErrorAnswer &answer);
 
@@ -108,6 +117,7 @@
     base::RequestId id_;
     Caller caller_;
     absl::Time arrivedAt_;
+    std::string routeName_;
     bool done_ = false;
 };
 
--- a/include/zinniadoor/daemon/request_loop.hpp
+++ b/include/zinniadoor/daemon/request_loop.hpp
@@ -114,6 +114,9 @@
 
     std::optional<ErrorAnswer> cannotTake() const;
     base::RequestId newRequestId();
+
+    /// A request that could not be taken counts against its objective, if its key is valid.
+    void countTurnedAway(const ports::CallerExchange &exchange, base::ReasonCode code);
     const control::Route *findRoute(const std::string &path) const;
     void takeModelCall(AwaitingRate request, ModelCallKind kind);
     void takeServiceCall(AwaitingRate request);
--- a/include/zinniadoor/daemon/service_request.hpp
+++ b/include/zinniadoor/daemon/service_request.hpp
@@ -57,6 +57,8 @@
     bool mayHaveRun_ = false;
     absl::Time notBefore_ = absl::InfinitePast();
     absl::Time sentAt_;
+    absl::Time headAt_;
+    int status_ = 0;
 };
 
 } // namespace zinniadoor::daemon
--- a/src/zinniadoor/daemon/action_request.cpp
+++ b/src/zinniadoor/daemon/action_request.cpp
@@ -43,6 +43,7 @@
     , actions_(actions)
     , route_(std::move(route))
 {
+    setRouteName(route_.id.str());
     facts_.id = this->id();
     facts_.organisation = this->caller().organisation;
     begin();
@@ -222,6 +223,7 @@
         return;
     }
     if (!callerGone_) {
+        countAnswered(action->status);
         exchange()->respond(action->status,
                             { { "Content-Type", action->contentType },
                               { "Zinniadoor-Run", nameOf(RunState::Ran) },
@@ -235,6 +237,7 @@
 {
     state_ = State::Ended;
     if (!callerGone_) {
+        countAnswered(head_.status);
         std::vector<ports::HttpHeader> headers = headersForCaller(head_.headers, id());
         headers.push_back({ "Zinniadoor-Run", nameOf(RunState::Ran) });
         exchange()->respond(head_.status, std::move(headers), body_);
@@ -242,6 +245,14 @@
     markDone();
 }
 
+void ActionRequest::countAnswered(int status)
+{
+    if (isServerFault(status))
+        countFault(base::ReasonCode::Unavailable);
+    else
+        countInTime(services().clock.now());
+}
+
 void ActionRequest::refuseOnce(const ErrorAnswer &answer)
 {
     state_ = State::Ended;
--- a/src/zinniadoor/daemon/admin_handler.cpp
+++ b/src/zinniadoor/daemon/admin_handler.cpp
@@ -50,6 +50,9 @@
         sendText(*exchange, StatusOk, options_.metrics.text());
     else if (path == "/status")
         sendStatus(*exchange);
+    else if (path == "/burn")
+        exchange->respond(StatusOk, { { "Content-Type", "application/json" } },
+                          options_.burn.json());
     else if (path == "/log_level" && exchange->request().method == "PUT")
         setLogLevel(*exchange);
     else
--- a/src/zinniadoor/daemon/core.cpp
+++ b/src/zinniadoor/daemon/core.cpp
@@ -109,8 +109,8 @@
                parts.settings.control.peerSilence })
     , actionKeeper_(control_.self(), {})
     , actionServices_ { control_, actionKeeper_ }
-    , services_ { parts.clock, parts.settings, calls_,   parts.metrics, endpoints_, *router_,
-                  *retries_,   ejection_,      crashes_, usage_,        random_ }
+    , services_ { parts.clock, parts.settings, calls_,    parts.metrics, parts.burn, endpoints_,
+                  *router_,    *retries_,      ejection_, crashes_,      usage_,     random_ }
     , requests_({ services_, *queue_, shares_, *this, *this })
     , poller_({}, parts.clock, calls_, endpoints_)
     , leases_(control_, membership_, leaseTimes(parts.settings.control))
--- a/src/zinniadoor/daemon/daemon.cpp
+++ b/src/zinniadoor/daemon/daemon.cpp
@@ -118,6 +118,7 @@
     explicit RunningDaemon(const Settings &settings)
         : settings_(settings)
         , clock_(base::systemClock())
+        , burn_(*clock_)
         , ring_(CoreRingCapacity)
         , front_(ring_)
         , peerFront_(ring_)
@@ -190,9 +191,9 @@
         instances_ = std::make_unique<InstanceListWorker>(platform, InstanceListInterval, ring_);
         core_ = std::make_unique<Core>(
             Core::Parts { settings_, *clock_, ring_, *endpoints_, *peerLink_, *tail_, *appender_,
-                          *orders_, *reports_, metrics_, randomNumber(), newIncarnation() });
-        admin_ = std::make_unique<AdminHandler>(
-            AdminHandler::Options { metrics_, [this] { return core_->status(); }, settings_.log });
+                          *orders_, *reports_, metrics_, burn_, randomNumber(), newIncarnation() });
+        admin_ = std::make_unique<AdminHandler>(AdminHandler::Options {
+            metrics_, burn_, [this] { return core_->status(); }, settings_.log });
     }
 
     // Later processes have larger numbers as long as the calendar clock does not go back; a
@@ -205,6 +206,7 @@
     const Settings settings_;
     std::unique_ptr<base::Clock> clock_;
     Metrics metrics_;
+    BurnRecorder burn_;
     CoreRing ring_;
     FrontHandler front_;
     PeerFrontHandler peerFront_;
--- a/src/zinniadoor/daemon/model_call.cpp
+++ b/src/zinniadoor/daemon/model_call.cpp
@@ -121,6 +121,11 @@
     return kind == ModelCallKind::Chat ? "/v1/chat/completions" : "/v1/completions";
 }
 
+const char *routeNameOf(ModelCallKind kind)
+{
+    return kind == ModelCallKind::Chat ? "chat" : "completions";
+}
+
 base::Outcome<ModelCall> parseModelCall(ModelCallKind kind, const std::string &body)
 {
     std::optional<Json> document = parseBounded(body);
--- a/src/zinniadoor/daemon/model_request.cpp
+++ b/src/zinniadoor/daemon/model_request.cpp
@@ -74,7 +74,9 @@
     , facts_(std::move(facts))
     , check_(id)
     , waitingSince_(arrivedAt())
-{ }
+{
+    setRouteName(routeNameOf(call_.kind));
+}
 
 ModelRequest::~ModelRequest()
 {
@@ -333,7 +335,7 @@
     const absl::Time now = services().clock.now();
     AnswerFigures figures;
     figures.organisation = caller().organisation;
-    figures.route = call_.kind == ModelCallKind::Chat ? "chat" : "completions";
+    figures.route = routeNameOf(call_.kind);
     figures.firstToken = firstTokenAt_ - arrivedAt();
     figures.total = now - arrivedAt();
     figures.promptTokens = check_.usage() ? check_.usage()->promptTokens : 0;
@@ -342,6 +344,7 @@
     const serving::EndpointView *view = services().endpoints.find(*endpoint_);
     figures.reclaimable = view != nullptr && view->endpoint.reclaimable;
     services().metrics.countAnswer(figures);
+    countInTime(firstTokenAt_);
     services().metrics.countEndpointCall(*endpoint_, true);
     if (call_.stream) {
         beginStreamOnce();
@@ -393,6 +396,7 @@
         exchange()->write(absl::StrCat("data: ", errorBody(reason), "\n\n"));
         exchange()->endStream(false);
         services().metrics.countRefusal(caller().organisation, nameOf(reason.code), true);
+        countFault(reason.code);
         countPartialUse();
         markDone();
         return;
--- a/src/zinniadoor/daemon/request.cpp
+++ b/src/zinniadoor/daemon/request.cpp
@@ -13,8 +13,19 @@
     , arrivedAt_(services.clock.now())
 { }
 
+void Request::countInTime(absl::Time firstByteAt)
+{
+    services_.burn.countAnswer(caller_.organisation, routeName_, firstByteAt - arrivedAt_);
+}
+
+void Request::countFault(base::ReasonCode code)
+{
+    services_.burn.countFault(caller_.organisation, routeName_, code);
+}
+
 void Request::refuse(const ErrorAnswer &answer)
 {
+    countFault(answer.reason.code);
     services_.metrics.countRefusal(caller_.organisation, nameOf(answer.reason.code),
                                    answer.reason.code != base::ReasonCode::InvalidArgument);
     sendError(*exchange_, id_, answer);
--- a/src/zinniadoor/daemon/request_loop.cpp
+++ b/src/zinniadoor/daemon/request_loop.cpp
@@ -90,6 +90,7 @@
     request.id = newRequestId();
     request.exchange = std::move(exchange);
     if (const std::optional<ErrorAnswer> answer = cannotTake()) {
+        countTurnedAway(*request.exchange, answer->reason.code);
         sendError(*request.exchange, request.id, *answer);
         return;
     }
@@ -111,6 +112,22 @@
               errorAnswerOf({ base::ReasonCode::NotFound, "no such path" }, RunState::NotRun));
 }
 
+void RequestLoop::countTurnedAway(const ports::CallerExchange &exchange, base::ReasonCode code)
+{
+    const ports::CallerRequest &raw = exchange.request();
+    const base::Outcome<Caller> caller = authenticator_.authenticate(raw.header("Authorization"));
+    const control::Route *route = findRoute(raw.path);
+    const bool open = route != nullptr && route->open;
+    if (!caller && !open)
+        return;
+    std::string name = route != nullptr ? route->id.str() : "";
+    for (const ModelCallKind kind : { ModelCallKind::Chat, ModelCallKind::Completion }) {
+        if (raw.path == pathOf(kind))
+            name = routeNameOf(kind);
+    }
+    services_.burn.countFault(caller ? caller->organisation : base::OrganisationId(), name, code);
+}
+
 const control::Route *RequestLoop::findRoute(const std::string &path) const
 {
     const control::Route *best = nullptr;
@@ -291,6 +308,7 @@
 void RequestLoop::setConfiguration(const control::Bundle &bundle)
 {
     bundle_ = bundle;
+    services_.burn.setConfiguration(bundle);
     authenticator_.load(bundle);
     services_.endpoints.setModels(bundle.models);
     services_.endpoints.setEndpoints(bundle.endpoints);
--- a/src/zinniadoor/daemon/service_request.cpp
+++ b/src/zinniadoor/daemon/service_request.cpp
@@ -99,6 +99,7 @@
     : Request(services, std::move(exchange), id, std::move(caller))
     , route_(std::move(route))
 {
+    setRouteName(route_.id.str());
     facts_.id = std::move(id);
     facts_.organisation = this->caller().organisation;
     facts_.promptTokens = ServiceCost;
@@ -156,7 +157,9 @@
 void ServiceRequest::onHead(const AnswerHead &head)
 {
     begun_ = true;
+    status_ = head.status;
     const absl::Time now = services().clock.now();
+    headAt_ = now;
     services().ejection.noteSuccess(*endpoint_, now - sentAt_, now);
     exchange()->beginStream(head.status, headersForCaller(head.headers, id()));
 }
@@ -180,6 +183,10 @@
         return;
     }
     leaveEndpoint();
+    if (isServerFault(status_))
+        countFault(base::ReasonCode::Unavailable);
+    else
+        countInTime(headAt_);
     exchange()->endStream(true);
     markDone();
 }
@@ -207,6 +214,7 @@
 void ServiceRequest::endWithFault(const base::Reason &reason, absl::Duration retryAfter)
 {
     if (begun_) {
+        countFault(reason.code);
         exchange()->endStream(false);
         markDone();
         return;
