--- /dev/null
+++ b/spec/property.h
@@ -0,0 +1,48 @@
+/* Every property is an assertion. A run with ONLY checks just the one that is defined with it, so
+ * that a mutant has to break the very property that it is listed for. */
+
+#if !defined(ONLY) || defined(ONLY_oneHolder)
+#define CHECK_oneHolder(x) assert(x)
+#else
+#define CHECK_oneHolder(x) skip
+#endif
+#if !defined(ONLY) || defined(ONLY_epochsAscend)
+#define CHECK_epochsAscend(x) assert(x)
+#else
+#define CHECK_epochsAscend(x) skip
+#endif
+#if !defined(ONLY) || defined(ONLY_noConflictingOrders)
+#define CHECK_noConflictingOrders(x) assert(x)
+#else
+#define CHECK_noConflictingOrders(x) skip
+#endif
+#if !defined(ONLY) || defined(ONLY_senderHadAuthority)
+#define CHECK_senderHadAuthority(x) assert(x)
+#else
+#define CHECK_senderHadAuthority(x) skip
+#endif
+#if !defined(ONLY) || defined(ONLY_sumOfSharesAtMostOne)
+#define CHECK_sumOfSharesAtMostOne(x) assert(x)
+#else
+#define CHECK_sumOfSharesAtMostOne(x) skip
+#endif
+#if !defined(ONLY) || defined(ONLY_runsAtMostOnce)
+#define CHECK_runsAtMostOnce(x) assert(x)
+#else
+#define CHECK_runsAtMostOnce(x) skip
+#endif
+#if !defined(ONLY) || defined(ONLY_notRunIsTrue)
+#define CHECK_notRunIsTrue(x) assert(x)
+#else
+#define CHECK_notRunIsTrue(x) skip
+#endif
+#if !defined(ONLY) || defined(ONLY_sameFigures)
+#define CHECK_sameFigures(x) assert(x)
+#else
+#define CHECK_sameFigures(x) skip
+#endif
+#if !defined(ONLY) || defined(ONLY_countedOnce)
+#define CHECK_countedOnce(x) assert(x)
+#else
+#define CHECK_countedOnce(x) skip
+#endif
