Roles change on drained engines only; suspects run one copy at a time; started answers are told to the policy

Cause: a role order was sent while streams ran, which cuts them on engines that stop for the change; serviceTime, hasStarted and the suspect verdict of the serving package were not wired. Change: an open order drains its engine at every instance, and its sender waits for an idle report. Not measured yet.

--- a/include/zinniadoor/daemon/duty_managers.hpp
+++ b/include/zinniadoor/daemon/duty_managers.hpp
@@ -53,6 +53,7 @@
         OrderWorker &worker;
         serving::EndpointTable &endpoints;
         Metrics &metrics;
+        serving::RolePlanOptions plan;
     };
 
     explicit OrderManager(Parts parts);
@@ -66,12 +67,16 @@
     {
         control::Endpoint endpoint;
         control::OrderKeeper keeper;
-        std::optional<control::WantedOrder> wanted;
+        std::optional<control::WantedOrder> wanted = std::nullopt;
+        absl::Time openSince = absl::InfiniteFuture(); ///< An order is open, as read in the log.
+        bool sent = false; ///< The open order of this instance was given to the worker.
     };
 
     const control::LeaseKeeper *leaseOf(const base::DataCentreId &dataCentre) const;
     void plan(const TokenDemand &demand, absl::Time now);
     void step(Planned &planned, absl::Time now);
+    void drainWhileOpen(Planned &planned, absl::Time now);
+    bool isDrained(const Planned &planned, absl::Time now) const;
     bool isOpen(const base::EndpointId &endpoint) const;
 
     Parts parts_;
--- a/include/zinniadoor/daemon/request_loop.hpp
+++ b/include/zinniadoor/daemon/request_loop.hpp
@@ -129,6 +129,7 @@
     void expireQueue(absl::Time now);
     void restartBroken(absl::Time now);
     void startQueued(absl::Time now);
+    bool mustWaitForCopy(const serving::RequestFacts &facts, absl::Time now) const;
     void probeDoubted();
     void onProbed(const base::EndpointId &endpoint, ProbeResult result);
     void updateWeights(absl::Time now);
--- a/include/zinniadoor/daemon/settings.hpp
+++ b/include/zinniadoor/daemon/settings.hpp
@@ -56,6 +56,14 @@
     std::int64_t snapshotEveryRecords = 0;
 };
 
+/// How engines' roles are planned.
+struct RoleSettings
+{
+    absl::Duration changeTime; ///< Engine time lost by one change.
+    absl::Duration dwell; ///< Least time between changes of one engine.
+    absl::Duration horizon; ///< Time for which a change has to pay.
+};
+
 struct PlatformSettings
 {
     std::string url; ///< http://IP:port
@@ -74,6 +82,7 @@
     PlatformSettings platform;
     LimitSettings limits;
     ControlSettings control;
+    RoleSettings roles;
     base::LogOptions log;
 };
 
--- a/src/zinniadoor/daemon/core.cpp
+++ b/src/zinniadoor/daemon/core.cpp
@@ -70,6 +70,15 @@
     return times;
 }
 
+serving::RolePlanOptions rolePlanOptions(const RoleSettings &settings)
+{
+    serving::RolePlanOptions options;
+    options.changeTime = settings.changeTime;
+    options.dwell = settings.dwell;
+    options.horizon = settings.horizon;
+    return options;
+}
+
 /// Who sent a message, as it says itself.
 base::InstanceId senderOf(const control::PeerMessage &message)
 {
@@ -119,7 +128,8 @@
     , leases_(control_, membership_, leaseTimes(parts.settings.control))
     , reports_(control_, leases_, parts.reports, parts.metrics,
                parts.settings.control.lease - parts.settings.control.leaseMargin)
-    , orders_({ control_, leases_, parts.orders, endpoints_, parts.metrics })
+    , orders_({ control_, leases_, parts.orders, endpoints_, parts.metrics,
+                rolePlanOptions(parts.settings.roles) })
     , snapshots_(control_, leases_,
                  static_cast<base::Offset>(parts.settings.control.snapshotEveryRecords))
     , transfer_({ parts.clock, control_, messenger_, parts.settings })
@@ -262,6 +272,10 @@
         if (endpoints_.find(endpoint) == nullptr)
             continue;
         const bool leaving = listed.state == ports::InstanceState::Leaving;
+        const bool changingRole
+            = endpoints_.find(endpoint)->state == serving::EndpointState::Draining;
+        if (changingRole && !leaving)
+            continue;
         endpoints_.setState(
             endpoint, leaving ? serving::EndpointState::Leaving : serving::EndpointState::Live);
     }
--- a/src/zinniadoor/daemon/daemon.cpp
+++ b/src/zinniadoor/daemon/daemon.cpp
@@ -85,6 +85,8 @@
     options.connectionLimit = settings.limits.connections;
     options.idleTimeout = settings.limits.idleTimeout;
     options.requestTimeout = settings.limits.requestTimeout;
+    // The source pauses at pendingBytesPerStream; what is on its way by then still has to fit.
+    options.maxPendingBytes = 2 * settings.limits.pendingBytesPerStream + adapters::MebiByte;
     return options;
 }
 
--- a/src/zinniadoor/daemon/duty_managers.cpp
+++ b/src/zinniadoor/daemon/duty_managers.cpp
@@ -12,6 +12,9 @@
 
 constexpr absl::Duration PlanInterval = absl::Seconds(1);
 
+/// After this long every instance has read an order that was opened, and told of its last work.
+constexpr absl::Duration NewsDelay = absl::Seconds(2);
+
 } // namespace
 
 ReportManager::ReportManager(ControlLoop &control, const LeaseManager &leases, ReportWorker &worker,
@@ -57,7 +60,7 @@
 
 OrderManager::OrderManager(Parts parts)
     : parts_(parts)
-    , planner_(serving::forecastRolePlanner({}))
+    , planner_(serving::forecastRolePlanner(parts.plan))
 { }
 
 void OrderManager::setConfiguration(const control::Bundle &bundle)
@@ -75,7 +78,7 @@
             continue;
         }
         control::OrderKeeper keeper(endpoint.id, endpoint.dataCentre, parts_.control.self(), {});
-        planned.emplace(endpoint.id, Planned { endpoint, std::move(keeper), std::nullopt });
+        planned.emplace(endpoint.id, Planned { endpoint, std::move(keeper) });
     }
     planned_ = std::move(planned);
     prefillPace_ = 0;
@@ -105,8 +108,41 @@
         nextPlanAt_ = now + PlanInterval;
         plan(demand, now);
     }
-    for (auto &[id, planned] : planned_)
+    for (auto &[id, planned] : planned_) {
+        drainWhileOpen(planned, now);
         step(planned, now);
+    }
+}
+
+// Every instance sees the open order in the log and sends the engine nothing new, so that its
+// streams run out before the role changes.
+void OrderManager::drainWhileOpen(Planned &planned, absl::Time now)
+{
+    const base::EndpointId &id = planned.endpoint.id;
+    const serving::EndpointView *view = parts_.endpoints.find(id);
+    if (view == nullptr)
+        return;
+    const bool open = isOpen(id);
+    if (!open) {
+        planned.openSince = absl::InfiniteFuture();
+        if (view->state == serving::EndpointState::Draining)
+            parts_.endpoints.setState(id, serving::EndpointState::Live);
+        return;
+    }
+    planned.openSince = std::min(planned.openSince, now);
+    if (view->state == serving::EndpointState::Live)
+        parts_.endpoints.setState(id, serving::EndpointState::Draining);
+}
+
+bool OrderManager::isDrained(const Planned &planned, absl::Time now) const
+{
+    const serving::EndpointView *view = parts_.endpoints.find(planned.endpoint.id);
+    if (view == nullptr || now - planned.openSince < NewsDelay)
+        return false;
+    const bool idleHere = view->own.requests == 0 && view->peers.requests == 0;
+    const bool reportedIdle = view->report && view->report->takenAt > planned.openSince + NewsDelay
+        && view->report->running == 0 && view->report->waiting == 0;
+    return idleHere && reportedIdle;
 }
 
 void OrderManager::plan(const TokenDemand &demand, absl::Time now)
@@ -158,6 +194,13 @@
             parts_.endpoints.setRole(planned.endpoint.id, *role, now);
         planned.wanted.reset();
     }
+    // The keeper gives an order out to be sent at once, so it is asked only when that cuts nobody.
+    const bool ownOpen
+        = slots != nullptr && slots->open && slots->open->sender == parts_.control.self();
+    if (ownOpen && !planned.sent && !isDrained(planned, now))
+        return;
+    if (!ownOpen)
+        planned.sent = false;
     const control::OrderStep next
         = planned.keeper.next(parts_.control.state(), *lease, planned.wanted, now);
     if (next.record)
@@ -165,6 +208,7 @@
     if (next.send) {
         ports::EndpointOrder order = *next.send;
         order.address = planned.endpoint.address;
+        planned.sent = true;
         parts_.worker.send({ order, lease->mayActUntil() });
     }
 }
--- a/src/zinniadoor/daemon/model_request.cpp
+++ b/src/zinniadoor/daemon/model_request.cpp
@@ -302,6 +302,8 @@
     failed.attempts = attemptsWithoutProgress_;
     failed.mayHaveRun = lastMayHaveRun_;
     failed.idempotent = true;
+    failed.hasStarted = check_.nextOffset() > 0;
+    failed.serviceTime = facts_.serviceTime;
     if (firstTokenAt_ == absl::InfinitePast())
         failed.deadline = facts_.deadline;
     const serving::RetryDecision decision
@@ -311,6 +313,7 @@
         return;
     }
     notBefore_ = now + decision.backoff;
+    facts_.hasStarted = check_.nextOffset() > 0;
     waitingSince_ = now;
     state_ = State::Waiting;
 }
--- a/src/zinniadoor/daemon/request_loop.cpp
+++ b/src/zinniadoor/daemon/request_loop.cpp
@@ -261,6 +261,9 @@
         deadline = now + services_.settings.limits.defaultDeadline;
     serving::RequestFacts facts
         = factsOf(*request.call, request.id, request.caller.organisation, deadline);
+    const double pace = services_.endpoints.model(facts.model).prefillTokensPerSecond;
+    if (pace > 0)
+        facts.serviceTime = absl::Seconds(facts.promptTokens / pace);
     const double perSecond = 1 / absl::ToDoubleSeconds(DemandWindow);
     demand_.prefillPerSecond += facts.promptTokens * perSecond;
     demand_.decodePerSecond += facts.maxOutputTokens * perSecond;
@@ -388,6 +391,8 @@
     for (auto &[id, request] : modelRequests_) {
         if (request->isDone() || !request->hasStarted() || !request->needsEndpoint(now))
             continue;
+        if (mustWaitForCopy(request->facts(), now))
+            continue;
         serving::RouteQuery query(request->facts());
         query.excluded = request->failedOn();
         serving::RouteChoice choice
@@ -404,10 +409,20 @@
     }
 }
 
+bool RequestLoop::mustWaitForCopy(const serving::RequestFacts &facts, absl::Time now) const
+{
+    // A body that was in flight on a crash runs one copy at a time, so that copies sent at once
+    // cannot take down an endpoint each.
+    return services_.crashes.verdict(facts.bodyDigest, now) == serving::CrashVerdict::Suspect
+        && services_.crashes.copiesInFlight(facts.bodyDigest) > 0;
+}
+
 void RequestLoop::startQueued(absl::Time now)
 {
     std::optional<base::EndpointId> chosen;
     const auto canStart = [&](const serving::RequestFacts &facts) {
+        if (mustWaitForCopy(facts, now))
+            return false;
         const serving::RouteQuery query(facts);
         chosen
             = services_.router.choose(query, services_.endpoints, now, services_.random()).endpoint;
--- a/src/zinniadoor/daemon/settings.cpp
+++ b/src/zinniadoor/daemon/settings.cpp
@@ -133,6 +133,19 @@
     return control;
 }
 
+RoleSettings readRoles(YamlReader reader)
+{
+    RoleSettings roles;
+    roles.changeTime = reader.durationOr("change_time", absl::Milliseconds(10), absl::Minutes(10),
+                                         absl::Seconds(5));
+    roles.dwell
+        = reader.durationOr("dwell", absl::Milliseconds(100), absl::Hours(1), absl::Seconds(30));
+    roles.horizon
+        = reader.durationOr("horizon", absl::Seconds(1), absl::Hours(1), absl::Seconds(30));
+    reader.finish();
+    return roles;
+}
+
 base::LogOptions readLog(YamlReader reader, const base::InstanceId &instance)
 {
     base::LogOptions options;
@@ -195,6 +208,7 @@
         settings.platform = readPlatform(root->mapping("platform"));
         settings.limits = readLimits(root->mapping("limits", false));
         settings.control = readControl(root->mapping("control", false));
+        settings.roles = readRoles(root->mapping("roles", false));
         settings.log = readLog(root->mapping("log", false), settings.instance);
         root->finish();
     }
