--- a/include/zinniadoor/daemon/core.hpp
+++ b/include/zinniadoor/daemon/core.hpp
@@ -130,7 +130,6 @@
     absl::Time lastPeerHeard_ = absl::InfinitePast();
     absl::Time nextPeerTick_ = absl::InfinitePast();
     bool draining_ = false;
-    bool handingOver_ = false;
     bool saidStopped_ = false;
     std::atomic<bool> stopping_ { false };
     mutable absl::Mutex statusMutex_;
--- a/src/zinniadoor/daemon/action_request.cpp
+++ b/src/zinniadoor/daemon/action_request.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 constexpr std::size_t MostKeyBytes = 255;
-constexpr std::size_t MostAnswerBytes = 4 * 1024 * 1024;
+constexpr std::size_t MostAnswerBytes = 4UL * 1024 * 1024;
 constexpr int StatusUnprocessable = 422;
 constexpr absl::Duration AskAgain = absl::Seconds(1);
 
--- a/src/zinniadoor/daemon/model_call.cpp
+++ b/src/zinniadoor/daemon/model_call.cpp
@@ -13,7 +13,7 @@
 using Json = nlohmann::json;
 
 constexpr int MostNesting = 64;
-constexpr std::int64_t MostDeadlineMilliseconds = 3600 * 1000;
+constexpr std::int64_t MostDeadlineMilliseconds = 3'600'000;
 
 base::Reason invalid(const std::string &text)
 {
--- a/tests/e2e/cluster.cpp
+++ b/tests/e2e/cluster.cpp
@@ -17,8 +17,6 @@
 
 using Json = nlohmann::json;
 
-constexpr const char *OperatorId = "ama";
-
 /// A port free for both UDP and TCP now; the system hands out others first for a while.
 std::uint16_t freePort()
 {
--- a/tests/e2e/cluster.hpp
+++ b/tests/e2e/cluster.hpp
@@ -11,6 +11,9 @@
 
 namespace zinniadoor::e2e {
 
+/// The one operator of a cluster.
+constexpr const char *OperatorId = "ama";
+
 /// An organisation of a test and the secret key of its caller.
 struct TestOrganisation
 {
@@ -47,6 +50,8 @@
         return organisations_.at(index);
     }
 
+    const control::KeyPair &operatorKey() const { return operatorKey_; }
+
     /// Starts the daemon's process anew, at the same addresses.
     void restartDaemon(std::size_t index);
 
