--- a/include/zinniadoor/control/membership.hpp
+++ b/include/zinniadoor/control/membership.hpp
@@ -47,6 +47,8 @@
 struct OwnStatus
 {
     std::uint64_t bundleVersion = 0;
+    float prefillDemand = 0; ///< Tokens a second that callers ask for.
+    float decodeDemand = 0;
     base::Offset logOffset = 0;
     bool draining = false;
     std::map<base::EndpointId, std::uint16_t> inFlight;
@@ -61,6 +63,8 @@
     std::uint32_t sequence = 0;
     std::uint64_t bundleVersion = 0; ///< Known from its own heartbeats only.
     base::Offset logOffset = 0; ///< Likewise.
+    float prefillDemand = 0; ///< Likewise.
+    float decodeDemand = 0; ///< Likewise.
     bool draining = false;
     absl::Time heardAt; ///< Of it, directly or passed on.
     absl::Time heardDirectlyAt = absl::InfinitePast();
--- a/include/zinniadoor/control/peer_messages.hpp
+++ b/include/zinniadoor/control/peer_messages.hpp
@@ -72,6 +72,8 @@
     std::uint64_t bundleVersion = 0;
     base::Offset logOffset = 0; ///< Last one applied.
     bool draining = false; ///< Takes no new work.
+    float prefillDemand = 0; ///< Tokens a second that callers of the sender ask for.
+    float decodeDemand = 0;
     std::vector<MemberNews> members;
     std::vector<EndpointInFlight> inFlight;
     std::vector<std::uint64_t> crashDigests;
@@ -81,7 +83,7 @@
     void serialize(Archive &archive)
     {
         archive(instance, incarnation, sequence, dataCentre, bundleVersion, logOffset, draining,
-                members, inFlight, crashDigests, organisations);
+                prefillDemand, decodeDemand, members, inFlight, crashDigests, organisations);
     }
 };
 
--- a/include/zinniadoor/daemon/core.hpp
+++ b/include/zinniadoor/daemon/core.hpp
@@ -89,6 +89,7 @@
     void tick(absl::Time now);
     void tickPeers(absl::Time now);
     void tickDuties(absl::Time now);
+    TokenDemand fleetDemand(absl::Time now);
     void tickStop(absl::Time now);
     void learnPeers(absl::Time now);
     void setScopes(const control::Bundle &bundle);
--- a/include/zinniadoor/daemon/share_manager.hpp
+++ b/include/zinniadoor/daemon/share_manager.hpp
@@ -58,7 +58,7 @@
     /// Demand and spare for heartbeats.
     std::vector<control::OrganisationLoad> loads(std::size_t maxCount, absl::Time now)
     {
-        return shares_.loads(maxCount, now);
+        return shares_ ? shares_->loads(maxCount, now) : std::vector<control::OrganisationLoad> {};
     }
 
 private:
@@ -68,9 +68,9 @@
     void planSlots(absl::Time now);
 
     Parts parts_;
-    control::RateShares shares_;
+    std::unique_ptr<control::RateShares> shares_; ///< Null before the first configuration.
     control::VouchKeeper vouches_;
-    std::unique_ptr<control::ShareKeeper> slots_; ///< Null before the first configuration.
+    std::unique_ptr<control::ShareKeeper> slots_; ///< Likewise.
     std::uint32_t slotCount_ = 0;
     base::Offset toldFrame_ = 0;
     absl::Time nextUpkeepAt_ = absl::InfinitePast();
--- a/src/zinniadoor/control/membership.cpp
+++ b/src/zinniadoor/control/membership.cpp
@@ -174,6 +174,8 @@
     heartbeat.dataCentre = options_.dataCentre;
     heartbeat.bundleVersion = own.bundleVersion;
     heartbeat.logOffset = own.logOffset;
+    heartbeat.prefillDemand = own.prefillDemand;
+    heartbeat.decodeDemand = own.decodeDemand;
     heartbeat.draining = own.draining;
     for (auto it = crashes_.begin(); it != crashes_.end();)
         it = now - it->second.at > CrashKept ? crashes_.erase(it) : std::next(it);
@@ -248,6 +250,8 @@
         view.heardAt = now;
         view.bundleVersion = heartbeat.bundleVersion;
         view.logOffset = heartbeat.logOffset;
+        view.prefillDemand = heartbeat.prefillDemand;
+        view.decodeDemand = heartbeat.decodeDemand;
         view.draining = heartbeat.draining;
         for (const EndpointInFlight &report : heartbeat.inFlight)
             member.reports[report.endpoint] = Report { report.inFlight, now };
--- a/src/zinniadoor/daemon/core.cpp
+++ b/src/zinniadoor/daemon/core.cpp
@@ -327,6 +327,9 @@
     own.bundleVersion = control_.state().configuration().version();
     own.logOffset = control_.state().appliedThrough();
     own.draining = draining_;
+    const TokenDemand demand = requests_.demand(now);
+    own.prefillDemand = static_cast<float>(demand.prefillPerSecond);
+    own.decodeDemand = static_cast<float>(demand.decodePerSecond);
     for (const serving::PeerLoad &load : endpoints_.ownLoads())
         own.inFlight[load.endpoint] = static_cast<std::uint16_t>(
             std::clamp<std::int64_t>(load.work.requests, 0, UINT16_MAX));
@@ -341,10 +344,33 @@
 {
     leases_.tick(now);
     reports_.tick(now, parts_.clock.wallTime());
-    orders_.tick(requests_.demand(now), now);
+    orders_.tick(fleetDemand(now), now);
     snapshots_.tick();
 }
 
+TokenDemand Core::fleetDemand(absl::Time now)
+{
+    TokenDemand demand = requests_.demand(now);
+    const std::vector<base::InstanceId> peers = membership_.present(now);
+    std::size_t heard = 0;
+    TokenDemand ofPeers;
+    for (const base::InstanceId &peer : peers) {
+        const control::MemberView *view = membership_.find(peer);
+        if (view == nullptr || view->heardDirectlyAt == absl::InfinitePast())
+            continue;
+        ++heard;
+        ofPeers.prefillPerSecond += view->prefillDemand;
+        ofPeers.decodePerSecond += view->decodeDemand;
+    }
+    if (heard == 0)
+        return demand;
+    // In a large group not every peer is heard directly; the others are taken to be alike.
+    const double scale = static_cast<double>(peers.size()) / static_cast<double>(heard);
+    demand.prefillPerSecond += ofPeers.prefillPerSecond * scale;
+    demand.decodePerSecond += ofPeers.decodePerSecond * scale;
+    return demand;
+}
+
 void Core::tickStop(absl::Time now)
 {
     if (!draining_)
--- a/src/zinniadoor/daemon/share_manager.cpp
+++ b/src/zinniadoor/daemon/share_manager.cpp
@@ -10,11 +10,12 @@
 constexpr absl::Duration UpkeepInterval = absl::Milliseconds(100);
 constexpr absl::Duration PlanInterval = absl::Milliseconds(250);
 
-control::RateSharesOptions shareOptions(const ShareManager::Parts &parts)
+control::RateSharesOptions shareOptions(const ShareManager::Parts &parts, std::uint32_t slots)
 {
     control::RateSharesOptions options;
     options.instance = parts.control.self().instance;
     options.incarnation = parts.control.self().incarnation;
+    options.shareSlots = slots;
     options.seed = parts.seed;
     return options;
 }
@@ -23,13 +24,14 @@
 
 ShareManager::ShareManager(Parts parts)
     : parts_(std::move(parts))
-    , shares_(shareOptions(parts_))
     , vouches_(parts_.control.self(), parts_.timing)
 { }
 
 control::Admission ShareManager::admit(const base::OrganisationId &organisation, absl::Time now)
 {
-    control::Admission admission = shares_.admit(organisation, RequestCost, now);
+    if (!shares_)
+        return {};
+    control::Admission admission = shares_->admit(organisation, RequestCost, now);
     for (const control::Outgoing &message : admission.effects.messages)
         parts_.messenger.send(message);
     admission.effects.messages.clear();
@@ -38,7 +40,8 @@
 
 void ShareManager::cancel(control::Ticket ticket)
 {
-    shares_.cancel(ticket);
+    if (shares_)
+        shares_->cancel(ticket);
 }
 
 void ShareManager::run(const control::Effects &effects)
@@ -55,10 +58,11 @@
     // refuses bundles that change it.
     if (!slots_) {
         slotCount_ = bundle.shareSlots;
+        shares_ = std::make_unique<control::RateShares>(shareOptions(parts_, slotCount_));
         slots_ = std::make_unique<control::ShareKeeper>(parts_.control.self(), slotCount_,
                                                         parts_.timing);
     }
-    shares_.setOrganisations(bundle.organisations, now);
+    shares_->setOrganisations(bundle.organisations, now);
     useSlots(now);
 }
 
@@ -96,8 +100,8 @@
 {
     if (!slots_)
         return;
-    shares_.setLostPeers(parts_.membership.lost(now));
-    slots_->useSlots(parts_.control.state().leases(), vouches_.mayUseUntil(), shares_, now);
+    shares_->setLostPeers(parts_.membership.lost(now));
+    slots_->useSlots(parts_.control.state().leases(), vouches_.mayUseUntil(), *shares_, now);
 }
 
 void ShareManager::onMessage(const base::InstanceId &from, const control::PeerMessage &message,
@@ -111,12 +115,14 @@
         vouches_.onAnswer(from, *answer, now);
         return;
     }
-    run(shares_.onMessage(from, message, now));
+    if (shares_)
+        run(shares_->onMessage(from, message, now));
 }
 
 void ShareManager::tick(absl::Time now)
 {
-    run(shares_.tick(now));
+    if (shares_)
+        run(shares_->tick(now));
     if (now < nextUpkeepAt_)
         return;
     nextUpkeepAt_ = now + UpkeepInterval;
@@ -138,7 +144,7 @@
     nextPlanAt_ = now + PlanInterval;
     const control::State &state = parts_.control.state();
     const std::vector<control::Record> records = slots_->plan(
-        state.instances(), state.leases(), parts_.membership.present(now), shares_, now);
+        state.instances(), state.leases(), parts_.membership.present(now), *shares_, now);
     for (const control::Record &record : records)
         parts_.control.append(record);
 }
@@ -149,7 +155,7 @@
         return;
     stopping_ = true;
     if (slots_)
-        slots_->stop(shares_);
+        slots_->stop(*shares_);
     for (const control::VouchWithdrawn &withdrawal : vouches_.withdrawAll())
         parts_.control.append(withdrawal);
 }
@@ -158,7 +164,7 @@
 {
     if (!stopping_)
         return false;
-    return !slots_ || slots_->hasStopped(parts_.control.state().leases(), shares_, now);
+    return !slots_ || slots_->hasStopped(parts_.control.state().leases(), *shares_, now);
 }
 
 } // namespace zinniadoor::daemon
--- a/tests/e2e/orders_test.cpp
+++ b/tests/e2e/orders_test.cpp
@@ -42,8 +42,8 @@
         BOOST_REQUIRE(cluster.waitUntilReady());
         for (std::size_t i = 0; i < 3; ++i)
             BOOST_REQUIRE(waitUntil([&] { return ask(i, 2); }));
-        for (std::size_t i = 0; i < 3; ++i)
-            callers.emplace_back([this, i] { demandDecode(i); });
+        for (std::size_t i = 0; i < 24; ++i)
+            callers.emplace_back([this, i] { demandDecode(i % 3); });
     }
 
     ~OrdersFixture()
