Orders and releases hold to the models: five departures mended

Cause: reading the daemon against the Promela models (docs/MODEL.md) showed that it (1) sent an open order to the address listed now, (2) forgot a sent order while its endpoint was unlisted, (3) said InstanceStopped while a worker could still hold an order, (4) released a lease while a worker held a checked order or report, (5) forgot its own release when a scope came back. Change: the slot's own address is used; keepers outlive their listing; a planned stop first stops sending, waits for the workers, then releases; leases of scopes no longer wanted stay with their holder. Ruled out: relying on the guard alone (it is armed for the old end of the lease). The mutants of the models show the consequences; tests of the daemon itself for these five are still to be written.

--- a/include/zinniadoor/daemon/core.hpp
+++ b/include/zinniadoor/daemon/core.hpp
@@ -131,6 +131,7 @@
     absl::Time lastPeerHeard_ = absl::InfinitePast();
     absl::Time nextPeerTick_ = absl::InfinitePast();
     bool draining_ = false;
+    bool releasedLeases_ = false;
     bool saidStopped_ = false;
     std::atomic<bool> stopping_ { false };
     mutable absl::Mutex statusMutex_;
--- a/include/zinniadoor/daemon/duty_managers.hpp
+++ b/include/zinniadoor/daemon/duty_managers.hpp
@@ -33,12 +33,20 @@
     void tick(absl::Time now, absl::Time wallTime);
     void onEnded(const ReportEnded &ended, absl::Time now);
 
+    /// Sends nothing more; for a planned stop.
+    void stop() { stopping_ = true; }
+
+    /// No report is with the worker, which may hold one that passed its check.
+    bool isIdle() const { return reportsOut_ == 0; }
+
 private:
     ControlLoop &control_;
     const LeaseManager &leases_;
     ReportWorker &worker_;
     Metrics &metrics_;
     std::vector<control::ReportKeeper> keepers_; ///< By shard.
+    int reportsOut_ = 0;
+    bool stopping_ = false;
 };
 
 /// Plans roles and sends orders for the data centres whose lease this instance holds.
@@ -62,6 +70,12 @@
     void tick(const TokenDemand &demand, absl::Time now);
     void onEnded(const OrderEnded &ended, absl::Time now);
 
+    /// Sends nothing more; for a planned stop.
+    void stop() { stopping_ = true; }
+
+    /// No order is with the worker, which may hold one that passed its check.
+    bool isIdle() const { return ordersOut_ == 0; }
+
 private:
     struct Planned
     {
@@ -69,6 +83,7 @@
         control::OrderKeeper keeper;
         std::optional<control::WantedOrder> wanted = std::nullopt;
         absl::Time openSince = absl::InfiniteFuture(); ///< An order is open, as read in the log.
+        bool isListed = true; ///< In the configuration in force.
         bool sent = false; ///< The open order of this instance was given to the worker.
     };
 
@@ -82,6 +97,8 @@
     Parts parts_;
     std::unique_ptr<serving::RolePlanner> planner_;
     std::map<base::EndpointId, Planned> planned_;
+    int ordersOut_ = 0;
+    bool stopping_ = false;
     double prefillPace_ = 0;
     double decodePace_ = 0;
     absl::Time nextPlanAt_ = absl::InfinitePast();
--- a/include/zinniadoor/daemon/lease_manager.hpp
+++ b/include/zinniadoor/daemon/lease_manager.hpp
@@ -32,7 +32,10 @@
     /// Null for a scope that was not set.
     const control::LeaseKeeper *find(const std::string &scope) const;
 
-    /// Gives all leases up; for a planned stop.
+    /// Claims nothing more; for a planned stop.
+    void stopClaiming() { stopping_ = true; }
+
+    /// Gives all leases up. Only once no worker holds anything to send under them.
     void releaseAll();
     bool holdsAny() const;
 
@@ -43,6 +46,7 @@
     const control::Membership &membership_;
     control::LeaseTimes times_;
     std::map<std::string, control::LeaseKeeper> keepers_;
+    std::set<std::string> wanted_;
     std::set<std::string> held_; ///< For the log of gains and losses.
     absl::Time nextClaimAt_ = absl::InfinitePast();
     bool stopping_ = false;
--- a/src/zinniadoor/daemon/core.cpp
+++ b/src/zinniadoor/daemon/core.cpp
@@ -298,7 +298,9 @@
     draining_ = true;
     base::logEvent(base::EventId::DaemonStopping, {});
     requests_.drain();
-    leases_.releaseAll();
+    leases_.stopClaiming();
+    orders_.stop();
+    reports_.stop();
     shares_.beginRelease();
 }
 
@@ -375,7 +377,13 @@
 {
     if (!draining_)
         return;
-    const bool handedOver = requests_.size() == 0 && usage_.isIdle() && shares_.isReleased(now);
+    const bool nothingOut = orders_.isIdle() && reports_.isIdle();
+    if (nothingOut && !releasedLeases_) {
+        releasedLeases_ = true;
+        leases_.releaseAll();
+    }
+    const bool handedOver
+        = nothingOut && requests_.size() == 0 && usage_.isIdle() && shares_.isReleased(now);
     if (!handedOver || saidStopped_)
         return;
     saidStopped_ = true;
--- a/src/zinniadoor/daemon/duty_managers.cpp
+++ b/src/zinniadoor/daemon/duty_managers.cpp
@@ -34,6 +34,8 @@
 
 void ReportManager::tick(absl::Time now, absl::Time wallTime)
 {
+    if (stopping_)
+        return;
     for (std::uint32_t shard = 0; shard < control::UsageShards; ++shard) {
         const control::LeaseKeeper *lease = leases_.find(control::usageScope(shard));
         if (lease == nullptr || !lease->holds())
@@ -44,7 +46,9 @@
             control_.append(*step.record);
         if (!step.report)
             continue;
-        if (!worker_.send({ *step.report, lease->mayActUntil() })) {
+        if (worker_.send({ *step.report, lease->mayActUntil() })) {
+            ++reportsOut_;
+        } else {
             const base::Reason full { base::ReasonCode::Unavailable, "too many reports wait" };
             keepers_[shard].onReported(*step.report, full, now);
         }
@@ -53,6 +57,7 @@
 
 void ReportManager::onEnded(const ReportEnded &ended, absl::Time now)
 {
+    --reportsOut_;
     const std::uint32_t shard = control::usageShardOf(ended.report.organisation);
     keepers_[shard].onReported(ended.report, ended.status, now);
     metrics_.countUsageReport(ended.status ? "ok" : nameOf(ended.status.lastReason().code));
@@ -74,12 +79,20 @@
         const auto old = planned_.find(endpoint.id);
         if (old != planned_.end()) {
             old->second.endpoint = endpoint;
+            old->second.isListed = true;
             planned.insert(planned_.extract(old));
             continue;
         }
         control::OrderKeeper keeper(endpoint.id, endpoint.dataCentre, parts_.control.self(), {});
         planned.emplace(endpoint.id, Planned { endpoint, std::move(keeper) });
     }
+    // What was sent to an endpoint is remembered while it is unlisted, so that its open slot is
+    // never sent a second time when it comes back.
+    for (auto &[id, old] : planned_) {
+        old.isListed = false;
+        old.wanted.reset();
+        planned.emplace(id, std::move(old));
+    }
     planned_ = std::move(planned);
     prefillPace_ = 0;
     decodePace_ = 0;
@@ -109,6 +122,8 @@
         plan(demand, now);
     }
     for (auto &[id, planned] : planned_) {
+        if (!planned.isListed || stopping_)
+            continue;
         drainWhileOpen(planned, now);
         step(planned, now);
     }
@@ -156,7 +171,7 @@
     inputs.decodePace = decodePace_;
     for (const auto &[id, planned] : planned_) {
         const serving::EndpointView *view = parts_.endpoints.find(id);
-        if (view == nullptr)
+        if (view == nullptr || !planned.isListed)
             continue;
         serving::PlannedEngine engine;
         engine.id = id;
@@ -207,14 +222,18 @@
         parts_.control.append(*next.record);
     if (next.send) {
         ports::EndpointOrder order = *next.send;
-        order.address = planned.endpoint.address;
+        // The address is the one of the open slot: if the endpoint has moved since, the order must
+        // not reach its successor.
+        order.address = slots->open->address;
         planned.sent = true;
-        parts_.worker.send({ order, lease->mayActUntil() });
+        if (parts_.worker.send({ order, lease->mayActUntil() }))
+            ++ordersOut_;
     }
 }
 
 void OrderManager::onEnded(const OrderEnded &ended, absl::Time)
 {
+    --ordersOut_;
     const auto found = planned_.find(ended.order.endpoint);
     if (found == planned_.end())
         return;
--- a/src/zinniadoor/daemon/lease_manager.cpp
+++ b/src/zinniadoor/daemon/lease_manager.cpp
@@ -24,18 +24,11 @@
 
 void LeaseManager::setScopes(const std::vector<std::string> &scopes)
 {
-    const std::set<std::string> wanted(scopes.begin(), scopes.end());
+    wanted_ = std::set<std::string>(scopes.begin(), scopes.end());
+    // A scope no longer wanted stays with its holder: a release could overtake an order that a
+    // worker has checked, and a keeper that forgot its release could take itself for the holder.
     for (const std::string &scope : scopes)
         keepers_.try_emplace(scope, scope, control_.self(), times_);
-    for (auto keeper = keepers_.begin(); keeper != keepers_.end();) {
-        if (wanted.count(keeper->first) > 0) {
-            ++keeper;
-            continue;
-        }
-        if (const auto release = keeper->second.releaseLease())
-            control_.append(*release);
-        keeper = keepers_.erase(keeper);
-    }
 }
 
 void LeaseManager::onApplied(absl::Time readAt)
@@ -83,7 +76,7 @@
     for (auto &[scope, keeper] : keepers_) {
         // One candidate at a time keeps useless claims out of the log; the log's order decides
         // if two instances see different candidates.
-        if (keeper.holds() || !isPreferred(scope, live))
+        if (keeper.holds() || wanted_.count(scope) == 0 || !isPreferred(scope, live))
             continue;
         if (const auto claim = keeper.claimLease(control_.state(), now))
             control_.append(*claim);
@@ -98,7 +91,6 @@
 
 void LeaseManager::releaseAll()
 {
-    stopping_ = true;
     for (auto &[scope, keeper] : keepers_) {
         if (const auto release = keeper.releaseLease())
             control_.append(*release);
