--- a/tests/e2e/tool_test.cpp
+++ b/tests/e2e/tool_test.cpp
@@ -122,7 +122,7 @@
     cluster.daemon(1).process->thaw();
     BOOST_TEST((code == ExitCode::Partial));
     BOOST_TEST(printed.find("in effect from offset ") != std::string::npos);
-    BOOST_TEST(complaints.find("not confirmed by ") != std::string::npos);
+    BOOST_TEST(complaints.find("not confirmed by entry-1: ") != std::string::npos);
     BOOST_TEST(cluster.waitForStatus(0, "bundle_version", "2"));
     BOOST_TEST(cluster.waitForStatus(1, "bundle_version", "2"));
     BOOST_TEST(
