--- a/include/zinniadoor/daemon/core_messages.hpp
+++ b/include/zinniadoor/daemon/core_messages.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <variant>
@@ -100,4 +101,8 @@
 
 using CoreRing = base::Ring<CoreMessage>;
 
+/// Pushes from another thread, waiting for room until `giveUp` is true. The core never waits for
+/// other threads, so this cannot deadlock.
+void pushWaiting(CoreRing &core, CoreMessage message, const std::function<bool()> &giveUp);
+
 } // namespace zinniadoor::daemon
--- a/include/zinniadoor/daemon/model_request.hpp
+++ b/include/zinniadoor/daemon/model_request.hpp
@@ -22,7 +22,8 @@
 {
 public:
     ModelRequest(RequestServices &services, std::shared_ptr<ports::CallerExchange> exchange,
-                 base::RequestId id, Caller caller, ModelCall call, serving::RequestFacts facts);
+                 const base::RequestId &id, Caller caller, ModelCall call,
+                 serving::RequestFacts facts);
     ~ModelRequest() override;
 
     const serving::RequestFacts &facts() const { return facts_; }
--- a/src/zinniadoor/daemon/endpoint_poller.cpp
+++ b/src/zinniadoor/daemon/endpoint_poller.cpp
@@ -15,7 +15,7 @@
 using Json = nlohmann::json;
 
 constexpr absl::Duration PollTimeout = absl::Seconds(1);
-constexpr std::size_t MostPollBytes = 1024 * 1024;
+constexpr std::size_t MostPollBytes = 1024UL * 1024;
 constexpr int StatusOk = 200;
 
 template <typename Number>
--- a/src/zinniadoor/daemon/log_threads.cpp
+++ b/src/zinniadoor/daemon/log_threads.cpp
@@ -7,17 +7,9 @@
 namespace {
 
 constexpr absl::Duration IdleWait = absl::Milliseconds(200);
-constexpr absl::Duration FullRingPause = absl::Milliseconds(1);
 constexpr absl::Duration FailurePause = absl::Milliseconds(100);
 constexpr std::size_t RequestRingCapacity = 64;
 
-// The core never waits for these threads, so waiting for room in its ring cannot deadlock.
-void pushWaiting(CoreRing &core, CoreMessage message, const std::atomic<bool> &stopping)
-{
-    while (!core.tryPush(std::move(message)) && !stopping)
-        absl::SleepFor(FullRingPause);
-}
-
 } // namespace
 
 LogTail::LogTail(Options options, std::unique_ptr<ports::Log> log, const base::Clock &clock,
@@ -62,7 +54,7 @@
 
 void LogTail::tell(CoreMessage message)
 {
-    pushWaiting(core_, std::move(message), stopping_);
+    pushWaiting(core_, std::move(message), [this] { return stopping_.load(); });
 }
 
 LogAppender::LogAppender(std::unique_ptr<ports::Log> log, CoreRing &core)
@@ -92,7 +84,7 @@
             continue;
         const std::size_t bytes = request->bytes.size();
         AppendEnded ended { request->sequence, bytes, log_->append(request->bytes) };
-        pushWaiting(core_, std::move(ended), stopping_);
+        pushWaiting(core_, std::move(ended), [this] { return stopping_.load(); });
     }
 }
 
--- a/src/zinniadoor/daemon/model_request.cpp
+++ b/src/zinniadoor/daemon/model_request.cpp
@@ -67,8 +67,9 @@
 }
 
 ModelRequest::ModelRequest(RequestServices &services,
-                           std::shared_ptr<ports::CallerExchange> exchange, base::RequestId id,
-                           Caller caller, ModelCall call, serving::RequestFacts facts)
+                           std::shared_ptr<ports::CallerExchange> exchange,
+                           const base::RequestId &id, Caller caller, ModelCall call,
+                           serving::RequestFacts facts)
     : Request(services, std::move(exchange), id, std::move(caller))
     , call_(std::move(call))
     , facts_(std::move(facts))
--- a/src/zinniadoor/daemon/peer_messenger.cpp
+++ b/src/zinniadoor/daemon/peer_messenger.cpp
@@ -8,7 +8,6 @@
 
 constexpr std::size_t MaxDatagramBytes = 1200;
 constexpr absl::Duration OneWayTimeout = absl::Seconds(2);
-constexpr absl::Duration FullRingPause = absl::Milliseconds(1);
 constexpr int FullRingTries = 2000;
 
 } // namespace
@@ -59,11 +58,11 @@
     CoreRing &core = core_;
     link_.call(address, std::move(bytes), timeout,
                [&core, call](base::Outcome<std::string> outcome) {
-                   CoreMessage message = PeerAnswered { call, std::move(outcome) };
                    // The link's thread may wait a little; an answer dropped after that looks to
                    // the caller like one that never came, and its own timeout ends it.
-                   for (int i = 0; i < FullRingTries && !core.tryPush(std::move(message)); ++i)
-                       absl::SleepFor(FullRingPause);
+                   int tries = 0;
+                   pushWaiting(core, PeerAnswered { call, std::move(outcome) },
+                               [&tries] { return ++tries > FullRingTries; });
                });
 }
 
--- a/src/zinniadoor/daemon/platform_workers.cpp
+++ b/src/zinniadoor/daemon/platform_workers.cpp
@@ -12,14 +12,6 @@
 
 constexpr std::size_t RingCapacity = 4096;
 constexpr absl::Duration IdleWait = absl::Milliseconds(200);
-constexpr absl::Duration FullRingPause = absl::Milliseconds(1);
-
-// The core never waits for these threads, so waiting for room in its ring cannot deadlock.
-void pushWaiting(CoreRing &core, CoreMessage message, const std::atomic<bool> &stopping)
-{
-    while (!core.tryPush(std::move(message)) && !stopping)
-        absl::SleepFor(FullRingPause);
-}
 
 } // namespace
 
@@ -55,7 +47,7 @@
         guard.arm(order->validUntil);
         OrderEnded ended { order->order, sender->send(order->order) };
         guard.disarm();
-        pushWaiting(core_, std::move(ended), stopping_);
+        pushWaiting(core_, std::move(ended), [this] { return stopping_.load(); });
     }
 }
 
@@ -89,7 +81,7 @@
         guard.arm(report->validUntil);
         ReportEnded ended { report->report, billing->report(report->report) };
         guard.disarm();
-        pushWaiting(core_, std::move(ended), stopping_);
+        pushWaiting(core_, std::move(ended), [this] { return stopping_.load(); });
     }
 }
 
@@ -115,7 +107,8 @@
     while (!stopping_) {
         base::Outcome<std::vector<ports::ListedInstance>> instances = list->list();
         if (instances)
-            pushWaiting(core_, InstancesListed { std::move(*instances) }, stopping_);
+            pushWaiting(core_, InstancesListed { std::move(*instances) },
+                        [this] { return stopping_.load(); });
         wakeups_.pop(interval_);
     }
 }
--- a/src/zinniadoor/daemon/settings.cpp
+++ b/src/zinniadoor/daemon/settings.cpp
@@ -42,7 +42,7 @@
 
 std::string readName(YamlReader &reader, const char *key)
 {
-    const std::string name = reader.string(key);
+    std::string name = reader.string(key);
     const bool plain = name.find_first_not_of("abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ"
                                               "0123456789-_.")
         == std::string::npos;
--- a/tests/e2e/serving_path_test.cpp
+++ b/tests/e2e/serving_path_test.cpp
@@ -120,7 +120,7 @@
 {
     constexpr int Rounds = 12;
     std::vector<std::thread> threads;
-    std::vector<std::string> answers(2 * Rounds);
+    std::vector<std::string> answers(2UL * Rounds);
     for (int round = 0; round < Rounds; ++round) {
         for (int who = 0; who < 2; ++who) {
             threads.emplace_back([this, round, who, &answers] {
@@ -181,7 +181,7 @@
                          "\"content\": \"x\"}]}")
                == 404);
     BOOST_TEST(statusFor(std::string(2000, '[')) == 400);
-    BOOST_TEST(statusFor(std::string(2 * 1024 * 1024, 'x')) == 413);
+    BOOST_TEST(statusFor(std::string(2UL * 1024 * 1024, 'x')) == 413);
     BOOST_TEST(get(cluster.daemon(0).callersUrl("/nowhere")).status == 404);
     BOOST_TEST(get(cluster.daemon(0).callersUrl("/v1/completions")).status == 405);
 }
