--- a/include/zinniadoor/daemon/endpoint_poller.hpp
+++ b/include/zinniadoor/daemon/endpoint_poller.hpp
@@ -20,7 +20,7 @@
     struct Options
     {
         absl::Duration interval = absl::Seconds(1); ///< Between polls of one engine.
-        std::size_t maxInFlight = 64;
+        double maxPerSecond = 25; ///< Engines polled; many engines are polled less often.
     };
 
     EndpointPoller(Options options, const base::Clock &clock, CallTable &calls,
@@ -36,7 +36,6 @@
     struct Target
     {
         control::Endpoint endpoint;
-        absl::Time nextAt;
         std::uint64_t lastCacheEvent = 0;
     };
     struct Poll
@@ -57,6 +56,9 @@
     CallTable &calls_;
     serving::EndpointTable &table_;
     absl::flat_hash_map<base::EndpointId, Target> targets_;
+    std::vector<base::EndpointId> order_;
+    std::size_t next_ = 0;
+    absl::Time nextAt_ = absl::InfinitePast();
     absl::flat_hash_map<CallToken, Poll> polls_;
 };
 
--- a/include/zinniadoor/daemon/request_loop.hpp
+++ b/include/zinniadoor/daemon/request_loop.hpp
@@ -148,6 +148,7 @@
     Readiness readiness_;
     bool draining_ = false;
     TokenDemand demand_;
+    absl::Time nextWeightsAt_ = absl::InfinitePast();
     absl::Time demandAt_ = absl::InfinitePast();
     std::uint64_t idPrefix_ = 0;
     std::uint64_t lastId_ = 0;
--- a/src/zinniadoor/daemon/endpoint_poller.cpp
+++ b/src/zinniadoor/daemon/endpoint_poller.cpp
@@ -1,5 +1,6 @@
 #include "zinniadoor/daemon/endpoint_poller.hpp"
 
+#include <algorithm>
 #include <utility>
 
 #include <nlohmann/json.hpp>
@@ -51,28 +52,38 @@
 void EndpointPoller::setEndpoints(const std::vector<control::Endpoint> &endpoints)
 {
     absl::flat_hash_map<base::EndpointId, Target> targets;
+    order_.clear();
     for (const control::Endpoint &endpoint : endpoints) {
         if (endpoint.kind != control::EndpointKind::Engine)
             continue;
-        Target target { endpoint, absl::InfinitePast(), 0 };
+        Target target { endpoint, 0 };
         const auto old = targets_.find(endpoint.id);
-        if (old != targets_.end() && old->second.endpoint.address == endpoint.address) {
-            target.nextAt = old->second.nextAt;
+        if (old != targets_.end() && old->second.endpoint.address == endpoint.address)
             target.lastCacheEvent = old->second.lastCacheEvent;
-        }
         targets[endpoint.id] = std::move(target);
+        order_.push_back(endpoint.id);
     }
     targets_ = std::move(targets);
 }
 
+// Engines take turns at an even pace: each one once an interval, or less often where that would
+// be more polls than this instance may spend.
 void EndpointPoller::tick(absl::Time now)
 {
-    for (auto &[id, target] : targets_) {
-        if (now < target.nextAt || polls_.size() >= options_.maxInFlight)
+    if (order_.empty())
+        return;
+    const auto count = static_cast<double>(order_.size());
+    const absl::Duration spacing
+        = std::max(options_.interval / count, absl::Seconds(1 / options_.maxPerSecond));
+    nextAt_ = std::max(nextAt_, now - options_.interval);
+    while (now >= nextAt_) {
+        nextAt_ += spacing;
+        next_ = (next_ + 1) % order_.size();
+        const auto target = targets_.find(order_[next_]);
+        if (target == targets_.end())
             continue;
-        target.nextAt = now + options_.interval;
-        start(target, PollKind::Load);
-        start(target, PollKind::CacheEvents);
+        start(target->second, PollKind::Load);
+        start(target->second, PollKind::CacheEvents);
     }
 }
 
--- a/src/zinniadoor/daemon/request_loop.cpp
+++ b/src/zinniadoor/daemon/request_loop.cpp
@@ -18,6 +18,9 @@
 constexpr absl::Duration NotReadyRetryAfter = absl::Seconds(2);
 constexpr absl::Duration FullRetryAfter = absl::Seconds(1);
 
+/// Weights change within seconds.
+constexpr absl::Duration WeightsInterval = absl::Milliseconds(200);
+
 /// Time constant of the demand measured.
 constexpr absl::Duration DemandWindow = absl::Seconds(5);
 
@@ -459,6 +462,9 @@
 
 void RequestLoop::updateWeights(absl::Time now)
 {
+    if (now < nextWeightsAt_)
+        return;
+    nextWeightsAt_ = now + WeightsInterval;
     for (const auto &[id, view] : services_.endpoints.all())
         services_.endpoints.setWeight(id, services_.ejection.weight(id, now));
 }
