--- a/include/zinniadoor/control/peer_messages.hpp
+++ b/include/zinniadoor/control/peer_messages.hpp
@@ -309,4 +309,7 @@
 /// MaxPeerMessageBytes, or holds numbers outside their range gives a reason.
 base::Outcome<PeerMessage> decodePeerMessage(const std::string &bytes);
 
+/// Who sent a message, as it says itself; empty for answers that don't say it.
+base::InstanceId senderOf(const PeerMessage &message);
+
 } // namespace zinniadoor::control
--- a/src/zinniadoor/control/peer_messages.cpp
+++ b/src/zinniadoor/control/peer_messages.cpp
@@ -77,4 +77,23 @@
     return message;
 }
 
+base::InstanceId senderOf(const PeerMessage &message)
+{
+    struct Visitor
+    {
+        base::InstanceId operator()(const Heartbeat &m) const { return m.instance; }
+        base::InstanceId operator()(const VouchAsk &m) const { return m.instance; }
+        base::InstanceId operator()(const VouchAnswer &m) const { return m.voucher; }
+        base::InstanceId operator()(const BorrowAsk &m) const { return m.borrower; }
+        base::InstanceId operator()(const BorrowAnswer &m) const { return m.lender; }
+        base::InstanceId operator()(const LoanReturn &m) const { return m.borrower; }
+        base::InstanceId operator()(const UsageCopy &m) const { return m.instance; }
+        base::InstanceId operator()(const UsageCopyAck &) const { return {}; }
+        base::InstanceId operator()(const StateAsk &m) const { return m.instance; }
+        base::InstanceId operator()(const StateAnswer &) const { return {}; }
+        base::InstanceId operator()(const CrashNews &m) const { return m.instance; }
+    };
+    return std::visit(Visitor {}, message);
+}
+
 } // namespace zinniadoor::control
--- a/src/zinniadoor/daemon/configuration_page_test.cpp
+++ b/src/zinniadoor/daemon/configuration_page_test.cpp
@@ -162,7 +162,6 @@
         { "control.peer_silence", ms(control.peerSilence) },
         { "control.vouch", ms(control.vouch) },
         { "control.vouch_limit", ms(control.vouchLimit) },
-        { "control.loan", ms(control.loan) },
         { "control.isolation", ms(control.isolation) },
         { "control.appends_per_second", number(control.appendsPerSecond) },
         { "control.snapshot_every_records", number(control.snapshotEveryRecords) },
--- a/src/zinniadoor/daemon/core.cpp
+++ b/src/zinniadoor/daemon/core.cpp
@@ -8,6 +8,8 @@
 #include "zinniadoor/base/events.hpp"
 #include "zinniadoor/control/lease_table.hpp"
 
+#include "core_options.hpp"
+
 namespace zinniadoor::daemon {
 
 namespace {
@@ -18,87 +20,6 @@
 constexpr std::size_t MostMessagesPerTick = 512;
 constexpr std::size_t LoadsPerHeartbeat = 16;
 
-serving::RouterOptions routerOptions(const Settings &settings)
-{
-    serving::RouterOptions options;
-    options.instance = settings.instance;
-    options.dataCentre = settings.dataCentre;
-    return options;
-}
-
-/// A small site makes few calls, so its budget must not hang on them alone.
-constexpr double RetryReserve = 10;
-
-serving::RetryOptions retryOptions()
-{
-    serving::RetryOptions options;
-    options.reserve = RetryReserve;
-    return options;
-}
-
-control::MembershipOptions membershipOptions(const Core::Parts &parts)
-{
-    control::MembershipOptions options;
-    options.instance = parts.settings.instance;
-    options.incarnation = parts.incarnation;
-    options.dataCentre = parts.settings.dataCentre;
-    options.seed = parts.seed;
-    options.heartbeatInterval = parts.settings.control.peerHeartbeat;
-    options.suspectAfter = parts.settings.control.peerSilence;
-    options.lostAfter = 2 * parts.settings.control.peerSilence;
-    return options;
-}
-
-control::ShareTiming shareTiming(const ControlSettings &settings)
-{
-    control::ShareTiming timing;
-    timing.lease = settings.lease;
-    timing.vouchTime = settings.vouch;
-    timing.silence = settings.peerSilence;
-    // Several asks may be lost before a voucher takes the holder for gone.
-    timing.askInterval = std::min(timing.askInterval, settings.peerSilence / 4);
-    timing.holderLimit = settings.vouchLimit;
-    timing.claimLimit = 2 * settings.vouchLimit;
-    return timing;
-}
-
-control::LeaseTimes leaseTimes(const ControlSettings &settings)
-{
-    control::LeaseTimes times;
-    times.lease = settings.lease;
-    times.margin = settings.leaseMargin;
-    return times;
-}
-
-serving::RolePlanOptions rolePlanOptions(const RoleSettings &settings)
-{
-    serving::RolePlanOptions options;
-    options.changeTime = settings.changeTime;
-    options.dwell = settings.dwell;
-    options.horizon = settings.horizon;
-    return options;
-}
-
-/// Who sent a message, as it says itself.
-base::InstanceId senderOf(const control::PeerMessage &message)
-{
-    struct Visitor
-    {
-        base::InstanceId operator()(const control::Heartbeat &m) const { return m.instance; }
-        base::InstanceId operator()(const control::VouchAsk &m) const { return m.instance; }
-        base::InstanceId operator()(const control::VouchAnswer &m) const { return m.voucher; }
-        base::InstanceId operator()(const control::BorrowAsk &m) const { return m.borrower; }
-        base::InstanceId operator()(const control::BorrowAnswer &m) const { return m.lender; }
-        base::InstanceId operator()(const control::LoanReturn &m) const { return m.borrower; }
-        base::InstanceId operator()(const control::UsageCopy &m) const { return m.instance; }
-        base::InstanceId operator()(const control::UsageCopyAck &) const { return {}; }
-        base::InstanceId operator()(const control::StateAsk &m) const { return m.instance; }
-        base::InstanceId operator()(const control::StateAnswer &) const { return {}; }
-        base::InstanceId operator()(const control::CrashNews &m) const { return m.instance; }
-    };
-    return std::visit(Visitor {}, message);
-}
-
 } // namespace
 
 Core::Core(Parts parts)
@@ -113,7 +34,7 @@
     , control_({ parts.settings, parts.clock, parts.tail, parts.appender, parts.metrics, *this,
                  absl::StrCat(parts.settings.peers.ip, ":", parts.peers.port()) },
                { parts.settings.instance, parts.incarnation })
-    , membership_(membershipOptions(parts))
+    , membership_(membershipOptions(parts.settings, parts.incarnation, parts.seed))
     , messenger_(parts.peers, parts.ring, parts.metrics)
     , shares_({ control_, messenger_, membership_, shareTiming(parts.settings.control), parts.seed,
                 [this](const control::Decision &decision) { requests_.onDecision(decision); } })
@@ -232,7 +153,7 @@
 void Core::onPeerMessage(const control::PeerMessage &message)
 {
     const absl::Time now = parts_.clock.now();
-    const base::InstanceId from = senderOf(message);
+    const base::InstanceId from = control::senderOf(message);
     if (from == parts_.settings.instance)
         return;
     lastPeerHeard_ = now;
--- /dev/null
+++ b/src/zinniadoor/daemon/core_options.hpp
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <cstdint>
+
+#include "zinniadoor/control/lease_keeper.hpp"
+#include "zinniadoor/control/membership.hpp"
+#include "zinniadoor/control/vouching.hpp"
+#include "zinniadoor/daemon/settings.hpp"
+#include "zinniadoor/serving/retry_policy.hpp"
+#include "zinniadoor/serving/role_plan.hpp"
+#include "zinniadoor/serving/router.hpp"
+
+// What the settings mean for the parts that the core is made of.
+
+namespace zinniadoor::daemon {
+
+serving::RouterOptions routerOptions(const Settings &settings);
+serving::RetryOptions retryOptions();
+serving::RolePlanOptions rolePlanOptions(const RoleSettings &settings);
+control::MembershipOptions membershipOptions(const Settings &settings,
+                                             base::Incarnation incarnation, std::uint64_t seed);
+control::ShareTiming shareTiming(const ControlSettings &settings);
+control::LeaseTimes leaseTimes(const ControlSettings &settings);
+
+} // namespace zinniadoor::daemon
--- a/src/zinniadoor/daemon/settings.cpp
+++ b/src/zinniadoor/daemon/settings.cpp
@@ -119,8 +119,6 @@
         = reader.durationOr("vouch", absl::Milliseconds(200), absl::Minutes(10), absl::Seconds(6));
     control.vouchLimit
         = reader.durationOr("vouch_limit", absl::Seconds(1), absl::Hours(72), absl::Hours(6));
-    control.loan
-        = reader.durationOr("loan", absl::Milliseconds(100), absl::Minutes(1), absl::Seconds(4));
     control.isolation
         = reader.durationOr("isolation", absl::Seconds(1), absl::Hours(1), absl::Seconds(8));
     control.appendsPerSecond = reader.integerOr("appends_per_second", 1, 100000, 300);
