A planned stop with the log out ends ten seconds after its work

Cause: it waited the whole drain timeout (2 min) for its last records to be read back; seen when a test program was killed and its daemons stayed. Change: once all work has ended, ten seconds are given; leases and vouches lapse by themselves.

--- a/include/zinniadoor/daemon/core.hpp
+++ b/include/zinniadoor/daemon/core.hpp
@@ -132,6 +132,7 @@
     absl::Time nextPeerTick_ = absl::InfinitePast();
     bool draining_ = false;
     bool releasedLeases_ = false;
+    absl::Time workEndedAt_ = absl::InfiniteFuture(); ///< Of a planned stop.
     bool saidStopped_ = false;
     std::atomic<bool> stopping_ { false };
     mutable absl::Mutex statusMutex_;
--- a/src/zinniadoor/daemon/core.cpp
+++ b/src/zinniadoor/daemon/core.cpp
@@ -20,6 +20,9 @@
 constexpr std::size_t MostMessagesPerTick = 512;
 constexpr std::size_t LoadsPerHeartbeat = 16;
 
+/// A planned stop waits this long for its last records to be read back, once all work has ended.
+constexpr absl::Duration HandOverPatience = absl::Seconds(10);
+
 } // namespace
 
 Core::Core(Parts parts)
@@ -298,6 +301,8 @@
 {
     if (!draining_)
         return;
+    if (requests_.size() == 0 && usage_.isIdle())
+        workEndedAt_ = std::min(workEndedAt_, now);
     const bool nothingOut = orders_.isIdle() && reports_.isIdle();
     if (nothingOut && !releasedLeases_) {
         releasedLeases_ = true;
@@ -361,7 +366,9 @@
     status_.requests = requests_.size();
     status_.shareSlots = shares_.ownedSlots();
     status_.logCurrent = control_.isCurrent(now);
-    status_.drained = saidStopped_ && control_.isIdle();
+    // With the log out the stop cannot be told; leases and vouches then lapse by themselves.
+    const bool gaveUpTelling = now - workEndedAt_ > HandOverPatience;
+    status_.drained = (saidStopped_ && control_.isIdle()) || gaveUpTelling;
 }
 
 CoreStatus Core::status() const
--- a/tests/e2e/planned_stop_test.cpp
+++ b/tests/e2e/planned_stop_test.cpp
@@ -90,6 +90,17 @@
     BOOST_TEST(refused.headers.at("zinniadoor-run") == "not-run");
 }
 
+BOOST_AUTO_TEST_CASE(instance_stoppedWithTheLogOut_exitsWellBeforeTheDrainTimeout)
+{
+    cluster.fleet().platform().setFaults({ { "path", "/log" }, { "kind", "refuse" } });
+    BOOST_REQUIRE(cluster.waitForStatus(0, "log_current", "false"));
+    cluster.daemon(0).process->terminate();
+    const std::optional<ExitStatus> exit = cluster.daemon(0).process->wait(absl::Seconds(60));
+    BOOST_REQUIRE(exit.has_value());
+    BOOST_REQUIRE(exit->code.has_value());
+    BOOST_TEST(*exit->code == 0);
+}
+
 BOOST_AUTO_TEST_CASE(endpoint_leaving_finishesItsStreamsAndGetsNoNewWork)
 {
     const HttpAnswer answer = streamAndThen(0, 100, [this] {
