--- a/include/zinniadoor/daemon/core.hpp
+++ b/include/zinniadoor/daemon/core.hpp
@@ -125,6 +125,7 @@
     EndpointPoller poller_;
     LeaseManager leases_;
     ReportManager reports_;
+    std::unique_ptr<serving::RolePlanner> planner_;
     OrderManager orders_;
     SnapshotManager snapshots_;
     StateTransfer transfer_;
--- a/include/zinniadoor/daemon/duty_managers.hpp
+++ b/include/zinniadoor/daemon/duty_managers.hpp
@@ -58,10 +58,10 @@
     {
         ControlLoop &control;
         const LeaseManager &leases;
-        OrderWorker &worker;
+        OrderSender &sender;
         serving::EndpointTable &endpoints;
         Metrics &metrics;
-        serving::RolePlanOptions plan;
+        serving::RolePlanner &planner;
     };
 
     explicit OrderManager(Parts parts);
@@ -95,7 +95,6 @@
     bool isOpen(const base::EndpointId &endpoint) const;
 
     Parts parts_;
-    std::unique_ptr<serving::RolePlanner> planner_;
     std::map<base::EndpointId, Planned> planned_;
     int ordersOut_ = 0;
     bool stopping_ = false;
--- a/include/zinniadoor/daemon/platform_workers.hpp
+++ b/include/zinniadoor/daemon/platform_workers.hpp
@@ -20,18 +20,26 @@
     absl::Time validUntil; ///< Monotonic.
 };
 
+/// Takes orders to be sent. Each one taken is answered by an OrderEnded.
+class OrderSender
+{
+public:
+    virtual ~OrderSender() = default;
+
+    /// False when too many wait.
+    virtual bool send(GuardedOrder order) = 0;
+};
+
 /// Sends orders to engines and to the platform's endpoint interface on a thread of its own.
-/// Each is answered by an OrderEnded.
-class OrderWorker
+class OrderWorker : public OrderSender
 {
 public:
     OrderWorker(adapters::PlatformOptions platform, CoreRing &core);
-    ~OrderWorker();
+    ~OrderWorker() override;
     OrderWorker(const OrderWorker &) = delete;
     OrderWorker &operator=(const OrderWorker &) = delete;
 
-    /// False when too many wait.
-    bool send(GuardedOrder order);
+    bool send(GuardedOrder order) override;
 
 private:
     void run();
--- a/src/zinniadoor/daemon/core.cpp
+++ b/src/zinniadoor/daemon/core.cpp
@@ -52,8 +52,8 @@
     , leases_(control_, membership_, leaseTimes(parts.settings.control))
     , reports_(control_, leases_, parts.reports, parts.metrics,
                parts.settings.control.lease - parts.settings.control.leaseMargin)
-    , orders_({ control_, leases_, parts.orders, endpoints_, parts.metrics,
-                rolePlanOptions(parts.settings.roles) })
+    , planner_(serving::forecastRolePlanner(rolePlanOptions(parts.settings.roles)))
+    , orders_({ control_, leases_, parts.orders, endpoints_, parts.metrics, *planner_ })
     , snapshots_(control_, leases_,
                  static_cast<base::Offset>(parts.settings.control.snapshotEveryRecords))
     , transfer_({ parts.clock, control_, messenger_, parts.settings })
--- a/src/zinniadoor/daemon/duty_managers.cpp
+++ b/src/zinniadoor/daemon/duty_managers.cpp
@@ -65,7 +65,6 @@
 
 OrderManager::OrderManager(Parts parts)
     : parts_(parts)
-    , planner_(serving::forecastRolePlanner(parts.plan))
 { }
 
 void OrderManager::setConfiguration(const control::Bundle &bundle)
@@ -184,7 +183,7 @@
     }
     if (inputs.engines.empty())
         return;
-    for (const serving::RoleOrder &order : planner_->plan(inputs, now)) {
+    for (const serving::RoleOrder &order : parts_.planner.plan(inputs, now)) {
         const auto found = planned_.find(order.endpoint);
         if (found == planned_.end() || leaseOf(order.dataCentre) == nullptr)
             continue;
@@ -226,7 +225,7 @@
         // not reach its successor.
         order.address = slots->open->address;
         planned.sent = true;
-        if (parts_.worker.send({ order, lease->mayActUntil() }))
+        if (parts_.sender.send({ order, lease->mayActUntil() }))
             ++ordersOut_;
     }
 }
