--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -23,6 +23,11 @@
   exit
 }
 
+# The model checker uses two cores and no build, so it runs beside the rest.
+model_log=$(mktemp)
+scripts/model.sh >"$model_log" 2>&1 &
+model=$!
+
 files=$(git ls-files "*.cpp" "*.hpp")
 clang-format --dry-run -Werror $files >build-format.log 2>&1; note $? format
 head -20 build-format.log; rm -f build-format.log
@@ -31,16 +36,11 @@
 cmake -S . -B build -G Ninja >"$log" 2>&1 && cmake --build build >>"$log" 2>&1
 built=$?
 note $built build
-if [ $built -ne 0 ]; then grep -E 'error|FAILED' "$log" | head -40; rm -f "$log"; finish; fi
+if [ $built -ne 0 ]; then grep -E 'error|FAILED' "$log" | head -40; rm -f "$log"; kill $model; finish; fi
 
 scripts/lint.sh >"$log" 2>&1; lint=$?; note $lint lint
 [ $lint -ne 0 ] && tail -40 "$log"
 
-if [ -x scripts/model.sh ]; then
-  scripts/model.sh >"$log" 2>&1; model=$?; note $model model
-  tail -40 "$log"
-fi
-
 # One CTest test per test program; those that start processes run one at a time (RUN_SERIAL).
 while read -r name; do tests+=("$name"); done < <(cd build && ctest -N | sed -n 's/^ *Test *#[0-9]*: //p')
 (cd build && ctest -j "$(nproc)" --output-on-failure --output-log ctest.log >/dev/null 2>&1)
@@ -49,5 +49,7 @@
   if grep -E "Test +#[0-9]+: $name \.+ +Passed|Test +#[0-9]+: $name \.+\s*Passed" build/ctest.log >/dev/null; then note 0 "$name"; else note 1 "$name"; fi
 done
 if grep -q 'Failed' build/ctest.log; then grep -E 'error: in|FAILED|Failed|fatal error' build/ctest.log | head -60; fi
-rm -f "$log"
+wait $model; note $? model
+cat "$model_log"
+rm -f "$log" "$model_log"
 finish
