Lease guard's test: senders stop themselves between connecting and sending

Change: the sender raises SIGSTOP at the place itself; for order calls libcurl's pre-request callback runs a hook of PlatformOptions. The check is the same: 30 freezes in the window, none late with the guard. Ruled out: removing the guard.

--- a/include/zinniadoor/adapters/platform_http.hpp
+++ b/include/zinniadoor/adapters/platform_http.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -15,6 +16,8 @@
 {
     std::string baseUrl; ///< http://IP:port, without a path.
     absl::Duration timeout = absl::Seconds(2); ///< Of one call, beside what it waits for.
+    std::function<void()> connected
+        = nullptr; ///< Tests only: called between connecting and sending.
 };
 
 /// The platform's log. Calls block; for one thread at a time.
--- a/src/zinniadoor/adapters/curl_endpoint_client.cpp
+++ b/src/zinniadoor/adapters/curl_endpoint_client.cpp
@@ -41,7 +41,7 @@
     const base::Clock *clock = nullptr;
     detail::CurlHandle easy;
     detail::CurlHeaders requestHeaders;
-    bool attempted = false;
+    detail::Attempt attempt;
     bool paused = false;
     bool headersDone = false;
     int status = 0;
@@ -259,7 +259,7 @@
     CURL *easy = call.easy.get();
     curl_easy_setopt(easy, CURLOPT_URL, request.url.c_str());
     detail::setRequest(easy, request.method, request.body);
-    detail::forbidSecondAttempt(easy, &call.attempted);
+    detail::forbidSecondAttempt(easy, &call.attempt);
     curl_easy_setopt(easy, CURLOPT_HTTPHEADER, call.requestHeaders.get());
     curl_easy_setopt(easy, CURLOPT_HTTP_CONTENT_DECODING, 0L);
     curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
@@ -348,7 +348,7 @@
         curl_multi_remove_handle(multi_, call.easy.get());
     EndpointCallEnd result;
     result.complete = complete;
-    result.mayHaveRun = call.attempted;
+    result.mayHaveRun = call.attempt.made;
     result.reason = reason;
     call.observer->onEnd(result);
 }
--- a/src/zinniadoor/adapters/curl_handle.cpp
+++ b/src/zinniadoor/adapters/curl_handle.cpp
@@ -9,10 +9,12 @@
 
 int beforeRequest(void *cls, char *, char *, int, int)
 {
-    auto *attempted = static_cast<bool *>(cls);
-    if (*attempted)
+    auto *attempt = static_cast<Attempt *>(cls);
+    if (attempt->made)
         return CURL_PREREQFUNC_ABORT;
-    *attempted = true;
+    if (attempt->connected)
+        attempt->connected();
+    attempt->made = true;
     return CURL_PREREQFUNC_OK;
 }
 
@@ -64,11 +66,11 @@
 // libcurl silently repeats a request whose pooled connection turned out to be dead, even when
 // the other side may have read it. Each attempt passes through the pre-request callback, which
 // refuses the second.
-void forbidSecondAttempt(CURL *easy, bool *attempted)
+void forbidSecondAttempt(CURL *easy, Attempt *attempt)
 {
-    *attempted = false;
+    attempt->made = false;
     curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &beforeRequest);
-    curl_easy_setopt(easy, CURLOPT_PREREQDATA, attempted);
+    curl_easy_setopt(easy, CURLOPT_PREREQDATA, attempt);
 }
 
 void setRequest(CURL *easy, const std::string &method, const std::string &body)
--- a/src/zinniadoor/adapters/curl_handle.hpp
+++ b/src/zinniadoor/adapters/curl_handle.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -25,9 +26,16 @@
 /// An easy handle for plain HTTP/1.1: no redirects, no proxy, no signals, keepalive on.
 CurlHandle newHttpHandle();
 
-/// Lets at most one attempt at a request leave through the handle. `attempted` turns true just
-/// before the first byte could be sent; it has to outlive the transfer.
-void forbidSecondAttempt(CURL *easy, bool *attempted);
+/// The only attempt at a request.
+struct Attempt
+{
+    bool made = false; ///< Turns true just before the first byte could be sent.
+    std::function<void()> connected; ///< If set, called before that with the connection open.
+};
+
+/// Lets at most one attempt at a request leave through the handle. `attempt` has to outlive the
+/// transfer.
+void forbidSecondAttempt(CURL *easy, Attempt *attempt);
 
 /// Sets method and body. `body` is not copied.
 void setRequest(CURL *easy, const std::string &method, const std::string &body);
--- a/src/zinniadoor/adapters/lease_guard_sender_test.cpp
+++ b/src/zinniadoor/adapters/lease_guard_sender_test.cpp
@@ -1,6 +1,8 @@
-// Started and frozen by lease_guard_test: sends under a lease that ends while it is frozen.
+// Started by lease_guard_test: sends under a lease that ends while it is frozen. It stops itself
+// between its check of the lease and the send; a flooding one is stopped by the test.
 // Usage: lease_guard_sender socket|flood|order guarded|bare <port>
 
+#include <csignal>
 #include <cstdio>
 #include <cstring>
 #include <memory>
@@ -25,7 +27,6 @@
 
 constexpr absl::Duration UnacknowledgedLimit = absl::Milliseconds(300);
 constexpr absl::Duration Lease = absl::Milliseconds(360); // sends in the first 60 ms
-constexpr absl::Duration Preparation = absl::Milliseconds(15); // between check and send
 constexpr std::size_t FloodBytes = 16 * adapters::MebiByte;
 
 void tellLeaseEnd(absl::Time end)
@@ -40,11 +41,14 @@
     return send(socket, flood.data(), flood.size(), MSG_NOSIGNAL) > 0;
 }
 
-/// The harness freezes it in the preparation.
-bool sendPrepared(const base::Clock &clock, int socket)
+void freeze()
 {
-    const absl::Time prepared = clock.now() + Preparation;
-    while (clock.now() < prepared) { }
+    raise(SIGSTOP);
+}
+
+bool sendAfterFreeze(int socket)
+{
+    freeze();
     return send(socket, "order", std::strlen("order"), MSG_NOSIGNAL) > 0;
 }
 
@@ -63,13 +67,14 @@
     if (!mayStillSend)
         return 1;
     tellLeaseEnd(leaseEnd);
-    return (flood.empty() ? sendPrepared(clock, socket) : sendFlood(socket, flood)) ? 0 : 1;
+    return (flood.empty() ? sendAfterFreeze(socket) : sendFlood(socket, flood)) ? 0 : 1;
 }
 
 int sendOrder(adapters::LeaseGuard *guard, absl::Time leaseEnd, int port)
 {
     adapters::PlatformOptions options;
     options.baseUrl = "http://127.0.0.1:1";
+    options.connected = &freeze;
     const auto orders = adapters::httpEndpointOrders(options, guard);
     ports::EndpointOrder order;
     order.address = absl::StrCat("127.0.0.1:", port);
--- a/src/zinniadoor/adapters/lease_guard_test.cpp
+++ b/src/zinniadoor/adapters/lease_guard_test.cpp
@@ -77,6 +77,12 @@
     void freeze() const
     {
         kill(process_, SIGSTOP);
+        waitUntilFrozen();
+    }
+
+    /// Returns as well when the process has ended.
+    void waitUntilFrozen() const
+    {
         siginfo_t info {};
         waitid(P_PID, static_cast<id_t>(process_), &info, WSTOPPED | WEXITED | WNOWAIT);
     }
@@ -97,16 +103,16 @@
         clock_nanosleep(CLOCK_BOOTTIME, TIMER_ABSTIME, &until, nullptr);
     }
 
-    /// Freezes one sender until it may send no more, which is the unacknowledged limit before
-    /// its lease ends. The freeze is in the window when it began before that and before any byte
-    /// arrived.
+    /// Keeps one sender frozen until it may send no more, which is the unacknowledged limit
+    /// before its lease ends. It has stopped itself between connecting and sending; the freeze is
+    /// in the window when it began in time.
     Arrival freezeOnce(const char *kind, const char *mode) const
     {
         const TestListener listener;
         const Sender sender(kind, mode, listener.port());
         const absl::Time sendingEnd = sender.readLeaseEnd() - UnacknowledgedLimit;
         const TestConnection connection = listener.accept();
-        sender.freeze();
+        sender.waitUntilFrozen();
         const bool frozenInTime = clock->now() < sendingEnd;
         waitUntil(sendingEnd + FrozenBeyondEnd);
         const bool inWindow = frozenInTime && connection.isOpen() && !connection.hasBytes();
--- a/src/zinniadoor/adapters/platform_call.cpp
+++ b/src/zinniadoor/adapters/platform_call.cpp
@@ -84,10 +84,11 @@
         headers.push_back({ "Content-Type", request.contentType });
     const CurlHeaders list = headerList(headers);
     PlatformAnswer answer;
-    bool attempted = false;
+    Attempt attempt;
+    attempt.connected = options_.connected;
     curl_easy_setopt(easy, CURLOPT_URL, url.c_str());
     setRequest(easy, request.method, request.body);
-    forbidSecondAttempt(easy, &attempted);
+    forbidSecondAttempt(easy, &attempt);
     curl_easy_setopt(easy, CURLOPT_HTTPHEADER, list.get());
     curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
                      static_cast<long>(absl::ToInt64Milliseconds(options_.timeout)));
@@ -96,8 +97,8 @@
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, &answer.body);
     const CURLcode result = curl_easy_perform(easy);
     if (result != CURLE_OK)
-        return base::Reason { attempted ? base::ReasonCode::OutcomeUnknown
-                                        : base::ReasonCode::Unavailable,
+        return base::Reason { attempt.made ? base::ReasonCode::OutcomeUnknown
+                                           : base::ReasonCode::Unavailable,
                               absl::StrCat(request.path, ": ", curl_easy_strerror(result)) };
     long status = 0;
     curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
