Logs of the store: one instance of a data centre reads and tells the others

Change: LogFollower tells what it has read (records that say more than that their writer lives) to its data centre by datagram; who hears a reader of smaller rank reads only after its patience. Each part repeats the one before it. Configurations are too large to tell; the part only says that there is one. Two instances watch the lease, the others look in at three times its length. Ruled out: an elected reader by membership (a frozen one is noticed after seconds; patience bounds the delay by itself).

--- a/include/zinniadoor/base/events.hpp
+++ b/include/zinniadoor/base/events.hpp
@@ -58,6 +58,7 @@
     PeerFound = 750,
     PeerLost = 751,
     PeerMessageRejected = 752,
+    LogReaderChanged = 753,
 };
 
 /// One row of the catalogue.
--- a/include/zinniadoor/gateway/endpoint_record.hpp
+++ b/include/zinniadoor/gateway/endpoint_record.hpp
@@ -35,4 +35,7 @@
     std::uint64_t bornMs = 0; ///< Start of the process, Unix milliseconds; 0 if unknown.
 };
 
+/// Whether the records say the same of an endpoint, but for the time that it has left.
+bool sameEndpoint(const EndpointRecord &a, const EndpointRecord &b);
+
 } // namespace zinniadoor::gateway
--- a/include/zinniadoor/gateway/lease_runner.hpp
+++ b/include/zinniadoor/gateway/lease_runner.hpp
@@ -7,6 +7,7 @@
 
 #include "zinniadoor/base/clock.hpp"
 #include "zinniadoor/gateway/duty_lease.hpp"
+#include "zinniadoor/gateway/peer_table.hpp"
 
 namespace zinniadoor::gateway {
 
@@ -36,8 +37,10 @@
     virtual void stop() = 0;
 };
 
+/// All arguments outlive the runner. The first instances in the order of `peers` watch the lease
+/// closely, the others look in now and then.
 std::unique_ptr<LeaseRunner> makeLeaseRunner(boost::asio::io_context &context, LogStore &store,
                                              const base::Clock &clock, const ProcessName &self,
-                                             const LeaseOptions &options);
+                                             const LeaseOptions &options, const PeerTable &peers);
 
 } // namespace zinniadoor::gateway
--- a/include/zinniadoor/gateway/peer_link.hpp
+++ b/include/zinniadoor/gateway/peer_link.hpp
@@ -1,20 +1,21 @@
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <string>
 
 #include <boost/asio/io_context.hpp>
 
+#include "zinniadoor/gateway/log_follower.hpp"
 #include "zinniadoor/gateway/peer_table.hpp"
 #include "zinniadoor/gateway/serving_context.hpp"
 
 namespace zinniadoor::gateway {
 
-/// Exchanges news with the peers by datagrams, several times a second.
-class PeerLink
+/// Exchanges news with the peers by datagrams, several times a second, and parts of logs.
+class PeerLink : public LogRelay
 {
 public:
-    virtual ~PeerLink() = default;
     virtual void announceParts(const base::EndpointId &engine,
                                const std::vector<serving::KeyedPart> &parts)
         = 0;
@@ -23,10 +24,12 @@
     virtual void start() = 0;
 };
 
-/// Binds `address`. `serving` and `peers` outlive the link.
+/// Binds `address`. `serving` and `peers` outlive the link; `onPart` gets what other instances of
+/// the data centre have read of a log.
 base::Outcome<std::unique_ptr<PeerLink>> makePeerLink(boost::asio::io_context &context,
                                                       const std::string &address,
                                                       const ProcessName &self,
-                                                      ServingContext &serving, PeerTable &peers);
+                                                      ServingContext &serving, PeerTable &peers,
+                                                      std::function<void(const LogPart &)> onPart);
 
 } // namespace zinniadoor::gateway
--- a/include/zinniadoor/gateway/peer_message.hpp
+++ b/include/zinniadoor/gateway/peer_message.hpp
@@ -63,14 +63,22 @@
     }
 };
 
+/// Format of an encoded message between instances; 0 if there is none. The codec writes a byte of
+/// its own before the message, whose first member is the format.
+inline std::uint8_t formatOf(const std::string &bytes)
+{
+    return bytes.size() < 2 ? 0 : static_cast<std::uint8_t>(bytes[1]);
+}
+
 /// What an instance tells its peers several times a second. All of it is advice: no right to do
 /// anything depends on it.
 struct PeerMessage
 {
-    static constexpr std::uint8_t CurrentFormat = 1;
+    static constexpr std::uint8_t CurrentFormat = 3;
 
     std::uint8_t format = CurrentFormat;
     ProcessName sender;
+    std::string dataCentre; ///< Of the sender.
     std::uint64_t sequence = 0;
     std::uint32_t periodMs = 0; ///< Until the next message.
     std::int64_t estimateMs = 0; ///< Sender's own estimate of true time, Unix milliseconds.
@@ -84,8 +92,8 @@
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(format, sender, sequence, periodMs, estimateMs, loads, prompts, crashes, paused,
-                demand, usage);
+        archive(format, sender, dataCentre, sequence, periodMs, estimateMs, loads, prompts, crashes,
+                paused, demand, usage);
     }
 };
 
--- a/include/zinniadoor/gateway/peer_table.hpp
+++ b/include/zinniadoor/gateway/peer_table.hpp
@@ -28,6 +28,13 @@
     /// Addresses of all known peers.
     std::vector<std::string> addresses() const;
 
+    /// Addresses of the peers that have said that they run in this data centre.
+    std::vector<std::string> addressesIn(const base::DataCentreId &dataCentre) const;
+
+    /// How many of the heard instances come before this one, in an order that is the same for
+    /// all; 0 for the first.
+    std::size_t rankOfSelf(absl::Time now) const;
+
     /// Counts this instance too.
     Membership membership(absl::Time now) const;
 
@@ -57,6 +64,7 @@
     {
         std::uint64_t incarnation = 0;
         std::string address;
+        base::DataCentreId dataCentre; ///< Empty until it is heard.
         bool stopped = false;
         std::uint64_t sequence = 0;
         absl::Time heard = absl::InfinitePast();
--- a/src/zinniadoor/gateway/endpoint_directory.cpp
+++ b/src/zinniadoor/gateway/endpoint_directory.cpp
@@ -9,6 +9,8 @@
 /// Records that were on their way when an endpoint was found replaced arrive within this time.
 constexpr absl::Duration ListLag = absl::Seconds(3);
 
+} // namespace
+
 bool sameEndpoint(const EndpointRecord &a, const EndpointRecord &b)
 {
     return a.service == b.service && a.address == b.address && a.dataCentre == b.dataCentre
@@ -16,8 +18,6 @@
         && a.reclaimable == b.reclaimable && a.bornMs == b.bornMs;
 }
 
-} // namespace
-
 const char *nameOf(Stage stage)
 {
     switch (stage) {
--- a/src/zinniadoor/gateway/endpoint_feed.cpp
+++ b/src/zinniadoor/gateway/endpoint_feed.cpp
@@ -24,9 +24,10 @@
     noteCurrent(now);
     bool changed = false;
     absl::flat_hash_set<base::EndpointId> listed;
+    listed_.clear();
     for (const KeyedRecord &record : records) {
         listed.insert(base::EndpointId(record.key));
-        changed |= applyRecord(record, now);
+        changed |= applyRecord(record, now).directory;
     }
     std::vector<base::EndpointId> missing;
     for (const EndpointRecord *known : directory_.all()) {
@@ -38,12 +39,15 @@
     return changed;
 }
 
-bool EndpointFeed::applyRecord(const KeyedRecord &record, absl::Time now)
+EndpointFeed::Change EndpointFeed::applyRecord(const KeyedRecord &record, absl::Time now)
 {
-    return record.value ? set(record, now) : remove(base::EndpointId(record.key), now);
+    if (record.value)
+        return set(record, now);
+    listed_.erase(record.key);
+    return { remove(base::EndpointId(record.key), now), true };
 }
 
-bool EndpointFeed::set(const KeyedRecord &record, absl::Time now)
+EndpointFeed::Change EndpointFeed::set(const KeyedRecord &record, absl::Time now)
 {
     const auto decoded = decoder_.endpoint(record.key, *record.value);
     if (!decoded) {
@@ -51,10 +55,14 @@
             base::logEvent(base::EventId::EndpointRecordRejected,
                            { { "endpoint", record.key }, { "reason", decoded.lastReason().text } });
         }
-        return remove(base::EndpointId(record.key), now);
+        listed_.erase(record.key);
+        return { remove(base::EndpointId(record.key), now), true };
     }
     removeAt_.erase(decoded->id);
-    return directory_.set(*decoded, now);
+    const auto [before, isNew] = listed_.try_emplace(record.key, *decoded);
+    const bool news = isNew || !sameEndpoint(before->second, *decoded);
+    before->second = *decoded;
+    return { directory_.set(*decoded, now), news };
 }
 
 bool EndpointFeed::remove(const base::EndpointId &id, absl::Time now)
--- a/src/zinniadoor/gateway/gateway.cpp
+++ b/src/zinniadoor/gateway/gateway.cpp
@@ -23,10 +23,14 @@
 
 /// Part of the time until a configuration has to be in force for which the store may hold a read:
 /// one that is lost is noticed and repeated within the rest.
-constexpr double ConfigurationWaitShare = 0.5;
+constexpr double ConfigurationWaitShare = 0.4;
+
+/// Part of either notice without news of another reader, after which an instance reads a log for
+/// itself: a read that fails then is repeated within the rest.
+constexpr double PatienceShare = 0.55;
 
 /// Part of the time for which a leaving endpoint may be sent requests, between reads of the list.
-constexpr double EndpointsPauseShare = 0.25;
+constexpr double EndpointsPauseShare = 0.3;
 constexpr absl::Duration StoreRetryPause = absl::Milliseconds(150);
 
 /// The balancer asks for readiness once a second and acts on the second miss.
@@ -148,22 +152,15 @@
         callerServer_ = std::move(*callers);
         readinessServer_ = std::move(*readiness);
         metricsServer_ = std::move(*metrics);
-        configurationFollower_ = makeLogFollower(
-            io_, *ports_.store, *ports_.decoder,
-            { LogName::Configuration, settings_.configurationNotice * ConfigurationWaitShare,
-              absl::ZeroDuration(), StoreRetryPause },
-            configurationHandler_);
-        endpointsFollower_
-            = makeLogFollower(io_, *ports_.store, *ports_.decoder,
-                              { LogName::Endpoints, absl::ZeroDuration(),
-                                settings_.leavingNotice * EndpointsPauseShare, StoreRetryPause },
-                              endpointsHandler_);
-        auto link = makePeerLink(io_, settings_.peers, self_, serving_, peers_);
+        auto link = makePeerLink(io_, settings_.peers, self_, serving_, peers_,
+                                 [this](const LogPart &part) { onLogPart(part); });
         if (!link)
             return link.lastReason();
         peerLink_ = std::move(*link);
-        leaseRunner_ = makeLeaseRunner(io_, *ports_.store, *ports_.clock, self_,
-                                       { settings_.lease, settings_.lease * LeaseMarginShare });
+        makeFollowers();
+        leaseRunner_
+            = makeLeaseRunner(io_, *ports_.store, *ports_.clock, self_,
+                              { settings_.lease, settings_.lease * LeaseMarginShare }, peers_);
         usageDuty_ = makeUsageDuty(io_,
                                    { *ports_.store, *ports_.duties, *leaseRunner_, serving_.usage,
                                      peers_, serving_.trueTime, *ports_.clock },
@@ -270,10 +267,11 @@
             for (const KeyedRecord &record : records)
                 onRecord(record);
         }
-        void onRecord(const KeyedRecord &record) override
+        bool onRecord(const KeyedRecord &record) override
         {
             if (record.value && record.key == gateway_.ports_.decoder->configurationKey())
                 gateway_.applyConfiguration(*record.value);
+            return true;
         }
         void onCurrent() override { gateway_.storeDependency_.noteSuccess(); }
         void onFailure(const base::Reason &reason) override
@@ -300,9 +298,11 @@
         {
             changed_ |= gateway_.feed_.applyNewest(records, now());
         }
-        void onRecord(const KeyedRecord &record) override
+        bool onRecord(const KeyedRecord &record) override
         {
-            changed_ |= gateway_.feed_.applyRecord(record, now());
+            const EndpointFeed::Change change = gateway_.feed_.applyRecord(record, now());
+            changed_ |= change.directory;
+            return change.log;
         }
         void onCurrent() override
         {
@@ -329,6 +329,38 @@
         bool changed_ = false;
     };
 
+    void makeFollowers()
+    {
+        FollowerOptions options;
+        options.self = self_;
+        options.retryPause = StoreRetryPause;
+        options.log = LogName::Configuration;
+        options.wait = settings_.configurationNotice * ConfigurationWaitShare;
+        options.patience = settings_.configurationNotice * PatienceShare;
+        options.tellsRecords = false;
+        configurationFollower_
+            = makeLogFollower(io_, followerParts(configurationHandler_), options);
+        options.log = LogName::Endpoints;
+        options.wait = absl::ZeroDuration();
+        options.pause = settings_.leavingNotice * EndpointsPauseShare;
+        options.patience = settings_.leavingNotice * PatienceShare;
+        options.tellsRecords = true;
+        endpointsFollower_ = makeLogFollower(io_, followerParts(endpointsHandler_), options);
+    }
+
+    FollowerParts followerParts(FollowerHandler &handler) const
+    {
+        return { *ports_.store, *ports_.decoder, *ports_.clock, *peerLink_, handler };
+    }
+
+    void onLogPart(const LogPart &part)
+    {
+        if (part.log == LogName::Configuration)
+            configurationFollower_->onPart(part);
+        else if (part.log == LogName::Endpoints)
+            endpointsFollower_->onPart(part);
+    }
+
     bool isReady() const
     {
         return !stopping_ && serving_.configuration && !serving_.directory.empty();
@@ -449,9 +481,9 @@
     std::unique_ptr<net::HttpServer> callerServer_;
     std::unique_ptr<net::HttpServer> readinessServer_;
     std::unique_ptr<net::HttpServer> metricsServer_;
+    std::unique_ptr<PeerLink> peerLink_;
     std::unique_ptr<LogFollower> configurationFollower_;
     std::unique_ptr<LogFollower> endpointsFollower_;
-    std::unique_ptr<PeerLink> peerLink_;
     std::unique_ptr<LeaseRunner> leaseRunner_;
     std::unique_ptr<UsageDuty> usageDuty_;
     std::unique_ptr<FleetDuty> fleetDuty_;
--- a/src/zinniadoor/gateway/lease_runner.cpp
+++ b/src/zinniadoor/gateway/lease_runner.cpp
@@ -18,9 +18,12 @@
 /// How often the runner looks whether something is due.
 constexpr absl::Duration Tick = absl::Milliseconds(100);
 
-/// Parts of the lease: between renewals, and between reads of those who do not hold it.
+/// Parts of the lease: between renewals, and between reads of those who do not hold it: of the
+/// first few, who take over, and of the others, in case that all of those are lost.
 constexpr double RenewalShare = 1.0 / 3;
-constexpr double ReadShare = 1.0 / 3;
+constexpr double WatchShare = 1.0 / 3;
+constexpr double LookShare = 3;
+constexpr std::size_t Watchers = 2;
 
 /// Instances that may claim do so up to this part of the lease later, each at its own time.
 constexpr double ClaimSpread = 0.15;
@@ -29,12 +32,13 @@
 {
 public:
     LogLeaseRunner(boost::asio::io_context &context, LogStore &store, const base::Clock &clock,
-                   const ProcessName &self, const LeaseOptions &options)
+                   const ProcessName &self, const LeaseOptions &options, const PeerTable &peers)
         : timer_(context)
         , store_(store)
         , clock_(clock)
         , self_(self)
         , options_(options)
+        , peers_(peers)
         , lease_(self, options)
     {
         constexpr std::size_t Steps = 1000;
@@ -100,18 +104,27 @@
         const bool holds = lease_.isHolder() && !lease_.mayClaim(now);
         if (holds && now - lastAppend_ >= options_.lease * RenewalShare) {
             append(newRecord(LeaseRecordKind::Renewal), [](bool) {});
+        } else if (!holds && now - lastRead_ >= readPause(now)) {
+            read();
         } else if (!holds && lease_.mayClaim(now)) {
             mayClaimSince_ = std::min(mayClaimSince_, now);
-            if (now - mayClaimSince_ >= claimDelay_)
+            if (now - mayClaimSince_ < claimDelay_)
+                return;
+            if (now - lastRead_ < options_.lease * WatchShare)
                 append(newRecord(LeaseRecordKind::Claim), [](bool) {});
-            else if (now - lastRead_ >= options_.lease * ReadShare)
-                read();
-        } else if (!holds && now - lastRead_ >= options_.lease * ReadShare) {
+            else
+                read(); // What was read so long ago is likely to be out of date.
+        } else if (!holds) {
             mayClaimSince_ = absl::InfiniteFuture();
-            read();
         }
     }
 
+    absl::Duration readPause(absl::Time now) const
+    {
+        const bool watches = peers_.rankOfSelf(now) < Watchers;
+        return options_.lease * (watches ? WatchShare : LookShare);
+    }
+
     LeaseRecord newRecord(LeaseRecordKind kind)
     {
         LeaseRecord record;
@@ -201,6 +214,7 @@
     const base::Clock &clock_;
     ProcessName self_;
     LeaseOptions options_;
+    const PeerTable &peers_;
     DutyLease lease_;
     absl::Duration claimDelay_;
     absl::Time lastAppend_ = absl::InfinitePast();
@@ -241,10 +255,10 @@
 
 std::unique_ptr<LeaseRunner> makeLeaseRunner(boost::asio::io_context &context, LogStore &store,
                                              const base::Clock &clock, const ProcessName &self,
-                                             const LeaseOptions &options)
+                                             const LeaseOptions &options, const PeerTable &peers)
 {
     return std::make_unique<OwnedLeaseRunner>(
-        std::make_shared<LogLeaseRunner>(context, store, clock, self, options));
+        std::make_shared<LogLeaseRunner>(context, store, clock, self, options, peers));
 }
 
 } // namespace zinniadoor::gateway
--- /dev/null
+++ b/src/zinniadoor/gateway/log_follower_test.cpp
@@ -0,0 +1,350 @@
+#include <deque>
+#include <map>
+#include <random>
+
+#include <boost/asio/post.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "absl/strings/str_cat.h"
+
+#include "support/event_loop.hpp"
+#include "zinniadoor/base/clock.hpp"
+#include "zinniadoor/gateway/log_follower.hpp"
+
+namespace {
+
+using namespace zinniadoor;
+using namespace zinniadoor::gateway;
+
+/// A log in memory; records are "key=value", or "key" for a dropped key. A value that begins with
+/// '~' only says that its writer lives.
+class MemoryStore : public LogStore, public RecordDecoder
+{
+public:
+    explicit MemoryStore(boost::asio::io_context &io)
+        : io_(io)
+    { }
+
+    void append(LogName, const std::vector<std::string> &, std::optional<LogOffset>,
+                std::function<void(base::Outcome<AppendResult>)>) override
+    { }
+
+    void read(LogName, LogOffset from, absl::Duration,
+              std::function<void(base::Outcome<LogRecords>)> done) override
+    {
+        ++reads;
+        if (down) {
+            boost::asio::post(io_, [done] {
+                done(base::Reason { base::ReasonCode::Unavailable, "down" });
+            });
+            return;
+        }
+        LogRecords result;
+        result.first = from;
+        result.end = log.size();
+        result.records.assign(log.begin() + static_cast<std::ptrdiff_t>(from), log.end());
+        boost::asio::post(io_, [done, result] { done(result); });
+    }
+
+    void readNewest(LogName, std::function<void(base::Outcome<NewestRecords>)> done) override
+    {
+        std::map<std::string, KeyedRecord> newest;
+        for (const std::string &bytes : log) {
+            const KeyedRecord record = *keyed(bytes);
+            newest[record.key] = record;
+        }
+        NewestRecords result;
+        result.end = log.size();
+        for (const auto &[key, record] : newest) {
+            if (record.value)
+                result.records.push_back(record);
+        }
+        boost::asio::post(io_, [done, result] { done(result); });
+    }
+
+    base::Outcome<KeyedRecord> keyed(const std::string &record) const override
+    {
+        const std::size_t sign = record.find('=');
+        if (sign == std::string::npos)
+            return KeyedRecord { record, std::nullopt };
+        return KeyedRecord { record.substr(0, sign), record.substr(sign + 1) };
+    }
+    std::string configurationKey() const override { return "configuration"; }
+    base::Outcome<Configuration::Parts> configuration(const std::string &) const override
+    {
+        return base::Reason { base::ReasonCode::InvalidArgument, "no such records" };
+    }
+    base::Outcome<EndpointRecord> endpoint(const std::string &, const std::string &) const override
+    {
+        return base::Reason { base::ReasonCode::InvalidArgument, "no such records" };
+    }
+
+    std::vector<std::string> log;
+    int reads = 0;
+    bool down = false;
+
+private:
+    boost::asio::io_context &io_;
+};
+
+/// Keeps the newest value of each key, but for records that only say that the writer lives.
+class Listener : public FollowerHandler, public LogRelay
+{
+public:
+    void onNewest(const std::vector<KeyedRecord> &records) override
+    {
+        values.clear();
+        for (const KeyedRecord &record : records)
+            onRecord(record);
+    }
+    bool onRecord(const KeyedRecord &record) override
+    {
+        if (!record.value)
+            return values.erase(record.key) > 0;
+        if (record.value->rfind('~', 0) == 0)
+            return false;
+        values[record.key] = *record.value;
+        return true;
+    }
+    void onCurrent() override { ++current; }
+    void onFailure(const base::Reason &) override { ++failures; }
+    void onUnreadable(const base::Reason &) override { }
+    void tell(const LogPart &part) override
+    {
+        told.push_back(part);
+        if (toldHook)
+            toldHook(part);
+    }
+
+    std::map<std::string, std::string> values;
+    std::vector<LogPart> told;
+    std::function<void(const LogPart &)> toldHook;
+    int current = 0;
+    int failures = 0;
+};
+
+struct LogFollowerFixture
+{
+    /// `name` decides who reads where two could.
+    std::unique_ptr<LogFollower> follower(MemoryStore &from, Listener &hears,
+                                          const std::string &name,
+                                          absl::Duration patience = absl::Hours(1),
+                                          bool tellsRecords = true)
+    {
+        FollowerOptions options;
+        options.log = LogName::Endpoints;
+        options.self = { name, 1 };
+        options.pause = absl::Milliseconds(2);
+        options.retryPause = absl::Milliseconds(2);
+        options.patience = patience;
+        options.tellsRecords = tellsRecords;
+        auto made = makeLogFollower(io, { from, from, *clock, hears, hears }, options);
+        made->start();
+        return made;
+    }
+
+    /// One of two names such that a follower of that name gives way to the other one.
+    static std::string nameThat(bool givesWay)
+    {
+        const std::hash<std::string> place;
+        const bool aFirst = place("endpointsa") < place("endpointsb");
+        return aFirst == givesWay ? "b" : "a";
+    }
+
+    LogPart partOf(LogOffset from, LogOffset to, std::vector<LogPartRecord> records = {}) const
+    {
+        LogPart part;
+        part.sender = { nameThat(false), 1 };
+        part.from = from;
+        part.to = to;
+        part.records = std::move(records);
+        return part;
+    }
+
+    bool until(const std::function<bool()> &condition) { return test::runUntil(io, condition); }
+
+    boost::asio::io_context io;
+    std::unique_ptr<base::Clock> clock = base::systemClock();
+    MemoryStore store { io };
+    Listener listener;
+};
+
+BOOST_FIXTURE_TEST_SUITE(LogFollowerTest, LogFollowerFixture)
+
+BOOST_AUTO_TEST_CASE(reader_recordsThatOnlyShowLife_areNotTold)
+{
+    store.log = { "e1=1" };
+    const auto reader = follower(store, listener, "a");
+    BOOST_REQUIRE(until([&] { return !listener.told.empty(); }));
+    listener.told.clear();
+    store.log.insert(store.log.end(), { "e1=~", "e2=1", "e1=~", "e1" });
+    BOOST_REQUIRE(until([&] { return listener.values.count("e1") == 0; }));
+    BOOST_REQUIRE(until([&] { return !listener.told.empty() && listener.told.back().to == 5u; }));
+    std::vector<LogPartRecord> records;
+    for (const LogPart &part : listener.told) {
+        BOOST_TEST(part.whole);
+        if (part.to == 5u && records.empty())
+            records = part.records;
+    }
+    BOOST_REQUIRE(records.size() == 2u);
+    BOOST_TEST(records[0].key == "e2");
+    BOOST_TEST(records[0].offset == 2u);
+    BOOST_TEST(!records[1].value.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(reader_partThatWasLost_isMadeGoodByTheNext)
+{
+    const auto reader = follower(store, listener, "a");
+    BOOST_REQUIRE(until([&] { return !listener.told.empty(); }));
+    listener.told.clear();
+    store.log.push_back("e1=1");
+    BOOST_REQUIRE(until([&] {
+        return listener.told.size() > 1 && listener.told[listener.told.size() - 2].to == 1u;
+    }));
+    const auto first = std::find_if(listener.told.begin(), listener.told.end(),
+                                    [](const LogPart &part) { return part.to == 1u; });
+    const LogPart second = *std::next(first);
+    BOOST_TEST(second.from == 0u);
+    BOOST_TEST(second.records.size() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(follower_toldInTime_doesNotRead)
+{
+    store.log = { "e1=1" };
+    const auto quiet = follower(store, listener, nameThat(true));
+    BOOST_REQUIRE(until([&] { return listener.current > 0; }));
+    quiet->onPart(partOf(1, 1));
+    BOOST_REQUIRE(until([&] { return listener.current > 1; }));
+    test::runBriefly(io); // A read that was under way ends.
+    const int before = store.reads;
+    quiet->onPart(partOf(0, 4, { { 2, "e2", "7" } }));
+    BOOST_TEST(listener.values["e2"] == "7");
+    test::runBriefly(io);
+    BOOST_TEST(store.reads == before);
+}
+
+BOOST_AUTO_TEST_CASE(follower_silenceBeyondPatience_readsForItself)
+{
+    const auto quiet = follower(store, listener, nameThat(true), absl::Milliseconds(20));
+    BOOST_REQUIRE(until([&] { return listener.current > 0; }));
+    quiet->onPart(partOf(0, 0));
+    store.log.push_back("e1=1");
+    BOOST_TEST(until([&] { return listener.values.count("e1") == 1; }));
+}
+
+BOOST_AUTO_TEST_CASE(follower_partWithAGapBefore_isNotTaken)
+{
+    store.log = { "e1=1" };
+    const auto quiet = follower(store, listener, nameThat(true));
+    BOOST_REQUIRE(until([&] { return listener.current > 0; }));
+    quiet->onPart(partOf(1, 1));
+    test::runBriefly(io);
+    const int before = listener.current;
+    quiet->onPart(partOf(3, 4, { { 3, "e2", "1" } }));
+    BOOST_TEST(listener.values.count("e2") == 0u);
+    BOOST_TEST(listener.current == before);
+}
+
+BOOST_AUTO_TEST_CASE(follower_latePart_bringsNothingOldBack)
+{
+    store.log = { "e1=1", "e1=2" };
+    const auto quiet = follower(store, listener, nameThat(true));
+    BOOST_REQUIRE(until([&] { return listener.current > 0; }));
+    quiet->onPart(partOf(0, 1, { { 0, "e1", "1" } }));
+    quiet->onPart(partOf(0, 2, { { 0, "e1", "1" } }));
+    BOOST_TEST(listener.values["e1"] == "2");
+}
+
+BOOST_AUTO_TEST_CASE(follower_partWithoutItsRecords_readsAtOnce)
+{
+    const auto quiet = follower(store, listener, nameThat(true));
+    BOOST_REQUIRE(until([&] { return listener.current > 0; }));
+    quiet->onPart(partOf(0, 0));
+    test::runBriefly(io);
+    store.log.push_back("e1=1");
+    LogPart part = partOf(0, 1);
+    part.whole = false;
+    quiet->onPart(part);
+    BOOST_TEST(until([&] { return listener.values.count("e1") == 1; }));
+}
+
+BOOST_AUTO_TEST_CASE(reader_recordsTooLargeToTell_saysOnlyThatThereAreSome)
+{
+    const auto reader = follower(store, listener, "a", absl::Hours(1), false);
+    BOOST_REQUIRE(until([&] { return listener.current > 0; }));
+    store.log.push_back("e1=1");
+    BOOST_REQUIRE(until([&] { return !listener.told.empty() && listener.told.back().to == 1u; }));
+    BOOST_TEST(!listener.told.back().whole);
+    BOOST_TEST(listener.told.back().records.empty());
+}
+
+BOOST_AUTO_TEST_CASE(twoInstances_oneReadsAndTheOtherGivesWay)
+{
+    Listener other;
+    MemoryStore view(io); // The same log; counts the reads of one instance.
+    std::unique_ptr<LogFollower> first;
+    std::unique_ptr<LogFollower> second;
+    listener.toldHook = [&](const LogPart &part) { second->onPart(part); };
+    other.toldHook = [&](const LogPart &part) { first->onPart(part); };
+    second = follower(view, other, nameThat(true));
+    first = follower(store, listener, nameThat(false));
+    BOOST_REQUIRE(until([&] { return other.current > 20; }));
+    const int before = view.reads;
+    const int readsBefore = store.reads;
+    BOOST_REQUIRE(until([&] { return store.reads > readsBefore + 10; }));
+    BOOST_TEST(view.reads == before);
+}
+
+BOOST_AUTO_TEST_CASE(severalInstances_partsLostAndStoreAway_allEndAlike)
+{
+    for (std::uint32_t seed = 1; seed <= 20; ++seed) {
+        std::mt19937 random(seed);
+        store.log.clear();
+        std::vector<std::unique_ptr<Listener>> listeners;
+        std::vector<std::unique_ptr<LogFollower>> followers;
+        for (int i = 0; i < 4; ++i)
+            listeners.push_back(std::make_unique<Listener>());
+        for (std::size_t i = 0; i < listeners.size(); ++i) {
+            listeners[i]->toldHook = [&, i](const LogPart &part) {
+                for (std::size_t j = 0; j < followers.size(); ++j) {
+                    if (j != i && random() % 10 < 6)
+                        followers[j]->onPart(part);
+                }
+            };
+            followers.push_back(
+                follower(store, *listeners[i], absl::StrCat("i", i), absl::Milliseconds(8)));
+        }
+        std::map<std::string, std::string> expected;
+        for (int step = 0; step < 30; ++step) {
+            store.down = random() % 8 == 0;
+            const std::string key = absl::StrCat("e", random() % 5);
+            switch (random() % 3) {
+            case 0:
+                store.log.push_back(key + "=~");
+                break;
+            case 1:
+                store.log.push_back(key);
+                expected.erase(key);
+                break;
+            default:
+                expected[key] = std::to_string(step);
+                store.log.push_back(absl::StrCat(key, "=", step));
+            }
+            io.restart();
+            io.run_for(std::chrono::milliseconds(random() % 4));
+        }
+        store.down = false;
+        const bool alike = until([&] {
+            return std::all_of(listeners.begin(), listeners.end(),
+                               [&](const auto &each) { return each->values == expected; });
+        });
+        BOOST_TEST(alike, "seed " << seed);
+        followers.clear();
+        io.restart();
+        io.poll();
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
--- a/src/zinniadoor/gateway/peer_link.cpp
+++ b/src/zinniadoor/gateway/peer_link.cpp
@@ -35,11 +35,13 @@
 {
 public:
     DatagramPeerLink(boost::asio::io_context &context, const ProcessName &self,
-                     ServingContext &serving, PeerTable &peers)
+                     ServingContext &serving, PeerTable &peers,
+                     std::function<void(const LogPart &)> onPart)
         : timer_(context)
         , self_(self)
         , serving_(serving)
         , peers_(peers)
+        , onPart_(std::move(onPart))
     { }
 
     base::Status open(boost::asio::io_context &context, const std::string &address)
@@ -79,6 +81,13 @@
         serving_.directory.pause(endpoint, until);
     }
 
+    void tell(const LogPart &part) override
+    {
+        const std::string bytes = base::encode(part);
+        for (const std::string &address : peers_.addressesIn(serving_.dataCentre))
+            socket_->send(address, bytes);
+    }
+
 private:
     void tick()
     {
@@ -107,6 +116,7 @@
         const absl::Time now = serving_.clock.now();
         PeerMessage message;
         message.sender = self_;
+        message.dataCentre = serving_.dataCentre.str();
         message.sequence = ++sequence_;
         message.periodMs = static_cast<std::uint32_t>(absl::ToInt64Milliseconds(pause_));
         message.estimateMs = absl::ToUnixMillis(serving_.trueTime.ownEstimate(now));
@@ -144,12 +154,32 @@
     }
 
     void receive(const std::string &bytes, const std::string &from)
+    {
+        if (formatOf(bytes) == LogPart::CurrentFormat)
+            receivePart(bytes, from);
+        else
+            receiveNews(bytes, from);
+    }
+
+    void receivePart(const std::string &bytes, const std::string &from)
+    {
+        const auto part = base::decode<LogPart>(bytes);
+        if (part && !(part->sender == self_))
+            onPart_(*part);
+        else if (!part)
+            logRejected(from, part.lastReason().text);
+    }
+
+    static void logRejected(const std::string &from, const std::string &reason)
+    {
+        logEvent(EventId::PeerMessageRejected, { { "from", from }, { "reason", reason } });
+    }
+
+    void receiveNews(const std::string &bytes, const std::string &from)
     {
         const auto message = base::decode<PeerMessage>(bytes);
         if (!message || message->format != PeerMessage::CurrentFormat) {
-            logEvent(EventId::PeerMessageRejected,
-                     { { "from", from },
-                       { "reason", message ? "another format" : message.lastReason().text } });
+            logRejected(from, message ? "another format" : message.lastReason().text);
             return;
         }
         const absl::Time now = serving_.clock.now();
@@ -192,6 +222,7 @@
     ProcessName self_;
     ServingContext &serving_;
     PeerTable &peers_;
+    std::function<void(const LogPart &)> onPart_;
     std::unique_ptr<net::DatagramSocket> socket_;
     std::uint64_t sequence_ = 0;
     absl::Duration pause_ = MinPause;
@@ -202,12 +233,12 @@
 
 } // namespace
 
-base::Outcome<std::unique_ptr<PeerLink>> makePeerLink(boost::asio::io_context &context,
-                                                      const std::string &address,
-                                                      const ProcessName &self,
-                                                      ServingContext &serving, PeerTable &peers)
+base::Outcome<std::unique_ptr<PeerLink>>
+makePeerLink(boost::asio::io_context &context, const std::string &address, const ProcessName &self,
+             ServingContext &serving, PeerTable &peers, std::function<void(const LogPart &)> onPart)
 {
-    auto link = std::make_unique<DatagramPeerLink>(context, self, serving, peers);
+    auto link
+        = std::make_unique<DatagramPeerLink>(context, self, serving, peers, std::move(onPart));
     const base::Status opened = link->open(context, address);
     if (!opened)
         return opened.lastReason();
--- a/src/zinniadoor/gateway/peer_table.cpp
+++ b/src/zinniadoor/gateway/peer_table.cpp
@@ -1,6 +1,7 @@
 #include "zinniadoor/gateway/peer_table.hpp"
 
 #include <algorithm>
+#include <functional>
 
 namespace zinniadoor::gateway {
 
@@ -51,6 +52,7 @@
         return false;
     peer.sequence = message.sequence;
     peer.heard = now;
+    peer.dataCentre = base::DataCentreId(message.dataCentre);
     peer.period = std::min(absl::Milliseconds(message.periodMs), MaxPeriod);
     peer.timeOffset = absl::FromUnixMillis(message.estimateMs) - ownEstimate_;
     peer.demand = message.demand;
@@ -74,6 +76,26 @@
     return addresses;
 }
 
+std::vector<std::string> PeerTable::addressesIn(const base::DataCentreId &dataCentre) const
+{
+    std::vector<std::string> addresses;
+    for (const auto &[instance, peer] : peers_) {
+        if (!peer.stopped && peer.dataCentre == dataCentre)
+            addresses.push_back(peer.address);
+    }
+    return addresses;
+}
+
+std::size_t PeerTable::rankOfSelf(absl::Time now) const
+{
+    const std::hash<std::string> place;
+    const std::size_t own = place(self_.instance);
+    return static_cast<std::size_t>(
+        std::count_if(peers_.begin(), peers_.end(), [&](const auto &entry) {
+            return isHeard(entry.second, now) && place(entry.first) < own;
+        }));
+}
+
 Membership PeerTable::membership(absl::Time now) const
 {
     Membership membership;
--- a/src/zinniadoor/gateway/records_test.cpp
+++ b/src/zinniadoor/gateway/records_test.cpp
@@ -10,6 +10,7 @@
 #include "zinniadoor/gateway/event_framer.hpp"
 #include "zinniadoor/gateway/gateway_settings.hpp"
 #include "zinniadoor/gateway/journal.hpp"
+#include "zinniadoor/gateway/log_part.hpp"
 #include "zinniadoor/gateway/peer_table.hpp"
 #include "zinniadoor/gateway/retry_budget.hpp"
 #include "zinniadoor/gateway/true_time.hpp"
@@ -224,6 +225,14 @@
     BOOST_TEST((time.at(at(1000)) == absl::FromUnixSeconds(5001)));
 }
 
+BOOST_AUTO_TEST_CASE(formatOf_eachKindOfMessage_isItsOwn)
+{
+    BOOST_TEST(formatOf(base::encode(PeerMessage {})) == PeerMessage::CurrentFormat);
+    BOOST_TEST(formatOf(base::encode(LogPart {})) == LogPart::CurrentFormat);
+    BOOST_TEST(formatOf("") == 0);
+    static_assert(PeerMessage::CurrentFormat != LogPart::CurrentFormat, "told apart by it");
+}
+
 BOOST_AUTO_TEST_CASE(peerMessage_anyPrefixOfItsBytes_isRefused)
 {
     PeerMessage sent = message("p", 1, 7);
--- a/src/zinniadoor/gateway/usage_duty.cpp
+++ b/src/zinniadoor/gateway/usage_duty.cpp
@@ -30,7 +30,7 @@
 
 /// Between reads of the journal, by the holder and by the others.
 constexpr absl::Duration HolderRead = absl::Seconds(1);
-constexpr absl::Duration OtherRead = absl::Seconds(5);
+constexpr absl::Duration OtherRead = absl::Seconds(10);
 constexpr absl::Duration ReportRetry = absl::Milliseconds(700);
 
 class LogUsageDuty : public UsageDuty, public std::enable_shared_from_this<LogUsageDuty>
