--- a/include/zinniadoor/gateway/journal.hpp
+++ b/include/zinniadoor/gateway/journal.hpp
@@ -16,13 +16,14 @@
     JournalKind kind = JournalKind::Started;
     ProcessName process;
     std::string address; ///< Started: for peers' messages.
+    std::string dataCentre; ///< Started.
     WindowNumber window = 0; ///< Usage.
     UsageCounts counts; ///< Usage: final counts of that process in that window.
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(kind, process, address, window, counts);
+        archive(kind, process, address, dataCentre, window, counts);
     }
 };
 
--- a/include/zinniadoor/gateway/peer_table.hpp
+++ b/include/zinniadoor/gateway/peer_table.hpp
@@ -19,7 +19,8 @@
     explicit PeerTable(ProcessName self);
 
     /// From the journal, or from a first message.
-    void noteStarted(const ProcessName &process, const std::string &address);
+    void noteStarted(const ProcessName &process, const std::string &address,
+                     const std::string &dataCentre);
     void noteStopped(const ProcessName &process);
 
     /// Returns whether the message is news: not this instance's own, not late, not doubled.
@@ -64,7 +65,7 @@
     {
         std::uint64_t incarnation = 0;
         std::string address;
-        base::DataCentreId dataCentre; ///< Empty until it is heard.
+        base::DataCentreId dataCentre;
         bool stopped = false;
         std::uint64_t sequence = 0;
         absl::Time heard = absl::InfinitePast();
--- a/include/zinniadoor/gateway/usage_duty.hpp
+++ b/include/zinniadoor/gateway/usage_duty.hpp
@@ -16,6 +16,7 @@
 {
     ProcessName self;
     std::string peerAddress; ///< Of this instance, for the journal.
+    std::string dataCentre; ///< The same.
     absl::Duration due; ///< After a window's end, for its report.
 };
 
--- a/src/zinniadoor/gateway/gateway.cpp
+++ b/src/zinniadoor/gateway/gateway.cpp
@@ -161,10 +161,11 @@
         leaseRunner_
             = makeLeaseRunner(io_, *ports_.store, *ports_.clock, self_,
                               { settings_.lease, settings_.lease * LeaseMarginShare }, peers_);
-        usageDuty_ = makeUsageDuty(io_,
-                                   { *ports_.store, *ports_.duties, *leaseRunner_, serving_.usage,
-                                     peers_, serving_.trueTime, *ports_.clock },
-                                   { self_, settings_.peers, settings_.usageDue });
+        usageDuty_ = makeUsageDuty(
+            io_,
+            { *ports_.store, *ports_.duties, *leaseRunner_, serving_.usage, peers_,
+              serving_.trueTime, *ports_.clock },
+            { self_, settings_.peers, settings_.dataCentre.str(), settings_.usageDue });
         fleetDuty_
             = makeFleetDuty(io_, { *ports_.duties, *leaseRunner_, serving_ }, settings_.fleet);
         stageDuty_ = makeStageDuty(io_, { *leaseRunner_, serving_ }, settings_.instance.str(),
--- a/src/zinniadoor/gateway/lease_runner.cpp
+++ b/src/zinniadoor/gateway/lease_runner.cpp
@@ -108,12 +108,10 @@
             read();
         } else if (!holds && lease_.mayClaim(now)) {
             mayClaimSince_ = std::min(mayClaimSince_, now);
-            if (now - mayClaimSince_ < claimDelay_)
-                return;
-            if (now - lastRead_ < options_.lease * WatchShare)
+            // What was read long ago is likely to be out of date.
+            const bool fresh = now - lastRead_ < options_.lease * WatchShare;
+            if (fresh && now - mayClaimSince_ >= claimDelay_)
                 append(newRecord(LeaseRecordKind::Claim), [](bool) {});
-            else
-                read(); // What was read so long ago is likely to be out of date.
         } else if (!holds) {
             mayClaimSince_ = absl::InfiniteFuture();
         }
--- a/src/zinniadoor/gateway/peer_table.cpp
+++ b/src/zinniadoor/gateway/peer_table.cpp
@@ -20,7 +20,8 @@
     : self_(std::move(self))
 { }
 
-void PeerTable::noteStarted(const ProcessName &process, const std::string &address)
+void PeerTable::noteStarted(const ProcessName &process, const std::string &address,
+                            const std::string &dataCentre)
 {
     if (process.instance == self_.instance)
         return;
@@ -33,6 +34,7 @@
     }
     peer.incarnation = process.incarnation;
     peer.address = address;
+    peer.dataCentre = base::DataCentreId(dataCentre);
 }
 
 void PeerTable::noteStopped(const ProcessName &process)
@@ -46,13 +48,12 @@
 {
     if (message.sender.instance == self_.instance)
         return false;
-    noteStarted(message.sender, from);
+    noteStarted(message.sender, from, message.dataCentre);
     Peer &peer = peers_[message.sender.instance];
     if (message.sender.incarnation < peer.incarnation || message.sequence <= peer.sequence)
         return false;
     peer.sequence = message.sequence;
     peer.heard = now;
-    peer.dataCentre = base::DataCentreId(message.dataCentre);
     peer.period = std::min(absl::Milliseconds(message.periodMs), MaxPeriod);
     peer.timeOffset = absl::FromUnixMillis(message.estimateMs) - ownEstimate_;
     peer.demand = message.demand;
--- a/src/zinniadoor/gateway/usage_duty.cpp
+++ b/src/zinniadoor/gateway/usage_duty.cpp
@@ -2,6 +2,7 @@
 
 #include <deque>
 #include <set>
+#include <utility>
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -52,6 +53,7 @@
         started.kind = JournalKind::Started;
         started.process = options_.self;
         started.address = options_.peerAddress;
+        started.dataCentre = options_.dataCentre;
         unwritten_.push_back(base::encode(started));
         tick();
     }
@@ -131,6 +133,9 @@
                 self->writing_ = false;
                 if (self->closed_)
                     return;
+                // Whoever starts meanwhile reads this record, or is read here after it.
+                if (result && !std::exchange(self->announced_, true))
+                    self->lastRead_ = absl::InfinitePast();
                 if (result) {
                     auto &waiting = self->unwritten_;
                     waiting.erase(waiting.begin(),
@@ -179,7 +184,7 @@
                 continue;
             ledger_.apply(*record);
             if (record->kind == JournalKind::Started)
-                parts_.peers.noteStarted(record->process, record->address);
+                parts_.peers.noteStarted(record->process, record->address, record->dataCentre);
             else if (record->kind == JournalKind::Stopped)
                 parts_.peers.noteStopped(record->process);
         }
@@ -299,6 +304,7 @@
     absl::Time lastRead_ = absl::InfinitePast();
     absl::Time currentAt_ = absl::InfinitePast();
     absl::Time retryAt_ = absl::InfinitePast();
+    bool announced_ = false; ///< This instance's start stands in the journal.
     bool writing_ = false;
     bool reading_ = false;
     bool reporting_ = false;
