Peers: counts of usage and quotas are told four times a second at most, not in each message

Cause: with 87 peers a message of 2 KB is allowed each 1.2 s only; loads and prompts are out of date by then. Change: the cumulative counts go with the first message after 250 ms (or three messages, if that is longer).

--- a/src/zinniadoor/gateway/peer_link.cpp
+++ b/src/zinniadoor/gateway/peer_link.cpp
@@ -36,6 +36,11 @@
 /// Longest time without work that a peer's message may bring about.
 constexpr absl::Duration LongestRest = absl::Seconds(10);
 
+/// Between messages that also tell the counts of usage and quotas, which are cumulative: a small
+/// part of a window, and not each time where the budget is short.
+constexpr absl::Duration MinCountsPause = absl::Milliseconds(250);
+constexpr int MessagesPerCounts = 3;
+
 /// Windows whose counts are told.
 constexpr std::uint64_t UsageWindowsTold = 2;
 
@@ -180,6 +185,15 @@
             else
                 paused_.erase(current);
         }
+        if (now - countsToldAt_ >= std::max(MinCountsPause, MessagesPerCounts * pause_)) {
+            countsToldAt_ = now;
+            addCounts(message, now);
+        }
+        return message;
+    }
+
+    void addCounts(PeerMessage &message, absl::Time now) const
+    {
         message.taken = serving_.quota.ownTaken();
         const WindowNumber window = serving_.usage.windowAt(serving_.trueTime.at(now));
         for (std::uint64_t back = 0; back < UsageWindowsTold; ++back) {
@@ -187,7 +201,6 @@
             if (!counts.empty())
                 message.usage[window - back] = counts;
         }
-        return message;
     }
 
     template <typename T>
@@ -286,6 +299,7 @@
     std::function<void(const LogPart &)> onPart_;
     std::unique_ptr<net::DatagramSocket> socket_;
     std::uint64_t sequence_ = 0;
+    absl::Time countsToldAt_ = absl::InfinitePast();
     absl::Duration pause_ = MinPause;
     absl::Duration takenPause_ = MinTakenPause;
     absl::Time takenSentAt_ = absl::InfinitePast();
