--- a/src/zinniadoor/gateway/log_follower.cpp
+++ b/src/zinniadoor/gateway/log_follower.cpp
@@ -20,6 +20,10 @@
 constexpr double PatienceSpread = 0.3;
 constexpr std::size_t SpreadSteps = 1000;
 
+/// Pauses between failed reads double, up to a part of the patience.
+constexpr int MaxDoublings = 6;
+constexpr double RetryShare = 0.5;
+
 /// A part stays below one packet of an ordinary network.
 constexpr std::size_t MaxPartBytes = 1100;
 
@@ -68,9 +72,10 @@
                 return;
             if (!newest) {
                 self->handler_->onFailure(newest.lastReason());
-                self->again(self->options_.retryPause);
+                self->again(self->nextRetry());
                 return;
             }
+            self->retries_ = 0;
             self->next_ = newest->end;
             self->forgetNewsBefore(newest->end);
             self->tailing_ = true;
@@ -139,6 +144,14 @@
         return silent < patience_ ? patience_ - silent : options_.pause;
     }
 
+    absl::Duration nextRetry()
+    {
+        const absl::Duration pause = options_.retryPause * (1 << retries_);
+        if (retries_ < MaxDoublings)
+            ++retries_;
+        return std::min(pause, std::max(options_.retryPause, options_.patience * RetryShare));
+    }
+
     void readTail()
     {
         auto self = shared_from_this();
@@ -152,9 +165,10 @@
                             return;
                         if (!read) {
                             self->handler_->onFailure(read.lastReason());
-                            self->again(self->options_.retryPause);
+                            self->again(std::max(self->nextRetry(), self->nextPause()));
                             return;
                         }
+                        self->retries_ = 0;
                         // An end before our place means that the store lost its history.
                         if (read->trimmed || read->end < from) {
                             self->tailing_ = false;
@@ -271,6 +285,7 @@
     std::deque<LogPartRecord> news_; ///< Of the records from `newsFrom_` to `next_`.
     LogOffset newsFrom_ = 0;
     absl::Time heard_ = absl::InfinitePast(); ///< The last part of a reader of smaller rank.
+    int retries_ = 0; ///< Failed reads in a row, up to `MaxDoublings`.
     bool tailing_ = false;
     bool reading_ = false;
     bool reads_ = false;
--- a/src/zinniadoor/gateway/usage_duty.cpp
+++ b/src/zinniadoor/gateway/usage_duty.cpp
@@ -34,6 +34,9 @@
 constexpr absl::Duration OtherRead = absl::Seconds(10);
 constexpr absl::Duration ReportRetry = absl::Milliseconds(700);
 
+/// After an append to the journal that failed.
+constexpr absl::Duration WriteRetry = absl::Seconds(1);
+
 class LogUsageDuty : public UsageDuty, public std::enable_shared_from_this<LogUsageDuty>
 {
 public:
@@ -68,6 +71,7 @@
         record.kind = JournalKind::Stopped;
         record.process = options_.self;
         unwritten_.push_back(base::encode(record));
+        writeAt_ = absl::InfinitePast();
         write();
     }
 
@@ -119,7 +123,7 @@
     // A repeated append after a lost answer does no harm: the first record counts.
     void write()
     {
-        if (writing_ || unwritten_.empty()) {
+        if (writing_ || unwritten_.empty() || parts_.clock.now() < writeAt_) {
             if (unwritten_.empty() && stopped_)
                 finishStop();
             return;
@@ -140,7 +144,8 @@
                     auto &waiting = self->unwritten_;
                     waiting.erase(waiting.begin(),
                                   waiting.begin() + static_cast<std::ptrdiff_t>(count));
-                }
+                } else
+                    self->writeAt_ = self->parts_.clock.now() + WriteRetry;
                 if (self->stopped_ && (!result || self->unwritten_.empty()))
                     self->finishStop();
             });
@@ -304,6 +309,7 @@
     absl::Time lastRead_ = absl::InfinitePast();
     absl::Time currentAt_ = absl::InfinitePast();
     absl::Time retryAt_ = absl::InfinitePast();
+    absl::Time writeAt_ = absl::InfinitePast();
     bool announced_ = false; ///< This instance's start stands in the journal.
     bool writing_ = false;
     bool reading_ = false;
