Peers: endpoints go by a digest in messages

Cause: a message of loads and prompts named each endpoint by its text and took numbers of 64 bit; with 87 peers it was allowed every 0.7 s. Change: 64-bit digests of the ids, tokens of 32 bit; the directory finds an endpoint by its digest.

--- a/include/zinniadoor/gateway/endpoint_directory.hpp
+++ b/include/zinniadoor/gateway/endpoint_directory.hpp
@@ -34,6 +34,9 @@
 
     const EndpointRecord *find(const base::EndpointId &id) const;
 
+    /// The endpoint of this digest; null if there is none.
+    const base::EndpointId *findByDigest(std::uint64_t digest) const;
+
     /// Endpoints of a service that take new work; suspected ones only if there are no others.
     std::vector<const EndpointRecord *> usable(const std::string &service, absl::Time now) const;
     bool isUsable(const base::EndpointId &id, absl::Time now) const;
@@ -80,6 +83,7 @@
 
     DirectoryOptions options_;
     absl::flat_hash_map<base::EndpointId, Entry> entries_;
+    absl::flat_hash_map<std::uint64_t, base::EndpointId> byDigest_;
 };
 
 } // namespace zinniadoor::gateway
--- a/include/zinniadoor/gateway/endpoint_record.hpp
+++ b/include/zinniadoor/gateway/endpoint_record.hpp
@@ -35,6 +35,9 @@
     std::uint64_t bornMs = 0; ///< Start of the process, Unix milliseconds; 0 if unknown.
 };
 
+/// Short name of an endpoint in messages between instances; the same in every process.
+std::uint64_t digestOf(const base::EndpointId &endpoint);
+
 /// Whether the records say the same of an endpoint, but for the time that it has left.
 bool sameEndpoint(const EndpointRecord &a, const EndpointRecord &b);
 
--- a/include/zinniadoor/gateway/peer_message.hpp
+++ b/include/zinniadoor/gateway/peer_message.hpp
@@ -21,7 +21,7 @@
 /// Load of one instance at one endpoint.
 struct EndpointLoad
 {
-    std::string endpoint;
+    std::uint64_t endpoint = 0; ///< Its digest.
     serving::EngineLoad load;
 
     template <typename Archive>
@@ -34,7 +34,7 @@
 /// A prompt that an engine reads, as far as others may share it.
 struct PromptNews
 {
-    std::string endpoint;
+    std::uint64_t endpoint = 0; ///< Its digest.
     std::vector<std::pair<std::uint64_t, std::uint32_t>> parts; ///< Key and tokens, in order.
 
     template <typename Archive>
--- a/include/zinniadoor/serving/engine_view.hpp
+++ b/include/zinniadoor/serving/engine_view.hpp
@@ -15,6 +15,9 @@
 
 namespace zinniadoor::serving {
 
+/// Digest of a text that is the same in every process.
+std::uint64_t stableDigest(const std::string &text);
+
 /// Names a prompt's part together with all parts before it.
 using PartKey = std::uint64_t;
 
@@ -33,11 +36,11 @@
 /// Work that requests have brought to an engine and that is not done yet.
 struct EngineLoad
 {
-    std::array<std::uint64_t, UrgencyRanks> promptTokens {}; ///< To be read, by urgency.
+    std::array<std::uint32_t, UrgencyRanks> promptTokens {}; ///< To be read, by urgency.
     std::uint32_t requests = 0;
 
     /// Load of one request.
-    static EngineLoad ofRequest(std::uint64_t promptTokens, std::size_t rank);
+    static EngineLoad ofRequest(std::uint32_t promptTokens, std::size_t rank);
 
     /// Tokens that an engine reads before those of a new request of this rank.
     std::uint64_t tokensAhead(std::size_t rank) const;
@@ -45,7 +48,7 @@
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        for (std::uint64_t &tokens : promptTokens)
+        for (std::uint32_t &tokens : promptTokens)
             archive(tokens);
         archive(requests);
     }
--- a/src/zinniadoor/gateway/endpoint_directory.cpp
+++ b/src/zinniadoor/gateway/endpoint_directory.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "zinniadoor/serving/engine_view.hpp"
+
 namespace zinniadoor::gateway {
 
 namespace {
@@ -11,6 +13,11 @@
 
 } // namespace
 
+std::uint64_t digestOf(const base::EndpointId &endpoint)
+{
+    return serving::stableDigest(endpoint.str());
+}
+
 bool sameEndpoint(const EndpointRecord &a, const EndpointRecord &b)
 {
     return a.service == b.service && a.address == b.address && a.dataCentre == b.dataCentre
@@ -38,6 +45,8 @@
 bool EndpointDirectory::set(const EndpointRecord &record, absl::Time now)
 {
     const auto [it, inserted] = entries_.try_emplace(record.id);
+    if (inserted)
+        byDigest_[digestOf(record.id)] = record.id;
     Entry &entry = it->second;
     if (now - entry.replacedAt > ListLag)
         entry.replacedAt = absl::InfiniteFuture();
@@ -55,9 +64,16 @@
 
 bool EndpointDirectory::remove(const base::EndpointId &id)
 {
+    byDigest_.erase(digestOf(id));
     return entries_.erase(id) > 0;
 }
 
+const base::EndpointId *EndpointDirectory::findByDigest(std::uint64_t digest) const
+{
+    const auto found = byDigest_.find(digest);
+    return found == byDigest_.end() ? nullptr : &found->second;
+}
+
 const EndpointRecord *EndpointDirectory::find(const base::EndpointId &id) const
 {
     const auto found = entries_.find(id);
--- a/src/zinniadoor/gateway/exchange.cpp
+++ b/src/zinniadoor/gateway/exchange.cpp
@@ -98,16 +98,18 @@
         readPrompt(choice);
         return;
     }
-    writerLoad_ = LoadShare(context_.load, writer_.id,
-                            serving::EngineLoad::ofRequest(choice.tokensToRead, rank()));
+    writerLoad_ = LoadShare(
+        context_.load, writer_.id,
+        serving::EngineLoad::ofRequest(static_cast<std::uint32_t>(choice.tokensToRead), rank()));
     run();
 }
 
 void Exchange::readPrompt(const EndpointChoice &choice)
 {
     phase_ = Phase::ReadingPrompt;
-    readerLoad_ = LoadShare(context_.load, reader_.id,
-                            serving::EngineLoad::ofRequest(choice.tokensToRead, rank()));
+    readerLoad_ = LoadShare(
+        context_.load, reader_.id,
+        serving::EngineLoad::ofRequest(static_cast<std::uint32_t>(choice.tokensToRead), rank()));
     writerLoad_ = LoadShare(context_.load, writer_.id, serving::EngineLoad::ofRequest(0, rank()));
     net::Request request = context_.endpoints.readPrompt(request_, dispatchTo(reader_));
     call_ = context_.client.start({ reader_.address, reader_.id.str() }, std::move(request),
--- a/src/zinniadoor/gateway/peer_link.cpp
+++ b/src/zinniadoor/gateway/peer_link.cpp
@@ -79,7 +79,7 @@
                        const std::vector<serving::KeyedPart> &parts) override
     {
         PromptNews news;
-        news.endpoint = engine.str();
+        news.endpoint = digestOf(engine);
         // The last part is the request's own; nobody else will ask for it.
         for (std::size_t i = 0; i + 1 < parts.size(); ++i)
             news.parts.emplace_back(parts[i].key, parts[i].tokens);
@@ -174,7 +174,7 @@
         for (const EndpointRecord *endpoint : serving_.directory.all()) {
             const serving::EngineLoad load = serving_.load.ownLoad(endpoint->id);
             if (load.requests > 0)
-                message.loads.push_back({ endpoint->id.str(), load });
+                message.loads.push_back({ digestOf(endpoint->id), load });
         }
         takeFirst(prompts_, MaxPromptsPerMessage, message.prompts);
         takeFirst(crashes_, MaxCrashesPerMessage, message.crashes);
@@ -260,15 +260,20 @@
             return;
         serving_.quota.notePeer(message->sender, message->taken, now);
         absl::flat_hash_map<base::EndpointId, serving::EngineLoad> loads;
-        for (const EndpointLoad &load : message->loads)
-            loads[base::EndpointId(load.endpoint)] = load.load;
+        for (const EndpointLoad &load : message->loads) {
+            if (const base::EndpointId *id = serving_.directory.findByDigest(load.endpoint))
+                loads[*id] = load.load;
+        }
         serving_.load.setPeerLoad(base::InstanceId(message->sender.instance), std::move(loads),
                                   now);
         for (const PromptNews &news : message->prompts) {
+            const base::EndpointId *id = serving_.directory.findByDigest(news.endpoint);
+            if (!id)
+                continue; // Not listed here yet, or not any more.
             std::vector<serving::KeyedPart> parts;
             for (const auto &[key, tokens] : news.parts)
                 parts.push_back({ key, tokens });
-            serving_.load.noteParts(base::EndpointId(news.endpoint), parts);
+            serving_.load.noteParts(*id, parts);
         }
         for (const auto &[endpoint, milliseconds] : message->paused)
             serving_.directory.pause(base::EndpointId(endpoint),
--- a/src/zinniadoor/gateway/records_test.cpp
+++ b/src/zinniadoor/gateway/records_test.cpp
@@ -1,5 +1,6 @@
 #include <fstream>
 #include <regex>
+#include <set>
 #include <sstream>
 
 #include <boost/test/unit_test.hpp>
@@ -94,6 +95,18 @@
     BOOST_TEST(framer.hasPartialEvent());
 }
 
+BOOST_AUTO_TEST_CASE(directory_digestOfAnEndpoint_findsItWhileItIsListed)
+{
+    EndpointDirectory directory(DirectoryOptions {});
+    const base::EndpointId id("e");
+    directory.set(endpoint("e"), at(0));
+    directory.set(endpoint("f"), at(0));
+    BOOST_REQUIRE(directory.findByDigest(digestOf(id)));
+    BOOST_TEST(*directory.findByDigest(digestOf(id)) == id);
+    directory.remove(id);
+    BOOST_TEST(!directory.findByDigest(digestOf(id)));
+}
+
 BOOST_AUTO_TEST_CASE(directory_leavingEndpoint_isNotUsable)
 {
     EndpointDirectory directory(DirectoryOptions {});
@@ -229,15 +242,18 @@
 {
     BOOST_TEST(formatOf(base::encode(PeerMessage {})) == PeerMessage::CurrentFormat);
     BOOST_TEST(formatOf(base::encode(LogPart {})) == LogPart::CurrentFormat);
+    BOOST_TEST(formatOf(base::encode(TakenMessage {})) == TakenMessage::CurrentFormat);
     BOOST_TEST(formatOf("") == 0);
-    static_assert(PeerMessage::CurrentFormat != LogPart::CurrentFormat, "told apart by it");
+    const std::set<std::uint8_t> formats { PeerMessage::CurrentFormat, LogPart::CurrentFormat,
+                                           TakenMessage::CurrentFormat };
+    BOOST_TEST(formats.size() == 3u);
 }
 
 BOOST_AUTO_TEST_CASE(peerMessage_anyPrefixOfItsBytes_isRefused)
 {
     PeerMessage sent = message("p", 1, 7);
-    sent.loads.push_back({ "e", serving::EngineLoad::ofRequest(100, 0) });
-    sent.prompts.push_back({ "e", { { 1, 2 } } });
+    sent.loads.push_back({ 17, serving::EngineLoad::ofRequest(100, 0) });
+    sent.prompts.push_back({ 17, { { 1, 2 } } });
     sent.usage[4] = { { "org", 1 } };
     const std::string bytes = base::encode(sent);
     BOOST_TEST(base::decode<PeerMessage>(bytes)->sequence == 7u);
--- a/src/zinniadoor/serving/engine_view.cpp
+++ b/src/zinniadoor/serving/engine_view.cpp
@@ -25,7 +25,12 @@
 
 } // namespace
 
-EngineLoad EngineLoad::ofRequest(std::uint64_t promptTokens, std::size_t rank)
+std::uint64_t stableDigest(const std::string &text)
+{
+    return detail::mixedDigest(text);
+}
+
+EngineLoad EngineLoad::ofRequest(std::uint32_t promptTokens, std::size_t rank)
 {
     EngineLoad load;
     load.promptTokens[std::min(rank, UrgencyRanks - 1)] = promptTokens;
--- a/src/zinniadoor/serving/placement_test.cpp
+++ b/src/zinniadoor/serving/placement_test.cpp
@@ -161,7 +161,8 @@
             const base::EndpointId engine = plan->reader.value_or(plan->writer);
             read += facts.promptTokens - replay.cachedTokens(engine, facts.parts);
             replay.noteParts(engine, facts.parts);
-            replay.addLoad(engine, EngineLoad::ofRequest(plan->tokensToRead, 0));
+            replay.addLoad(
+                engine, EngineLoad::ofRequest(static_cast<std::uint32_t>(plan->tokensToRead), 0));
             if (i % 17 == 16) { // What was placed before has been done.
                 for (const EngineInfo &info : replay.engines())
                     replay.removeLoad(info.id, replay.ownLoad(info.id));
