--- a/src/zinniadoor/gateway/quota_test.cpp
+++ b/src/zinniadoor/gateway/quota_test.cpp
@@ -298,6 +298,30 @@
     BOOST_TEST(!quota.take(Org, 1, now).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(take_newInstanceWithoutStartShare_beginsEmpty)
+{
+    Quota quota(QuotaOptions { 0, 0 });
+    quota.configure(*configurationOf(10, 10, QuotaUnit::Requests));
+    const absl::Time now = absl::FromUnixSeconds(1);
+    BOOST_TEST(quota.take(Org, 1, now).has_value());
+    BOOST_TEST(!quota.take(Org, 1, now + absl::Milliseconds(101)).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(take_peerFallsSilent_itsUseIsTakenToGoOn)
+{
+    Quota quota(QuotaOptions {});
+    quota.configure(*configurationOf(10, 10, QuotaUnit::Requests));
+    quota.setMembership({ 2, 2 }, absl::FromUnixSeconds(1));
+    for (int i = 0; i <= 40; ++i) // 10 a second for 4 s: the whole rate.
+        quota.notePeer({ "p", 1 }, { { "org", i } },
+                       absl::FromUnixSeconds(1) + i * absl::Milliseconds(100));
+    const absl::Time silent = absl::FromUnixSeconds(6);
+    int admitted = 0;
+    for (int i = 0; i < 20; ++i)
+        admitted += quota.take(Org, 1, silent) ? 0 : 1;
+    BOOST_TEST(admitted < 5); // 10 have come since it was heard; it is likely to have taken most.
+}
+
 BOOST_AUTO_TEST_CASE(take_peerRestarted_countsFromZero)
 {
     Quota quota(QuotaOptions {});
