Peers: short messages count in order with the others

Cause: a short message of quota counts that arrives late would have given tokens back until the next one. Change: they share the sequence of the other messages; late and doubled ones are dropped. Test: peerTable_shortMessages_countInOrderWithTheOthers.

--- a/include/zinniadoor/gateway/peer_message.hpp
+++ b/include/zinniadoor/gateway/peer_message.hpp
@@ -85,12 +85,13 @@
 
     std::uint8_t format = CurrentFormat;
     ProcessName sender;
+    std::uint64_t sequence = 0; ///< Counts on together with that of `PeerMessage`.
     TakenCounts taken; ///< Of the organisations whose count has changed.
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(format, sender, taken);
+        archive(format, sender, sequence, taken);
     }
 };
 
--- a/include/zinniadoor/gateway/peer_table.hpp
+++ b/include/zinniadoor/gateway/peer_table.hpp
@@ -26,8 +26,8 @@
     /// Returns whether the message is news: not this instance's own, not late, not doubled.
     bool noteMessage(const PeerMessage &message, const std::string &from, absl::Time now);
 
-    /// A short message of a known peer shows that it lives; returns whether it is one.
-    bool noteSign(const ProcessName &process, absl::Time now);
+    /// A short message of a known peer shows that it lives; returns whether it is news.
+    bool noteSign(const ProcessName &process, std::uint64_t sequence, absl::Time now);
 
     /// Addresses of all known peers.
     std::vector<std::string> addresses() const;
--- a/src/zinniadoor/gateway/log_follower.cpp
+++ b/src/zinniadoor/gateway/log_follower.cpp
@@ -29,7 +29,7 @@
 
 /// More than this is read from the store by each instance itself: told to all instances of a data
 /// centre at once it would not fit into the sending socket.
-constexpr std::size_t MaxToldBytes = 4 * 1024;
+constexpr std::size_t MaxToldBytes = 4096;
 
 /// What a record takes beside its key and value.
 constexpr std::size_t RecordOverhead = 32;
--- a/src/zinniadoor/gateway/peer_link.cpp
+++ b/src/zinniadoor/gateway/peer_link.cpp
@@ -134,6 +134,7 @@
     {
         TakenMessage message;
         message.sender = self_;
+        message.sequence = sequence_ + 1;
         for (const auto &[organisation, taken] : serving_.quota.ownTaken()) {
             double &told = toldTaken_[organisation];
             if (told != taken)
@@ -144,6 +145,7 @@
         if (message.taken.empty() && now - takenSentAt_ < MaxTakenPause - MinTakenPause)
             return;
         takenSentAt_ = now;
+        ++sequence_;
         const std::string bytes = base::encode(message);
         const std::vector<std::string> addresses = peers_.addresses();
         for (const std::string &address : addresses)
@@ -238,7 +240,7 @@
             return;
         }
         const absl::Time now = serving_.clock.now();
-        if (!(message->sender == self_) && peers_.noteSign(message->sender, now))
+        if (peers_.noteSign(message->sender, message->sequence, now))
             serving_.quota.notePeer(message->sender, message->taken, now);
     }
 
--- a/src/zinniadoor/gateway/peer_table.cpp
+++ b/src/zinniadoor/gateway/peer_table.cpp
@@ -56,11 +56,13 @@
     return true;
 }
 
-bool PeerTable::noteSign(const ProcessName &process, absl::Time now)
+bool PeerTable::noteSign(const ProcessName &process, std::uint64_t sequence, absl::Time now)
 {
     const auto found = peers_.find(process.instance);
-    if (found == peers_.end() || process.incarnation < found->second.incarnation)
+    if (found == peers_.end() || process.incarnation != found->second.incarnation
+        || sequence <= found->second.sequence)
         return false;
+    found->second.sequence = sequence;
     found->second.heard = now;
     return true;
 }
--- a/src/zinniadoor/gateway/records_test.cpp
+++ b/src/zinniadoor/gateway/records_test.cpp
@@ -231,6 +231,19 @@
     BOOST_TEST(peers.membership(at(5000)).known == 1u);
 }
 
+BOOST_AUTO_TEST_CASE(peerTable_shortMessages_countInOrderWithTheOthers)
+{
+    PeerTable peers({ "self", 1 });
+    BOOST_TEST(!peers.noteSign({ "p", 1 }, 1, at(0))); // Not known yet.
+    BOOST_TEST(peers.noteMessage(message("p", 1, 2), "10.0.0.2:1", at(0)));
+    BOOST_TEST(!peers.noteSign({ "p", 1 }, 2, at(10)));
+    BOOST_TEST(peers.noteSign({ "p", 1 }, 3, at(10)));
+    BOOST_TEST(!peers.noteMessage(message("p", 1, 3), "10.0.0.2:1", at(20)));
+    BOOST_TEST(!peers.noteSign({ "p", 2 }, 9, at(30))); // Its start was not heard of.
+    BOOST_TEST(peers.membership(at(1500)).heard == 2u);
+    BOOST_TEST(peers.membership(at(1520)).heard == 1u);
+}
+
 BOOST_AUTO_TEST_CASE(trueTime_oneClockWrong_middleIsTaken)
 {
     TrueTime time(at(0), absl::FromUnixSeconds(5000) + absl::Seconds(3)); // Runs 3 s ahead.
