--- a/src/zinniadoor/base/events.cpp
+++ b/src/zinniadoor/base/events.cpp
@@ -247,10 +247,10 @@
         { EventId::PeerFound, EventLevel::Info, "peer_found", "Another instance is heard." },
         { EventId::PeerLost, EventLevel::Warning, "peer_lost",
           "Another instance has not been heard for a while." },
-        { EventId::LogReaderChanged, EventLevel::Info, "log_reader_changed",
-          "This instance begins to read a log for its data centre, or another one does." },
         { EventId::PeerMessageRejected, EventLevel::Warning, "peer_message_rejected",
           "A peer's message could not be read." },
+        { EventId::LogReaderChanged, EventLevel::Info, "log_reader_changed",
+          "This instance begins to read a log for its data centre, or another one does." },
     };
     return table;
 }
