--- a/tests/e2e/cluster.cpp
+++ b/tests/e2e/cluster.cpp
@@ -185,6 +185,8 @@
 std::string Cluster::textOf(const HttpAnswer &answer)
 {
     const Json whole = Json::parse(answer.body, nullptr, false);
+    if (whole.is_object() && !whole.contains("choices"))
+        return answer.body; // An error, which differs from any text.
     if (whole.is_object())
         return whole["choices"][0]["message"]["content"].get<std::string>();
     std::string text;
