Endpoints that leave, rest or send without end

Cause: only the list said that an endpoint leaves; its own answers (Server-Leaving) were not read, while Connection: close, which sound endpoints send too, was decoded as leaving. A Retry-After of an endpoint's refusal was not read, and engines that rest were used again when no other was left. Bytes without end were read on for ever: bodies of whole answers, of prompt reads and of skipped answers, heads of chunks, interim answers. A retry that found no endpoint left its caller without any answer, and a refusal after a sending of unknown outcome said "not run".

Nothing is sent to it: prompt reads, runs, retries, resumes, orders. Peers are advised by a pause. When all rest, callers are refused at once with the first return. Each reader has a bound of bytes.

Ruled out: marking on 421 of another endpoint at the address; telling peers of a rest (it is asked of one instance).

The head without end and bytes that are not HTTP were bounded before.

--- a/include/zinniadoor/base/events.hpp
+++ b/include/zinniadoor/base/events.hpp
@@ -41,6 +41,8 @@
     EndpointsChanged = 712,
     EndpointRecordRejected = 713,
     EndpointSuspected = 714,
+    EndpointLeaving = 715,
+    EndpointRests = 716,
     DependencyLost = 720,
     DependencyRegained = 721,
     RequestDispatched = 730,
--- a/include/zinniadoor/gateway/dialects.hpp
+++ b/include/zinniadoor/gateway/dialects.hpp
@@ -75,7 +75,10 @@
     bool notRun = false; ///< The endpoint did not run the request.
     bool misdirected = false; ///< Not run: another endpoint, or one that does another part now.
     std::string endpoint; ///< Id of the endpoint that answered, if it says so.
-    bool leaving = false; ///< The endpoint closes its connections.
+    bool leaving = false; ///< The endpoint is about to end and takes no new work.
+
+    /// The endpoint turned the request away and wants nothing from this instance for this time.
+    std::optional<absl::Duration> rest;
 };
 
 /// How endpoints are spoken to.
--- a/include/zinniadoor/gateway/endpoint_directory.hpp
+++ b/include/zinniadoor/gateway/endpoint_directory.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -17,6 +18,7 @@
     std::uint32_t failuresInRow = 2; ///< That start a suspicion.
     absl::Duration shedPause = absl::Milliseconds(100); ///< After the first request turned away.
     absl::Duration maxShedPause = absl::Milliseconds(1600); ///< It doubles up to this.
+    absl::Duration maxRest = absl::Hours(24); ///< An endpoint that asks for more is mistaken.
 };
 
 /// The endpoints as the platform lists them, and what calls to them have shown since.
@@ -37,9 +39,20 @@
     /// The endpoint of this digest; null if there is none.
     const base::EndpointId *findByDigest(std::uint64_t digest) const;
 
-    /// Endpoints of a service that take new work; suspected ones only if there are no others.
+    /// Endpoints of a service that may be called; suspected ones only if there are no others.
     std::vector<const EndpointRecord *> usable(const std::string &service, absl::Time now) const;
     bool isUsable(const base::EndpointId &id, absl::Time now) const;
+
+    /// Whether anything may be sent to the endpoint: it is not about to end, nor has it asked for
+    /// a rest. Suspicions and pauses do not count.
+    bool mayCall(const base::EndpointId &id, absl::Time now) const;
+
+    /// Whether the endpoint takes work, at once or after a rest.
+    bool takesWork(const base::EndpointId &id) const;
+
+    /// When the first of a service's endpoints may be called; nothing if none takes work.
+    std::optional<absl::Time> callableFrom(const std::string &service, absl::Time now) const;
+
     std::vector<const EndpointRecord *> all() const;
     bool empty() const { return entries_.empty(); }
 
@@ -51,7 +64,14 @@
     /// The endpoint turned a request away; it gets no work for a moment, longer each time in a row.
     void noteShed(const base::EndpointId &id, absl::Time now);
 
-    /// The endpoint takes no work until `until`.
+    /// The endpoint asked for a rest: it must get no request at all for this time.
+    void noteRestWanted(const base::EndpointId &id, absl::Duration rest, absl::Time now);
+
+    /// The endpoint itself said that it is about to end, which holds until it starts anew.
+    /// Returns whether that is news.
+    bool noteLeaving(const base::EndpointId &id);
+
+    /// The endpoint should get no work until `until`.
     void pause(const base::EndpointId &id, absl::Time until);
 
     /// The endpoint itself answers that it does another part now; the list will say so later.
@@ -71,6 +91,8 @@
         std::uint32_t sheds = 0; ///< In a row.
         absl::Time pausedUntil = absl::InfinitePast();
         absl::Time replacedAt = absl::InfiniteFuture();
+        absl::Time restsUntil = absl::InfinitePast(); ///< At its own wish.
+        bool saidLeaving = false;
     };
     static bool isResting(const Entry &entry, absl::Time now)
     {
@@ -78,7 +100,12 @@
     }
     static bool takesWork(const Entry &entry)
     {
-        return !entry.record.leaving && entry.replacedAt == absl::InfiniteFuture();
+        return !entry.record.leaving && !entry.saidLeaving
+            && entry.replacedAt == absl::InfiniteFuture();
+    }
+    static bool mayCall(const Entry &entry, absl::Time now)
+    {
+        return takesWork(entry) && now >= entry.restsUntil;
     }
 
     DirectoryOptions options_;
--- a/src/zinniadoor/base/events.cpp
+++ b/src/zinniadoor/base/events.cpp
@@ -216,6 +216,11 @@
           "A record of the endpoints' list could not be read; it names no endpoint." },
         { EventId::EndpointSuspected, EventLevel::Warning, "endpoint_suspected",
           "Calls to an endpoint failed in a row; it gets no work for a while." },
+        { EventId::EndpointLeaving, EventLevel::Info, "endpoint_leaving",
+          "An endpoint said in an answer that it is about to end; it gets nothing new." },
+        { EventId::EndpointRests, EventLevel::Debug, "endpoint_rests",
+          "An endpoint turned a request away and asked for a rest; it gets nothing until its "
+          "end." },
         { EventId::DependencyLost, EventLevel::Warning, "dependency_lost",
           "A service of the platform does not answer." },
         { EventId::DependencyRegained, EventLevel::Info, "dependency_regained",
--- a/src/zinniadoor/gateway/endpoint_choice.cpp
+++ b/src/zinniadoor/gateway/endpoint_choice.cpp
@@ -67,6 +67,8 @@
         const auto usable = [&](const serving::EngineInfo &engine) {
             if (facts.readInPlace && engine.readsForOthers)
                 return false;
+            if (!context.directory.mayCall(engine.id, now))
+                return false;
             if (trust == Trust::Any)
                 return true;
             if (!context.directory.isUsable(engine.id, now))
--- a/src/zinniadoor/gateway/endpoint_directory.cpp
+++ b/src/zinniadoor/gateway/endpoint_directory.cpp
@@ -1,6 +1,7 @@
 #include "zinniadoor/gateway/endpoint_directory.hpp"
 
 #include <algorithm>
+#include <utility>
 
 #include "zinniadoor/serving/engine_view.hpp"
 
@@ -86,7 +87,7 @@
     std::vector<const EndpointRecord *> trusted;
     std::vector<const EndpointRecord *> suspected;
     for (const auto &[id, entry] : entries_) {
-        if (entry.record.service != service || !takesWork(entry))
+        if (entry.record.service != service || !mayCall(entry, now))
             continue;
         (isResting(entry, now) ? suspected : trusted).push_back(&entry.record);
     }
@@ -96,7 +97,32 @@
 bool EndpointDirectory::isUsable(const base::EndpointId &id, absl::Time now) const
 {
     const auto found = entries_.find(id);
-    return found != entries_.end() && takesWork(found->second) && !isResting(found->second, now);
+    return found != entries_.end() && mayCall(found->second, now) && !isResting(found->second, now);
+}
+
+bool EndpointDirectory::mayCall(const base::EndpointId &id, absl::Time now) const
+{
+    const auto found = entries_.find(id);
+    return found != entries_.end() && mayCall(found->second, now);
+}
+
+bool EndpointDirectory::takesWork(const base::EndpointId &id) const
+{
+    const auto found = entries_.find(id);
+    return found != entries_.end() && takesWork(found->second);
+}
+
+std::optional<absl::Time> EndpointDirectory::callableFrom(const std::string &service,
+                                                          absl::Time now) const
+{
+    std::optional<absl::Time> first;
+    for (const auto &[id, entry] : entries_) {
+        if (entry.record.service != service || !takesWork(entry))
+            continue;
+        const absl::Time from = std::max(now, entry.restsUntil);
+        first = std::min(first.value_or(from), from);
+    }
+    return first;
 }
 
 std::vector<const EndpointRecord *> EndpointDirectory::all() const
@@ -146,6 +172,22 @@
     ++entry.sheds;
 }
 
+void EndpointDirectory::noteRestWanted(const base::EndpointId &id, absl::Duration rest,
+                                       absl::Time now)
+{
+    const auto found = entries_.find(id);
+    if (found == entries_.end())
+        return;
+    absl::Time &until = found->second.restsUntil;
+    until = std::max(until, now + std::min(rest, options_.maxRest));
+}
+
+bool EndpointDirectory::noteLeaving(const base::EndpointId &id)
+{
+    const auto found = entries_.find(id);
+    return found != entries_.end() && !std::exchange(found->second.saidLeaving, true);
+}
+
 void EndpointDirectory::pause(const base::EndpointId &id, absl::Time until)
 {
     const auto found = entries_.find(id);
--- a/src/zinniadoor/gateway/exchange.cpp
+++ b/src/zinniadoor/gateway/exchange.cpp
@@ -4,6 +4,7 @@
 
 #include "absl/strings/str_cat.h"
 
+#include "endpoint_signs.hpp"
 #include "exchange_state.hpp"
 #include "zinniadoor/base/events.hpp"
 
@@ -20,6 +21,9 @@
 /// Longest gaps without an event after which a stream counts as silent.
 constexpr int GapsUntilSilent = 4;
 
+/// Longest answer that is held until it is whole; streams pass event by event.
+constexpr std::size_t MaxAnswerBytes = std::size_t { 8 } * 1024 * 1024;
+
 /// A connection that takes longer is given up; several round trips between data centres.
 constexpr absl::Duration ConnectTimeout = absl::Milliseconds(400);
 
@@ -40,12 +44,7 @@
     const auto choice = chooseEndpoint(context_, facts, now);
     const bool first = sendings_ == 0;
     if (!choice) {
-        CallOutcome none;
-        none.mayHaveRun = false;
-        if (first)
-            refuse(RefusalKind::NotRun, "no_endpoint", UsualReturn);
-        else
-            end("failed", "no_endpoint");
+        failWithoutEndpoint();
         return;
     }
     const absl::Duration limit = ExpectedShare * std::min(firstByteLimit(), timeLeft());
@@ -56,6 +55,16 @@
     send(*choice);
 }
 
+void Exchange::failWithoutEndpoint()
+{
+    const absl::Time now = context_.clock.now();
+    const auto from = context_.directory.callableFrom(service_, now);
+    if (from && *from > now)
+        refuseUntil(RefusalKind::NotRun, "all_resting", *from - now);
+    else
+        refuse(RefusalKind::NotRun, "no_endpoint", UsualReturn);
+}
+
 void Exchange::send(const EndpointChoice &choice)
 {
     const absl::Time now = context_.clock.now();
@@ -128,8 +137,7 @@
     prompt_ = PromptHandle { reader_.address, handle };
     promptTaken_ = false;
     promptReadBefore_ = true;
-    const EndpointRecord *writer = context_.directory.find(writer_.id);
-    if (!writer || writer->leaving) { // It left meanwhile: another one takes the prompt over.
+    if (!context_.directory.mayCall(writer_.id, now)) { // Another one takes the prompt over.
         ChoiceFacts facts;
         facts.service = service_;
         facts.parts = &parts_;
@@ -139,7 +147,7 @@
         const auto choice = chooseEndpoint(context_, facts, now);
         const EndpointRecord *other = choice ? context_.directory.find(choice->endpoint) : nullptr;
         if (!other) {
-            refuse(RefusalKind::NotRun, "no_endpoint", UsualReturn);
+            failWithoutEndpoint();
             return;
         }
         writer_ = *other;
@@ -149,6 +157,11 @@
     run();
 }
 
+void Exchange::onPromptHead(const AnswerFacts &facts)
+{
+    noteEndpointSigns(context_, reader_.id, facts);
+}
+
 void Exchange::onPromptRefused(const AnswerFacts &facts)
 {
     CallOutcome outcome;
@@ -161,6 +174,8 @@
 
 void Exchange::onPromptFailed(const CallOutcome &outcome)
 {
+    if (const auto call = std::move(call_))
+        call->cancel();
     call_.reset();
     readerLoad_.release();
     writerLoad_.release();
@@ -196,6 +211,7 @@
     if (phase_ != Phase::Running)
         return false;
     const AnswerFacts facts = context_.endpoints.decode(head);
+    noteEndpointSigns(context_, writer_.id, facts);
     const bool success = facts.status / 100 == 2;
     const bool encoded = head.find(net::http::field::content_encoding) != head.end();
     if (facts.notRun || !facts.isSigned || encoded) {
@@ -274,6 +290,11 @@
     constexpr std::size_t MaxPendingBytes = std::size_t { 256 } * 1024; // Of one slow caller.
     if (phase_ != Phase::Streaming) {
         answerBody_.append(bytes);
+        if (answerBody_.size() > MaxAnswerBytes) {
+            CallOutcome outcome;
+            outcome.reason = "answer_too_long";
+            onRunFailed(outcome);
+        }
         return;
     }
     deliverEvents(bytes);
--- a/src/zinniadoor/gateway/exchange_calls.cpp
+++ b/src/zinniadoor/gateway/exchange_calls.cpp
@@ -24,12 +24,23 @@
         , dialect_(dialect)
     { }
 
-    void onHead(const net::AnswerHead &head) override { facts_ = dialect_.decode(head); }
+    void onHead(const net::AnswerHead &head) override
+    {
+        facts_ = dialect_.decode(head);
+        exchange_->onPromptHead(facts_);
+    }
 
     void onBody(std::string bytes) override
     {
-        if (body_.size() < MaxHandleBytes)
-            body_.append(bytes);
+        if (!exchange_)
+            return;
+        body_.append(bytes);
+        if (body_.size() <= MaxHandleBytes)
+            return;
+        CallOutcome outcome;
+        outcome.reason = "answer_too_long";
+        const auto exchange = std::move(exchange_);
+        exchange->onPromptFailed(outcome);
     }
 
     void onEnd() override
--- a/src/zinniadoor/gateway/exchange_end.cpp
+++ b/src/zinniadoor/gateway/exchange_end.cpp
@@ -26,6 +26,14 @@
 
 void Exchange::refuse(RefusalKind kind, const std::string &why,
                       std::optional<absl::Duration> returnAfter)
+{
+    if (returnAfter)
+        returnAfter = std::min(std::max(*returnAfter, MinReturn), ReturnShare * timeLeft());
+    refuseUntil(kind, why, returnAfter);
+}
+
+void Exchange::refuseUntil(RefusalKind kind, const std::string &why,
+                           std::optional<absl::Duration> returnAfter)
 {
     if (phase_ == Phase::Ended)
         return;
@@ -34,11 +42,15 @@
         end("broken", why);
         return;
     }
+    // Whatever is the reason now, an earlier sending may have run.
+    if (kind == RefusalKind::NotRun && mayHaveRunAt_ > 0) {
+        kind = RefusalKind::OutcomeUnknown;
+        returnAfter.reset();
+    }
     Refusal refusal;
     refusal.kind = kind;
     refusal.text = why;
-    if (returnAfter)
-        refusal.retryAfter = std::min(std::max(*returnAfter, MinReturn), ReturnShare * timeLeft());
+    refusal.retryAfter = returnAfter;
     if (quotaTaken_ && mayHaveRunAt_ == 0)
         context_.quota.giveBack(organisation_->id, quotaCost_);
     context_.metrics.countRefusal(kind);
--- a/src/zinniadoor/gateway/exchange_state.hpp
+++ b/src/zinniadoor/gateway/exchange_state.hpp
@@ -75,6 +75,7 @@
     void turnAway(const Refusal &refusal);
 
     /// From the call that reads the prompt.
+    void onPromptHead(const AnswerFacts &facts);
     void onPromptRead(const std::string &handle);
     void onPromptRefused(const AnswerFacts &facts);
     void onPromptFailed(const CallOutcome &outcome);
@@ -92,6 +93,7 @@
     bool authenticate(const Configuration &configuration);
     bool takeQuota();
     void dispatch();
+    void failWithoutEndpoint();
     void send(const EndpointChoice &choice);
     void readPrompt(const EndpointChoice &choice);
     void run();
@@ -105,6 +107,10 @@
 
     void refuse(RefusalKind kind, const std::string &why,
                 std::optional<absl::Duration> returnAfter = std::nullopt);
+
+    /// The same, with a time that is known for certain.
+    void refuseUntil(RefusalKind kind, const std::string &why,
+                     std::optional<absl::Duration> returnAfter);
     void end(const char *outcome, const std::string &why);
     void cancelCalls();
     void releasePrompt();
--- a/src/zinniadoor/gateway/gateway.cpp
+++ b/src/zinniadoor/gateway/gateway.cpp
@@ -409,8 +409,8 @@
         std::size_t leaving = 0;
         for (const EndpointRecord *record : serving_.directory.all()) {
             ids.push_back(record->id);
-            leaving += record->leaving ? 1 : 0;
-            if (record->stage == Stage::Plain || record->leaving)
+            leaving += serving_.directory.takesWork(record->id) ? 0 : 1;
+            if (record->stage == Stage::Plain || !serving_.directory.takesWork(record->id))
                 continue;
             engines.push_back(engineInfo(*record));
         }
--- a/src/zinniadoor/gateway/stage_duty.cpp
+++ b/src/zinniadoor/gateway/stage_duty.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include "endpoint_signs.hpp"
 #include "zinniadoor/base/events.hpp"
 #include "zinniadoor/net/fetch.hpp"
 
@@ -71,7 +72,8 @@
         std::size_t engines = 0;
         std::size_t changing = 0;
         for (const EndpointRecord *endpoint : parts_.serving.directory.all()) {
-            if (endpoint->stage == Stage::Plain || endpoint->leaving)
+            if (endpoint->stage == Stage::Plain
+                || !parts_.serving.directory.takesWork(endpoint->id))
                 continue;
             ++engines;
             changing += now < mayOrderAt(endpoint->id) ? 1 : 0;
@@ -83,7 +85,8 @@
             return;
         for (auto &[service, list] : byService) {
             for (const serving::StageChange &change : serving::planStages(list, policy_)) {
-                if (now < mayOrderAt(change.engine))
+                if (now < mayOrderAt(change.engine)
+                    || !parts_.serving.directory.mayCall(change.engine, now))
                     continue;
                 send(change, now);
                 return; // One call at a time.
@@ -133,6 +136,9 @@
     {
         const unsigned status = answer ? answer->head.result_int() : 0;
         const bool accepted = status / 100 == 2;
+        if (answer)
+            noteEndpointSigns(parts_.serving, engine,
+                              parts_.serving.endpoints.decode(answer->head));
         if (answer)
             mayOrderAt_[engine] = parts_.serving.clock.now() + changeTime(engine) + ListLag;
         if (accepted)
--- a/src/zinniadoor/net/client_connection.cpp
+++ b/src/zinniadoor/net/client_connection.cpp
@@ -28,6 +28,16 @@
 /// Answers are bounded by the reader's flow control, not by a length.
 constexpr std::uint64_t MaxAnswerBytes = std::numeric_limits<std::uint32_t>::max();
 
+/// Bytes read ahead of the parser. More is only asked for when a line of a chunk's head or of a
+/// trailer does not end.
+constexpr std::size_t MaxBufferedBytes = std::size_t { 256 } * 1024;
+
+/// Interim answers (1xx) to one request before its connection is given up.
+constexpr int MaxInterimAnswers = 16;
+
+/// Longest answer to another request that is skipped.
+constexpr std::size_t MaxSkippedBytes = std::size_t { 1024 } * 1024;
+
 /// A kept connection is given up this share of the server's announced idle time early.
 constexpr double IdleShare = 0.6;
 
@@ -41,6 +51,7 @@
                                    const HttpClientOptions &options)
     : socket_(context)
     , timer_(context)
+    , buffer_(MaxBufferedBytes)
     , owner_(std::move(owner))
     , target_(std::move(target))
     , clientOptions_(options)
@@ -55,6 +66,7 @@
     handler_ = std::move(handler);
     sendBegan_ = false;
     sendDone_ = false;
+    interimAnswers_ = 0;
     paused_ = false;
     if (!connected_) {
         connect();
@@ -139,12 +151,15 @@
         return;
     }
     const AnswerHead &head = parser_->get().base();
-    if (head.result_int() < 200) { // Informational: the answer proper follows.
-        readHead();
+    if (head.result_int() < 200) { // The answer proper follows.
+        if (++interimAnswers_ > MaxInterimAnswers)
+            fail(CallError::Malformed, "too many interim answers");
+        else
+            readHead();
         return;
     }
     if (options_.belongs && !options_.belongs(head)) {
-        skipAnswer();
+        beginSkipping();
         return;
     }
     noteKeepAlive(head);
@@ -156,22 +171,35 @@
     deliverBody();
 }
 
+void ClientConnection::beginSkipping()
+{
+    skippedBytes_ = 0;
+    if (++skippedAnswers_ > MaxSkippedAnswers)
+        fail(CallError::Malformed, "too many answers to other requests");
+    else if (parser_->need_eof())
+        fail(CallError::ConnectionLost, "lost after an answer to another request");
+    else
+        skipAnswer();
+}
+
 void ClientConnection::skipAnswer()
 {
+    if (parser_->is_done()) {
+        readHead();
+        return;
+    }
     auto self = shared_from_this();
-    http::async_read(socket_, buffer_, *parser_, [self](ErrorCode error, std::size_t) {
+    http::async_read_some(socket_, buffer_, *parser_, [self](ErrorCode error, std::size_t) {
         if (self->closed_ || !self->handler_)
             return;
-        const bool endsWithConnection = self->parser_->need_eof();
-        if (error || endsWithConnection) {
+        self->skippedBytes_ += self->parser_->get().body().size();
+        self->parser_->get().body().clear();
+        if (error)
             self->fail(CallError::ConnectionLost, "lost after an answer to another request");
-            return;
-        }
-        if (++self->skippedAnswers_ > MaxSkippedAnswers) {
-            self->fail(CallError::Malformed, "too many answers to other requests");
-            return;
-        }
-        self->readHead();
+        else if (self->skippedBytes_ > MaxSkippedBytes)
+            self->fail(CallError::Malformed, "an answer to another request is too long");
+        else
+            self->skipAnswer();
     });
 }
 
--- a/src/zinniadoor/net/client_connection.hpp
+++ b/src/zinniadoor/net/client_connection.hpp
@@ -49,6 +49,7 @@
     void send();
     void readHead();
     void onHeadRead(boost::system::error_code error);
+    void beginSkipping();
     void skipAnswer();
     void readBody();
     void deliverBody();
@@ -76,6 +77,8 @@
     bool paused_ = false;
     bool reading_ = false;
     int skippedAnswers_ = 0;
+    std::size_t skippedBytes_ = 0; ///< Of the answer that is being skipped.
+    int interimAnswers_ = 0; ///< To the present call.
     std::chrono::steady_clock::time_point idleUntil_;
 };
 
--- a/src/zinniadoor/net/http_client_test.cpp
+++ b/src/zinniadoor/net/http_client_test.cpp
@@ -54,6 +54,17 @@
         });
     }
 
+    /// Writes the text again and again, up to `limit` bytes; returns whether the call ended first.
+    bool endsWhileSent(const NotingHandler &handler, const std::string &text, std::size_t limit)
+    {
+        for (std::size_t sent = 0; sent < limit && !handler.done(); sent += text.size()) {
+            listener.connection(0).write(text);
+            io.restart();
+            io.run_for(std::chrono::milliseconds(1));
+        }
+        return runUntil(io, [&] { return handler.done(); });
+    }
+
     boost::asio::io_context io;
     test::ScriptedListener listener { io };
     std::unique_ptr<HttpClient> client
@@ -152,6 +163,75 @@
     BOOST_TEST(handler->body == "new");
 }
 
+BOOST_AUTO_TEST_CASE(answer_headWithoutEnd_failsAtTheBound)
+{
+    const auto call = start();
+    BOOST_REQUIRE(arrived(0));
+    listener.connection(0).write("HTTP/1.1 200 OK\r\nX-Long: ");
+    BOOST_TEST(endsWhileSent(*call, std::string(4096, 'a'), 64 * 1024));
+    BOOST_REQUIRE(call->failure);
+    BOOST_TEST((call->failure->error == CallError::Malformed));
+    BOOST_TEST(runUntil(io, [&] { return listener.connection(0).ended(); }));
+}
+
+BOOST_AUTO_TEST_CASE(answer_notHttpWithoutEnd_failsAtOnce)
+{
+    const auto call = start();
+    BOOST_REQUIRE(arrived(0));
+    BOOST_TEST(endsWhileSent(*call, std::string(4096, 'x'), 64 * 1024));
+    BOOST_REQUIRE(call->failure);
+    BOOST_TEST((call->failure->error == CallError::Malformed));
+}
+
+BOOST_AUTO_TEST_CASE(answer_onlyInterimOnesWithoutEnd_failsAtTheBound)
+{
+    const auto call = start();
+    BOOST_REQUIRE(arrived(0));
+    BOOST_TEST(endsWhileSent(*call, "HTTP/1.1 100 Continue\r\n\r\n", 2048));
+    BOOST_REQUIRE(call->failure);
+    BOOST_TEST((call->failure->error == CallError::Malformed));
+}
+
+BOOST_AUTO_TEST_CASE(answer_chunkHeadWithoutEnd_failsAtTheBound)
+{
+    const auto call = start();
+    BOOST_REQUIRE(arrived(0));
+    listener.connection(0).write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;");
+    BOOST_TEST(endsWhileSent(*call, std::string(16384, 'a'), 4 * 1024 * 1024));
+    BOOST_TEST(call->failure.has_value());
+    BOOST_TEST(call->body.empty());
+}
+
+BOOST_AUTO_TEST_CASE(answer_toAnotherRequestWithoutEnd_failsAtTheBound)
+{
+    CallOptions options;
+    options.belongs = [](const AnswerHead &) { return false; };
+    const auto call = start(std::move(options));
+    BOOST_REQUIRE(arrived(0));
+    listener.connection(0).write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    BOOST_TEST(
+        endsWhileSent(*call, "4000\r\n" + std::string(16384, 'a') + "\r\n", 4 * 1024 * 1024));
+    BOOST_TEST(call->failure.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(fetch_answerWithoutEnd_endsAtTheBoundAsUnknown)
+{
+    std::optional<base::Reason> reason;
+    fetch(io, *client, { listener.address(), "e1" }, request("question"), absl::Seconds(60),
+          [&](const base::Outcome<WholeAnswer> &answer) { reason = answer.lastReason(); });
+    BOOST_REQUIRE(arrived(0));
+    listener.connection(0).write("HTTP/1.1 200 OK\r\n\r\n");
+    constexpr std::size_t Limit = std::size_t { 32 } * 1024 * 1024;
+    for (std::size_t sent = 0; sent < Limit && !reason; sent += 65536) {
+        listener.connection(0).write(std::string(65536, 'a'));
+        io.restart();
+        io.run_for(std::chrono::milliseconds(1));
+    }
+    BOOST_REQUIRE(reason);
+    BOOST_TEST((reason->code == base::ReasonCode::OutcomeUnknown));
+    BOOST_TEST(runUntil(io, [&] { return listener.connection(0).ended(); }));
+}
+
 BOOST_AUTO_TEST_CASE(connection_bytesWhileIdle_isNotUsedAgain)
 {
     const auto first = start();
