Duties: no byte of a call leaves without the lease; the lease is given up after the last call

Cause: a duty call was checked against the lease once, before its connection was opened. A call that hung in connecting, stood in a full send buffer or met a freeze left later; one that timed out was closed so that the kernel went on sending it. A stopping holder went on acting until it read its own release, and gave the lease up while calls were under way: its successor acted at the same time, and an older number could arrive after a newer one. After quick releases two holders could act in turns (A, B, A) within a lease. Where receivers compare fencing numbers this was refused there; where they do not, it breaks duties. Answers to own requests (orders, releases) were taken from any answer on a kept connection, also a late copy of another's.

Change: DutyPermit, one a call, asked right before each write; a cut call resets its connection; timeouts end with the lease. A stop ends acts at once and releases when no permit is left (else the lease lapses). A lease is claimed after another holder only a lease after the own last act. Own requests skip answers that echo a caller's id. One behaviour for all deployments, no setting.

Ruled out: a timer alone (after a freeze the socket's event can come before it); shutdown in place of a reset (the kernel goes on sending).

--- a/include/zinniadoor/gateway/dialects.hpp
+++ b/include/zinniadoor/gateway/dialects.hpp
@@ -100,6 +100,9 @@
     /// Tells whether an answer is to the request with this id.
     virtual bool answers(const net::AnswerHead &head, const std::string &requestId) const = 0;
 
+    /// Tells whether an answer can be to a request of this instance's own, which has no id.
+    virtual bool answersOwnRequest(const net::AnswerHead &head) const = 0;
+
     /// The handle's id.
     virtual base::Outcome<std::string> decodePromptHandle(const std::string &body) const = 0;
 };
--- a/include/zinniadoor/gateway/duty_lease.hpp
+++ b/include/zinniadoor/gateway/duty_lease.hpp
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <string>
 
 #include "absl/time/time.h"
 
@@ -69,7 +70,10 @@
 
     /// This process may act as the holder until then; InfinitePast if it is not.
     absl::Time mayActUntil() const { return actUntil_; }
-    bool mayAct(absl::Time now) const { return now < actUntil_; }
+    bool mayAct(absl::Time now) const { return !stopping_ && now < actUntil_; }
+
+    /// This process gives the lease up soon: no new acts.
+    void noteStopping() { stopping_ = true; }
     bool isHolder() const { return holder_ == self_; }
     std::uint64_t fencingNumber() const { return fencingNumber_; }
     const std::optional<ProcessName> &holder() const { return holder_; }
@@ -92,6 +96,9 @@
     std::optional<ProcessName> holder_;
     std::uint64_t fencingNumber_ = 0;
     std::optional<std::uint64_t> superseded_;
+    std::string lastInstance_; ///< Of the newest holder, also after its release.
+    absl::Time ownActsEnd_ = absl::InfinitePast(); ///< This instance's processes act no later.
+    bool stopping_ = false;
     absl::Time lastSignRead_ = absl::InfinitePast(); ///< When the holder's last record was read.
     bool caughtUp_ = false;
     absl::Time actUntil_ = absl::InfinitePast();
--- a/include/zinniadoor/gateway/lease_runner.hpp
+++ b/include/zinniadoor/gateway/lease_runner.hpp
@@ -20,6 +20,10 @@
     virtual void start() = 0;
     virtual const DutyLease &lease() const = 0;
 
+    /// The right to make one call; null if this process may not act. The lease is not given up
+    /// while there are permits.
+    virtual DutyPermitPtr permit() = 0;
+
     /// The holder fixes figures; `done` says whether they stand in the log. Refused while another
     /// call is under way.
     virtual void fixFigures(WindowNumber window, const UsageCounts &counts,
@@ -33,7 +37,8 @@
     virtual void noteSuperseded() = 0;
     virtual void forgetFiguresBefore(WindowNumber window) = 0;
 
-    /// Gives the lease up, if held, and claims it no more.
+    /// Ends all acts at once, gives the lease up when the last call has ended, and claims it no
+    /// more.
     virtual void stop() = 0;
 };
 
--- a/include/zinniadoor/gateway/platform_ports.hpp
+++ b/include/zinniadoor/gateway/platform_ports.hpp
@@ -13,6 +13,7 @@
 #include "zinniadoor/base/ids.hpp"
 #include "zinniadoor/base/outcome.hpp"
 #include "zinniadoor/gateway/configuration.hpp"
+#include "zinniadoor/gateway/duty_permit.hpp"
 #include "zinniadoor/gateway/endpoint_record.hpp"
 
 namespace zinniadoor::gateway {
@@ -117,10 +118,10 @@
 {
 public:
     virtual ~DutyClient() = default;
-    virtual void reportUsage(const UsageReport &report, std::uint64_t fencingNumber,
+    virtual void reportUsage(const UsageReport &report, const DutyPermitPtr &permit,
                              std::function<void(base::Outcome<DutyAnswer>)> done)
         = 0;
-    virtual void orderFleet(const FleetOrder &order, std::uint64_t fencingNumber,
+    virtual void orderFleet(const FleetOrder &order, const DutyPermitPtr &permit,
                             std::function<void(base::Outcome<DutyAnswer>)> done)
         = 0;
 };
--- a/include/zinniadoor/net/fetch.hpp
+++ b/include/zinniadoor/net/fetch.hpp
@@ -21,8 +21,22 @@
 /// The reason's code is OutcomeUnknown if the request may have taken effect, else Unavailable.
 using FetchCallback = std::function<void(base::Outcome<WholeAnswer>)>;
 
-/// Sends a request once and reads its whole answer within `timeout`. Dropping the returned call
+struct FetchOptions
+{
+    absl::Duration timeout;
+
+    /// See `CallOptions::mayWrite`.
+    std::function<bool()> mayWrite;
+
+    /// See `CallOptions::belongs`.
+    std::function<bool(const AnswerHead &)> belongs;
+};
+
+/// Sends a request once and reads its whole answer within the timeout. Dropping the returned call
 /// does not end it; `cancel` does, and then the callback is not called.
+std::shared_ptr<Call> fetch(boost::asio::io_context &context, HttpClient &client,
+                            const CallTarget &target, Request request, FetchOptions options,
+                            FetchCallback done);
 std::shared_ptr<Call> fetch(boost::asio::io_context &context, HttpClient &client,
                             const CallTarget &target, Request request, absl::Duration timeout,
                             FetchCallback done);
--- a/include/zinniadoor/net/http_client.hpp
+++ b/include/zinniadoor/net/http_client.hpp
@@ -22,6 +22,7 @@
     ConnectFailed, ///< No connection within the time for it.
     ConnectionLost, ///< Closed or reset by the other side, or silent for too long.
     Malformed, ///< The other side does not speak HTTP.
+    Withdrawn, ///< The right to send ended before the request was written.
 };
 
 /// Stable lower-case name, for logs.
@@ -60,6 +61,11 @@
     absl::Duration connectTimeout;
     bool newConnection = false; ///< Never use a kept one.
 
+    /// Asked right before bytes of the request are written; false ends the call. A call that has
+    /// this and is cut short resets its connection, so that nothing of it leaves later. Empty:
+    /// bytes may leave at any time.
+    std::function<bool()> mayWrite;
+
     /// Tells whether an answer belongs to this call; one that does not is skipped. Empty: all do.
     std::function<bool(const AnswerHead &)> belongs;
 };
--- a/src/zinniadoor/gateway/duty_lease.cpp
+++ b/src/zinniadoor/gateway/duty_lease.cpp
@@ -21,6 +21,12 @@
     if (number < fencingNumber_)
         return; // Of a holder that has been replaced.
     fencingNumber_ = number;
+    lastInstance_ = record.holder.instance;
+    const bool ofThisInstance = record.holder.instance == self_.instance;
+    if (ofThisInstance && record.kind != LeaseRecordKind::Release)
+        ownActsEnd_ = std::max(ownActsEnd_, now + options_.lease);
+    else
+        ownActsEnd_ = std::min(ownActsEnd_, now);
     if (record.kind == LeaseRecordKind::Release) {
         holder_.reset();
         actUntil_ = absl::InfinitePast();
@@ -59,7 +65,10 @@
 
 bool DutyLease::mayClaim(absl::Time now) const
 {
-    if (!caughtUp_)
+    if (!caughtUp_ || stopping_)
+        return false;
+    // Receivers that compare no fencing numbers must not see two holders in turns within a lease.
+    if (lastInstance_ != self_.instance && now <= ownActsEnd_ + options_.lease)
         return false;
     if (!holder_)
         return true;
--- a/src/zinniadoor/gateway/duty_lease_test.cpp
+++ b/src/zinniadoor/gateway/duty_lease_test.cpp
@@ -39,8 +39,10 @@
 class LeaseWorld
 {
 public:
-    explicit LeaseWorld(std::uint32_t seed)
+    /// With `releases` holders give the lease up now and then, and may claim it again.
+    LeaseWorld(std::uint32_t seed, bool releases)
         : random_(seed)
+        , releases_(releases)
     {
         for (std::size_t i = 0; i < InstanceCount; ++i)
             instances_.push_back({ DutyLease(nameOf(i), Options), now_, now_ });
@@ -115,7 +117,9 @@
             return;
         }
         const bool holds = instance.lease.isHolder() && !instance.lease.mayClaim(now_);
-        if (holds && now_ - instance.lastAppend >= absl::Seconds(1))
+        if (holds && releases_ && chance(0.02))
+            append(i, LeaseRecordKind::Release);
+        else if (holds && now_ - instance.lastAppend >= absl::Seconds(1))
             append(i, LeaseRecordKind::Renewal);
         else if (!holds && instance.lease.mayClaim(now_))
             append(i, LeaseRecordKind::Claim);
@@ -143,6 +147,8 @@
         instance.lastAppend = now_;
         instance.waiting = true;
         instance.lease.noteSending(append.record.nonce, now_);
+        if (kind == LeaseRecordKind::Release)
+            instance.lease.noteSuperseded(); // Acts end before the release can be read.
         if (!chance(0.05))
             pending_.push_back(append);
     }
@@ -150,10 +156,12 @@
     void check(int tick)
     {
         std::size_t acting = 0;
-        for (const Instance &instance : instances_) {
+        for (std::size_t i = 0; i < instances_.size(); ++i) {
+            const Instance &instance = instances_[i];
             if (!instance.lease.mayAct(now_))
                 continue;
             ++acting;
+            noteAct(i, tick);
             const std::uint64_t number = instance.lease.fencingNumber();
             const auto [it, inserted]
                 = holderOf_.try_emplace(number, instance.lease.holder()->instance);
@@ -168,7 +176,21 @@
             fault_ = absl::StrCat(acting, " holders act at once, tick ", tick);
     }
 
+    /// Holders must not act in turns (a, b, a) within the length of a lease.
+    void noteAct(std::size_t i, int tick)
+    {
+        const auto own = lastAct_.find(i);
+        for (const auto &[other, at] : lastAct_) {
+            const bool between = own != lastAct_.end() && other != i && at > own->second;
+            if (between && now_ - own->second < Options.lease)
+                fault_ = absl::StrCat(i, ", ", other, ", ", i, " in turns, tick ", tick);
+        }
+        lastAct_[i] = now_;
+    }
+
     std::mt19937 random_;
+    bool releases_ = false;
+    std::map<std::size_t, absl::Time> lastAct_;
     absl::Time now_ = absl::FromUnixSeconds(1000);
     std::vector<Instance> instances_;
     std::vector<LeaseRecord> log_;
@@ -206,7 +228,7 @@
 {
     std::size_t holders = 0;
     for (std::uint32_t seed = 1; seed <= 200; ++seed) {
-        LeaseWorld world(seed);
+        LeaseWorld world(seed, false);
         world.run();
         BOOST_REQUIRE_MESSAGE(!world.broken(), "seed " << seed << ": " << world.fault());
         holders += world.holders();
@@ -214,6 +236,43 @@
     BOOST_TEST(holders > 200u); // More holders than schedules: the lease does change hands.
 }
 
+BOOST_AUTO_TEST_CASE(lease_givenUpOften_holdersNeverTakeTurnsWithinALease)
+{
+    std::size_t holders = 0;
+    for (std::uint32_t seed = 1; seed <= 200; ++seed) {
+        LeaseWorld world(seed, true);
+        world.run();
+        BOOST_REQUIRE_MESSAGE(!world.broken(), "seed " << seed << ": " << world.fault());
+        holders += world.holders();
+    }
+    BOOST_TEST(holders > 1000u);
+}
+
+BOOST_AUTO_TEST_CASE(mayClaim_anotherHeldInBetween_onlyALeaseAfterTheOwnLastAct)
+{
+    const LeaseRecord claim = record(LeaseRecordKind::Claim, self);
+    lease.noteSending(claim.nonce, at(0));
+    lease.apply(claim, 0, at(0));
+    lease.apply(record(LeaseRecordKind::Release, self, 0), 1, at(500));
+    lease.apply(record(LeaseRecordKind::Claim, other), 2, at(600));
+    lease.apply(record(LeaseRecordKind::Release, other, 2), 3, at(700));
+    lease.noteRead(4, at(700));
+    BOOST_TEST(!lease.mayClaim(at(3500)));
+    BOOST_TEST(lease.mayClaim(at(3501)));
+}
+
+BOOST_AUTO_TEST_CASE(stopping_holder_neitherActsNorClaims)
+{
+    const LeaseRecord claim = record(LeaseRecordKind::Claim, self);
+    lease.noteSending(claim.nonce, at(0));
+    lease.apply(claim, 0, at(10));
+    lease.noteStopping();
+    BOOST_TEST(!lease.mayAct(at(20)));
+    lease.apply(record(LeaseRecordKind::Release, self, 0), 1, at(30));
+    lease.noteRead(2, at(30));
+    BOOST_TEST(!lease.mayClaim(at(100000)));
+}
+
 BOOST_AUTO_TEST_CASE(mayClaim_beforeTheLogWasRead_isFalse)
 {
     BOOST_TEST(!lease.mayClaim(at(100000)));
--- a/src/zinniadoor/gateway/exchange_end.cpp
+++ b/src/zinniadoor/gateway/exchange_end.cpp
@@ -101,9 +101,17 @@
     constexpr absl::Duration ReleaseTimeout = absl::Seconds(1);
     if (!prompt_ || promptTaken_)
         return;
-    net::fetch(context_.io, context_.client, { reader_.address, reader_.id.str() },
-               context_.endpoints.releasePrompt(*prompt_, reader_), ReleaseTimeout,
-               [](const base::Outcome<net::WholeAnswer> &) {});
+    net::FetchOptions options;
+    options.timeout = ReleaseTimeout;
+    options.belongs = [&dialect = context_.endpoints](const net::AnswerHead &head) {
+        return dialect.answersOwnRequest(head);
+    };
+    // The memory lapses by itself where the endpoint wants no request.
+    if (context_.directory.mayCall(reader_.id, context_.clock.now())) {
+        net::fetch(context_.io, context_.client, { reader_.address, reader_.id.str() },
+                   context_.endpoints.releasePrompt(*prompt_, reader_), std::move(options),
+                   [](const base::Outcome<net::WholeAnswer> &) {});
+    }
     prompt_.reset();
 }
 
--- a/src/zinniadoor/gateway/fleet_duty.cpp
+++ b/src/zinniadoor/gateway/fleet_duty.cpp
@@ -139,11 +139,14 @@
 
     void send(const FleetOrder &order, absl::Time now)
     {
-        const std::uint64_t number = parts_.lease.lease().fencingNumber();
+        const DutyPermitPtr permit = parts_.lease.permit();
+        if (!permit)
+            return;
+        const std::uint64_t number = permit->fencingNumber();
         busy_ = true;
         ordered_[keyOf(order)] = { order.count, now, false };
         auto self = shared_from_this();
-        parts_.platform.orderFleet(order, number,
+        parts_.platform.orderFleet(order, permit,
                                    [self, order, number](const base::Outcome<DutyAnswer> &answer) {
                                        self->busy_ = false;
                                        if (!self->closed_)
--- a/src/zinniadoor/gateway/lease_runner.cpp
+++ b/src/zinniadoor/gateway/lease_runner.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <vector>
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -28,6 +29,31 @@
 /// Instances that may claim do so up to this part of the lease later, each at its own time.
 constexpr double ClaimSpread = 0.15;
 
+/// A right under one fencing number; it ends with the lease, a newer holder or the planned stop.
+class LeasePermit : public DutyPermit
+{
+public:
+    LeasePermit(std::shared_ptr<const DutyLease> lease, const base::Clock &clock)
+        : lease_(std::move(lease))
+        , clock_(clock)
+        , fencingNumber_(lease_->fencingNumber())
+    { }
+    std::uint64_t fencingNumber() const override { return fencingNumber_; }
+    bool isValid() const override
+    {
+        return lease_->mayAct(clock_.now()) && lease_->fencingNumber() == fencingNumber_;
+    }
+    absl::Duration timeLeft() const override
+    {
+        return std::max(absl::ZeroDuration(), lease_->mayActUntil() - clock_.now());
+    }
+
+private:
+    std::shared_ptr<const DutyLease> lease_;
+    const base::Clock &clock_;
+    std::uint64_t fencingNumber_;
+};
+
 class LogLeaseRunner : public LeaseRunner, public std::enable_shared_from_this<LogLeaseRunner>
 {
 public:
@@ -39,7 +65,7 @@
         , self_(self)
         , options_(options)
         , peers_(peers)
-        , lease_(self, options)
+        , lease_(std::make_shared<DutyLease>(self, options))
     {
         constexpr std::size_t Steps = 1000;
         const std::size_t step = std::hash<std::string> {}(self.instance) % Steps;
@@ -47,19 +73,28 @@
     }
 
     void start() override { tick(); }
-    const DutyLease &lease() const override { return lease_; }
+    const DutyLease &lease() const override { return *lease_; }
+    DutyPermitPtr permit() override
+    {
+        if (!lease_->mayAct(clock_.now()))
+            return nullptr;
+        forgetEndedCalls();
+        auto permit = std::make_shared<LeasePermit>(lease_, clock_);
+        permits_.push_back(permit);
+        return permit;
+    }
     void noteSuperseded() override
     {
-        lease_.noteSuperseded();
+        lease_->noteSuperseded();
         noteChange();
     }
-    void forgetFiguresBefore(WindowNumber window) override { lease_.forgetFiguresBefore(window); }
+    void forgetFiguresBefore(WindowNumber window) override { lease_->forgetFiguresBefore(window); }
     void noteReportedBefore(WindowNumber window) override { reportedBefore_ = window; }
 
     void fixFigures(WindowNumber window, const UsageCounts &counts,
                     std::function<void(bool)> done) override
     {
-        if (busy_ || !lease_.mayAct(clock_.now())) {
+        if (busy_ || !lease_->mayAct(clock_.now())) {
             done(false);
             return;
         }
@@ -72,8 +107,8 @@
     void stop() override
     {
         stopped_ = true;
-        if (lease_.mayAct(clock_.now()) && !busy_)
-            append(newRecord(LeaseRecordKind::Release), [](bool) {});
+        lease_->noteStopping();
+        releaseOnceIdle();
     }
 
     void close()
@@ -95,18 +130,39 @@
         });
     }
 
+    void forgetEndedCalls()
+    {
+        permits_.erase(std::remove_if(permits_.begin(), permits_.end(),
+                                      [](const auto &permit) { return permit.expired(); }),
+                       permits_.end());
+    }
+
+    /// A successor acts as soon as it reads the release: all calls of this process end before.
+    void releaseOnceIdle()
+    {
+        forgetEndedCalls();
+        if (!busy_ && !released_ && permits_.empty() && clock_.now() < lease_->mayActUntil()) {
+            released_ = true;
+            append(newRecord(LeaseRecordKind::Release), [](bool) {});
+        }
+    }
+
     void step()
     {
         noteChange();
-        if (busy_ || stopped_)
+        if (stopped_) {
+            releaseOnceIdle();
+            return;
+        }
+        if (busy_)
             return;
         const absl::Time now = clock_.now();
-        const bool holds = lease_.isHolder() && !lease_.mayClaim(now);
+        const bool holds = lease_->isHolder() && !lease_->mayClaim(now);
         if (holds && now - lastAppend_ >= options_.lease * RenewalShare) {
             append(newRecord(LeaseRecordKind::Renewal), [](bool) {});
         } else if (!holds && now - lastRead_ >= readPause(now)) {
             read();
-        } else if (!holds && lease_.mayClaim(now)) {
+        } else if (!holds && lease_->mayClaim(now)) {
             mayClaimSince_ = std::min(mayClaimSince_, now);
             // What was read long ago is likely to be out of date.
             const bool fresh = now - lastRead_ < options_.lease * WatchShare;
@@ -128,10 +184,10 @@
         LeaseRecord record;
         record.kind = kind;
         record.holder = self_;
-        record.fencingNumber = lease_.fencingNumber();
+        record.fencingNumber = lease_->fencingNumber();
         record.nonce = ++nonce_;
         if (kind == LeaseRecordKind::Renewal)
-            record.window = std::max(reportedBefore_, lease_.reportedBefore());
+            record.window = std::max(reportedBefore_, lease_->reportedBefore());
         return record;
     }
 
@@ -142,15 +198,15 @@
         busy_ = true;
         lastAppend_ = now;
         mayClaimSince_ = absl::InfiniteFuture();
-        lease_.noteSending(record.nonce, now);
-        store_.append(LogName::Lease, { base::encode(record) }, lease_.end(),
+        lease_->noteSending(record.nonce, now);
+        store_.append(LogName::Lease, { base::encode(record) }, lease_->end(),
                       [self, record, done](const base::Outcome<AppendResult> &result) {
                           self->busy_ = false;
                           if (self->closed_)
                               return;
                           const bool appended = result && result->appended;
                           if (appended)
-                              self->lease_.apply(record, result->first, self->clock_.now());
+                              self->lease_->apply(record, result->first, self->clock_.now());
                           done(appended);
                           self->noteChange();
                           // Refused or unanswered: the log tells what happened.
@@ -164,7 +220,7 @@
         auto self = shared_from_this();
         busy_ = true;
         lastRead_ = clock_.now();
-        store_.read(LogName::Lease, lease_.end(), absl::ZeroDuration(),
+        store_.read(LogName::Lease, lease_->end(), absl::ZeroDuration(),
                     [self](const base::Outcome<LogRecords> &read) {
                         self->busy_ = false;
                         if (self->closed_ || !read)
@@ -178,7 +234,7 @@
     {
         const absl::Time now = clock_.now();
         if (read.trimmed) {
-            lease_.noteTrimmed(read.first);
+            lease_->noteTrimmed(read.first);
             lastRead_ = absl::InfinitePast();
             return;
         }
@@ -186,24 +242,24 @@
         for (const std::string &bytes : read.records) {
             const auto record = base::decode<LeaseRecord>(bytes);
             if (record)
-                lease_.apply(*record, offset, now);
+                lease_->apply(*record, offset, now);
             ++offset;
         }
         if (offset >= read.end)
-            lease_.noteRead(offset, now);
+            lease_->noteRead(offset, now);
         else
             lastRead_ = absl::InfinitePast();
     }
 
     void noteChange()
     {
-        const bool acts = lease_.mayAct(clock_.now());
+        const bool acts = lease_->mayAct(clock_.now());
         if (acts == actsLogged_)
             return;
         actsLogged_ = acts;
-        const auto &holder = lease_.holder();
+        const auto &holder = lease_->holder();
         logEvent(acts ? EventId::DutyLeaseGained : EventId::DutyLeaseLost,
-                 { { "fencing_number", std::to_string(lease_.fencingNumber()) },
+                 { { "fencing_number", std::to_string(lease_->fencingNumber()) },
                    { "holder", holder ? holder->instance : "" } });
     }
 
@@ -213,7 +269,8 @@
     ProcessName self_;
     LeaseOptions options_;
     const PeerTable &peers_;
-    DutyLease lease_;
+    std::shared_ptr<DutyLease> lease_;
+    std::vector<std::weak_ptr<const DutyPermit>> permits_; ///< Of calls under way.
     absl::Duration claimDelay_;
     absl::Time lastAppend_ = absl::InfinitePast();
     absl::Time lastRead_ = absl::InfinitePast();
@@ -222,6 +279,7 @@
     WindowNumber reportedBefore_ = 0;
     bool busy_ = false;
     bool stopped_ = false;
+    bool released_ = false;
     bool closed_ = false;
     bool actsLogged_ = false;
 };
@@ -235,6 +293,7 @@
     ~OwnedLeaseRunner() override { runner_->close(); }
     void start() override { runner_->start(); }
     const DutyLease &lease() const override { return runner_->lease(); }
+    DutyPermitPtr permit() override { return runner_->permit(); }
     void fixFigures(WindowNumber window, const UsageCounts &counts,
                     std::function<void(bool)> done) override
     {
--- a/src/zinniadoor/gateway/stage_duty.cpp
+++ b/src/zinniadoor/gateway/stage_duty.cpp
@@ -103,17 +103,24 @@
     void send(const serving::StageChange &change, absl::Time now)
     {
         const EndpointRecord *endpoint = parts_.serving.directory.find(change.engine);
-        if (!endpoint)
+        const DutyPermitPtr permit = parts_.lease.permit();
+        if (!endpoint || !permit)
             return;
         const Stage stage = change.readsForOthers ? Stage::Prefill : Stage::Decode;
-        const std::uint64_t number = parts_.lease.lease().fencingNumber();
+        const std::uint64_t number = permit->fencingNumber();
         busy_ = true;
         mayOrderAt_[change.engine] = now + UnansweredPause;
         net::Request request
             = parts_.serving.endpoints.changeStage(*endpoint, stage, holder_, number);
+        net::FetchOptions options;
+        options.timeout = std::min(OrderTimeout, permit->timeLeft());
+        options.mayWrite = [permit] { return permit->isValid(); };
+        options.belongs = [&dialect = parts_.serving.endpoints](const net::AnswerHead &head) {
+            return dialect.answersOwnRequest(head);
+        };
         auto self = shared_from_this();
         net::fetch(io_, parts_.serving.client, { endpoint->address, endpoint->id.str() },
-                   std::move(request), OrderTimeout,
+                   std::move(request), std::move(options),
                    [self, id = change.engine, stage,
                     number](const base::Outcome<net::WholeAnswer> &answer) {
                        self->busy_ = false;
--- a/src/zinniadoor/gateway/usage_duty.cpp
+++ b/src/zinniadoor/gateway/usage_duty.cpp
@@ -248,10 +248,10 @@
 
     void send(WindowNumber window, const UsageCounts &figures)
     {
-        const DutyLease &lease = parts_.lease.lease();
-        const std::uint64_t number = lease.fencingNumber();
-        if (!lease.mayAct(parts_.clock.now())) // The last look before the call.
+        const DutyPermitPtr permit = parts_.lease.permit();
+        if (!permit)
             return;
+        const std::uint64_t number = permit->fencingNumber();
         reporting_ = true;
         UsageReport report;
         report.window = window;
@@ -259,7 +259,7 @@
             report.requestsOf.emplace_back(organisation, requests);
         auto self = shared_from_this();
         parts_.platform.reportUsage(
-            report, number, [self, window, number](const base::Outcome<DutyAnswer> &answer) {
+            report, permit, [self, window, number](const base::Outcome<DutyAnswer> &answer) {
                 self->reporting_ = false;
                 if (!self->closed_)
                     self->onReported(window, number, answer);
--- a/src/zinniadoor/net/client_connection.cpp
+++ b/src/zinniadoor/net/client_connection.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <sstream>
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -115,6 +116,15 @@
 
 void ClientConnection::send()
 {
+    if (options_.mayWrite) {
+        std::ostringstream text;
+        text << *request_;
+        unwritten_ = text.str();
+        writeWhileAllowed();
+        if (handler_)
+            readHead();
+        return;
+    }
     sendBegan_ = true;
     auto self = shared_from_this();
     const std::shared_ptr<Request> request = request_;
@@ -127,6 +137,35 @@
     readHead();
 }
 
+// Asks before each write: the process may have been frozen, or the buffer full, since the last one.
+void ClientConnection::writeWhileAllowed()
+{
+    ErrorCode error;
+    socket_.non_blocking(true, error);
+    while (!unwritten_.empty()) {
+        if (!options_.mayWrite()) {
+            fail(CallError::Withdrawn, "the right to send has ended");
+            return;
+        }
+        const std::size_t written = socket_.write_some(boost::asio::buffer(unwritten_), error);
+        sendBegan_ = sendBegan_ || written > 0;
+        unwritten_.erase(0, written);
+        if (error == boost::asio::error::would_block) {
+            auto self = shared_from_this();
+            const std::uint64_t call = callNumber_;
+            socket_.async_wait(boost::asio::ip::tcp::socket::wait_write,
+                               [self, call](ErrorCode waited) {
+                                   if (!waited && self->callNumber_ == call && self->handler_)
+                                       self->writeWhileAllowed();
+                               });
+            return;
+        }
+        if (error)
+            return; // Left to the reader: the answer may have come before the connection broke.
+    }
+    sendDone_ = true;
+}
+
 void ClientConnection::readHead()
 {
     parser_.emplace();
@@ -310,6 +349,8 @@
     closed_ = true;
     timer_.cancel();
     ErrorCode ignored;
+    if (options_.mayWrite && sendBegan_ && !served_) // Drops what waits in the send buffer.
+        socket_.set_option(boost::asio::socket_base::linger(true, 0), ignored);
     socket_.close(ignored);
     if (const auto owner = owner_.lock())
         owner->onClosed(shared_from_this());
--- a/src/zinniadoor/net/client_connection.hpp
+++ b/src/zinniadoor/net/client_connection.hpp
@@ -47,6 +47,7 @@
 
     void connect();
     void send();
+    void writeWhileAllowed();
     void readHead();
     void onHeadRead(boost::system::error_code error);
     void beginSkipping();
@@ -66,6 +67,7 @@
     HttpClientOptions clientOptions_;
     std::optional<Parser> parser_;
     std::shared_ptr<Request> request_;
+    std::string unwritten_; ///< Of a request that may only be written while it is allowed.
     CallOptions options_;
     std::shared_ptr<CallHandler> handler_;
     std::uint64_t callNumber_ = 0; ///< Tells handlers of an earlier call from the present one's.
--- a/src/zinniadoor/net/fetch.cpp
+++ b/src/zinniadoor/net/fetch.cpp
@@ -22,17 +22,18 @@
         , done_(std::move(done))
     { }
 
-    void start(HttpClient &client, const CallTarget &target, Request request,
-               absl::Duration timeout)
+    void start(HttpClient &client, const CallTarget &target, Request request, FetchOptions wanted)
     {
         auto self = shared_from_this();
-        timer_.expires_after(absl::ToChronoMilliseconds(timeout));
+        timer_.expires_after(absl::ToChronoMilliseconds(wanted.timeout));
         timer_.async_wait([self](boost::system::error_code error) {
             if (!error)
                 self->giveUp();
         });
         CallOptions options;
-        options.connectTimeout = timeout;
+        options.connectTimeout = wanted.timeout;
+        options.mayWrite = std::move(wanted.mayWrite);
+        options.belongs = std::move(wanted.belongs);
         call_ = client.start(target, std::move(request), std::move(options), self);
         if (!done_)
             call_.reset();
@@ -102,12 +103,21 @@
 } // namespace
 
 std::shared_ptr<Call> fetch(boost::asio::io_context &context, HttpClient &client,
-                            const CallTarget &target, Request request, absl::Duration timeout,
+                            const CallTarget &target, Request request, FetchOptions options,
                             FetchCallback done)
 {
     auto fetch = std::make_shared<Fetch>(context, std::move(done));
-    fetch->start(client, target, std::move(request), timeout);
+    fetch->start(client, target, std::move(request), std::move(options));
     return fetch;
 }
 
+std::shared_ptr<Call> fetch(boost::asio::io_context &context, HttpClient &client,
+                            const CallTarget &target, Request request, absl::Duration timeout,
+                            FetchCallback done)
+{
+    FetchOptions options;
+    options.timeout = timeout;
+    return fetch(context, client, target, std::move(request), std::move(options), std::move(done));
+}
+
 } // namespace zinniadoor::net
--- a/src/zinniadoor/net/http_client.cpp
+++ b/src/zinniadoor/net/http_client.cpp
@@ -100,6 +100,8 @@
         return "connection_lost";
     case CallError::Malformed:
         return "malformed";
+    case CallError::Withdrawn:
+        return "withdrawn";
     }
     return "unknown";
 }
--- a/src/zinniadoor/net/http_client_test.cpp
+++ b/src/zinniadoor/net/http_client_test.cpp
@@ -1,5 +1,9 @@
+#include <array>
+
 #include <boost/test/unit_test.hpp>
 
+#include "absl/strings/str_cat.h"
+
 #include "support/event_loop.hpp"
 #include "support/scripted_socket.hpp"
 #include "zinniadoor/net/fetch.hpp"
@@ -232,6 +236,88 @@
     BOOST_TEST(runUntil(io, [&] { return listener.connection(0).ended(); }));
 }
 
+BOOST_AUTO_TEST_CASE(call_rightEndedWhileConnecting_writesNothing)
+{
+    CallOptions options;
+    bool allowed = true;
+    options.mayWrite = [&] { return allowed; };
+    const auto call = start(std::move(options));
+    allowed = false; // As after a freeze: the connection is there before any timer fires.
+    BOOST_REQUIRE(runUntil(io, [&] { return call->done(); }));
+    BOOST_REQUIRE(call->failure);
+    BOOST_TEST((call->failure->error == CallError::Withdrawn));
+    BOOST_TEST(!call->failure->sendBegan);
+    runBriefly(io);
+    BOOST_TEST(listener.connection(0).received().empty());
+}
+
+BOOST_AUTO_TEST_CASE(call_rightEndedOnAKeptConnection_writesNothing)
+{
+    const auto first = start();
+    BOOST_REQUIRE(arrived(0));
+    listener.connection(0).write(WholeAnswer200);
+    BOOST_REQUIRE(runUntil(io, [&] { return first->ended; }));
+    listener.connection(0).clear();
+    CallOptions options;
+    options.mayWrite = [] { return false; };
+    const auto call = start(std::move(options));
+    BOOST_REQUIRE(runUntil(io, [&] { return call->done(); }));
+    runBriefly(io);
+    BOOST_TEST(listener.connection(0).received().empty());
+}
+
+BOOST_AUTO_TEST_CASE(call_rightEndedInAFullSendBuffer_isResetBeforeAllHasLeft)
+{
+    boost::asio::ip::tcp::acceptor acceptor(io, { boost::asio::ip::address_v4::loopback(), 0 });
+    bool allowed = true;
+    CallOptions options;
+    options.connectTimeout = absl::Seconds(5);
+    options.mayWrite = [&] { return allowed; };
+    const std::string body(std::size_t { 64 } * 1024 * 1024, 'b');
+    const auto handler = std::make_shared<NotingHandler>();
+    calls.push_back(
+        client->start({ absl::StrCat("127.0.0.1:", acceptor.local_endpoint().port()), "e1" },
+                      request(body), std::move(options), handler));
+    boost::asio::ip::tcp::socket receiver(io);
+    acceptor.accept(receiver);
+    runBriefly(io); // Nobody reads: the buffers are full.
+    BOOST_REQUIRE(!handler->done());
+    allowed = false;
+    std::vector<char> bytes(std::size_t { 1024 } * 1024);
+    std::size_t received = 0;
+    boost::system::error_code error;
+    receiver.non_blocking(true);
+    const bool ended = runUntil(io, [&] {
+        received += receiver.read_some(boost::asio::buffer(bytes), error);
+        return error && error != boost::asio::error::would_block;
+    });
+    BOOST_REQUIRE(ended);
+    BOOST_TEST((error == boost::asio::error::connection_reset));
+    BOOST_TEST(received < body.size());
+    BOOST_REQUIRE(handler->failure);
+    BOOST_TEST((handler->failure->error == CallError::Withdrawn));
+}
+
+BOOST_AUTO_TEST_CASE(fetch_cutAtTheEndOfItsRight_resetsTheConnection)
+{
+    boost::asio::ip::tcp::acceptor acceptor(io, { boost::asio::ip::address_v4::loopback(), 0 });
+    bool ended = false;
+    FetchOptions options;
+    options.timeout = absl::Milliseconds(50);
+    options.mayWrite = [] { return true; };
+    fetch(io, *client, { absl::StrCat("127.0.0.1:", acceptor.local_endpoint().port()), "d" },
+          request("question"), std::move(options),
+          [&](const base::Outcome<WholeAnswer> &answer) { ended = !answer; });
+    boost::asio::ip::tcp::socket receiver(io);
+    acceptor.accept(receiver);
+    BOOST_REQUIRE(runUntil(io, [&] { return ended; }));
+    std::array<char, 4096> bytes {};
+    boost::system::error_code error;
+    while (!error)
+        receiver.read_some(boost::asio::buffer(bytes), error);
+    BOOST_TEST((error == boost::asio::error::connection_reset));
+}
+
 BOOST_AUTO_TEST_CASE(connection_bytesWhileIdle_isNotUsedAgain)
 {
     const auto first = start();
@@ -298,6 +384,27 @@
     BOOST_TEST(arrived(1));
 }
 
+BOOST_AUTO_TEST_CASE(fetch_lateCopyOfAnotherAnswer_isSkipped)
+{
+    const auto first = start();
+    BOOST_REQUIRE(arrived(0));
+    listener.connection(0).write(WholeAnswer200);
+    BOOST_REQUIRE(runUntil(io, [&] { return first->ended; }));
+    std::optional<unsigned> status;
+    FetchOptions options;
+    options.timeout = absl::Seconds(20);
+    options.belongs = [](const AnswerHead &head) { return head["Id"].empty(); };
+    fetch(io, *client, { listener.address(), "e1" }, request("order"), std::move(options),
+          [&](const base::Outcome<WholeAnswer> &answer) {
+              status = answer ? answer->head.result_int() : 0;
+          });
+    BOOST_REQUIRE(runUntil(io, [&] { return listener.connection(0).has("order"); }));
+    listener.connection(0).write("HTTP/1.1 200 OK\r\nId: r1\r\nContent-Length: 2\r\n\r\nok"
+                                 "HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n");
+    BOOST_REQUIRE(runUntil(io, [&] { return status.has_value(); }));
+    BOOST_TEST(*status == 409u);
+}
+
 BOOST_AUTO_TEST_CASE(fetch_silentServer_endsAtItsTimeoutAsUnknown)
 {
     std::optional<base::ReasonCode> code;
