Crash lists: what never reached an endpoint is no evidence against a prompt

On a busy machine the list names dead engines for longer. The gateway's list had its own form of the fault: any call lost on a kept connection counted, also when the endpoint had ended before.

Change: the daemon ends the prompt's flight before it probes when nothing was sent. The gateway goes by the bytes that the endpoint's system acknowledged (TCP_INFO); where that is not known, the call counts as before.

Ruled out: taking every loss on a kept connection as harmless (crashing prompts mostly arrive on kept ones); a time bound.

--- a/include/zinniadoor/net/http_client.hpp
+++ b/include/zinniadoor/net/http_client.hpp
@@ -33,6 +33,7 @@
 {
     CallError error = CallError::ConnectFailed;
     bool sendBegan = false; ///< A byte of the request may have reached the other side.
+    bool reachedPeer = false; ///< The other side's system took bytes of the request, or may have.
     bool onKeptConnection = false; ///< The connection had served another call before.
     std::string text;
 };
--- a/src/zinniadoor/daemon/model_request.cpp
+++ b/src/zinniadoor/daemon/model_request.cpp
@@ -248,6 +248,9 @@
     services().ejection.noteFailure(endpoint, now);
     services().metrics.countEndpointCall(endpoint, false);
     failedOn_.push_back(endpoint);
+    // What never left this instance cannot have crashed the endpoint, whatever the probe shows.
+    if (!mayHaveRun)
+        services().crashes.end(facts_.bodyDigest, endpoint);
     if (connectionLost) {
         // Whether the endpoint crashed decides if this body may run again, so ask first.
         state_ = State::InDoubt;
--- a/src/zinniadoor/gateway/exchange_calls.cpp
+++ b/src/zinniadoor/gateway/exchange_calls.cpp
@@ -11,7 +11,8 @@
 {
     CallOutcome outcome;
     outcome.mayHaveRun = failure.sendBegan;
-    outcome.crashed = failure.sendBegan && failure.error == net::CallError::ConnectionLost;
+    // A kept connection whose endpoint ended earlier says nothing about this request.
+    outcome.crashed = failure.reachedPeer && failure.error == net::CallError::ConnectionLost;
     outcome.reason = net::nameOf(failure.error);
     return outcome;
 }
--- /dev/null
+++ b/src/zinniadoor/net/acknowledged_bytes.cpp
@@ -0,0 +1,24 @@
+#include "acknowledged_bytes.hpp"
+
+#include <cstddef>
+
+// netinet/tcp.h, which Asio includes, has an older tcp_info without the count; the two headers
+// exclude each other.
+#include <linux/tcp.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+namespace zinniadoor::net {
+
+std::optional<std::uint64_t> acknowledgedBytes(int socket)
+{
+    tcp_info info {};
+    socklen_t size = sizeof info;
+    constexpr std::size_t Needed
+        = offsetof(tcp_info, tcpi_bytes_acked) + sizeof info.tcpi_bytes_acked;
+    if (::getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &size) != 0 || size < Needed)
+        return std::nullopt;
+    return info.tcpi_bytes_acked;
+}
+
+} // namespace zinniadoor::net
--- a/src/zinniadoor/net/client_connection.cpp
+++ b/src/zinniadoor/net/client_connection.cpp
@@ -17,6 +17,7 @@
 #include "absl/strings/str_split.h"
 #include "absl/strings/strip.h"
 
+#include "acknowledged_bytes.hpp"
 #include "zinniadoor/net/address.hpp"
 
 namespace zinniadoor::net {
@@ -116,6 +117,7 @@
 
 void ClientConnection::send()
 {
+    acknowledgedBefore_ = acknowledgedBytes(socket_.native_handle());
     if (options_.mayWrite) {
         std::ostringstream text;
         text << *request_;
@@ -362,6 +364,11 @@
     handler_.reset();
     CallFailure failure;
     failure.error = error;
+    if (sendBegan_) {
+        const auto acknowledged = acknowledgedBytes(socket_.native_handle());
+        failure.reachedPeer
+            = !acknowledged || !acknowledgedBefore_ || *acknowledged > *acknowledgedBefore_;
+    }
     failure.sendBegan = sendBegan_;
     failure.onKeptConnection = served_;
     failure.text = text;
--- a/src/zinniadoor/net/client_connection.hpp
+++ b/src/zinniadoor/net/client_connection.hpp
@@ -78,6 +78,7 @@
     bool sendDone_ = false;
     bool paused_ = false;
     bool reading_ = false;
+    std::optional<std::uint64_t> acknowledgedBefore_; ///< Of earlier calls and the handshake.
     int skippedAnswers_ = 0;
     std::size_t skippedBytes_ = 0; ///< Of the answer that is being skipped.
     int interimAnswers_ = 0; ///< To the present call.
--- a/src/zinniadoor/net/http_client_test.cpp
+++ b/src/zinniadoor/net/http_client_test.cpp
@@ -137,6 +137,36 @@
     BOOST_TEST(listener.count() == 1u);
 }
 
+BOOST_AUTO_TEST_CASE(call_onAConnectionThatEndedBefore_didNotReachThePeer)
+{
+    for (const bool reset : { true, false }) {
+        const std::size_t connection = listener.count();
+        const auto first = start();
+        BOOST_REQUIRE(arrived(connection));
+        listener.connection(connection).write(WholeAnswer200);
+        BOOST_REQUIRE(runUntil(io, [&] { return first->ended; }));
+        if (reset)
+            listener.connection(connection).reset();
+        else
+            listener.connection(connection).close();
+        const auto call = start(); // Before the end of the connection was noticed.
+        BOOST_REQUIRE(runUntil(io, [&] { return call->done(); }));
+        BOOST_REQUIRE(call->failure);
+        BOOST_TEST(call->failure->onKeptConnection);
+        BOOST_TEST(!call->failure->reachedPeer, "reset: " << reset);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(call_lostAfterThePeerHadTheRequest_didReachIt)
+{
+    const auto call = start();
+    BOOST_REQUIRE(arrived(0));
+    listener.connection(0).close();
+    BOOST_REQUIRE(runUntil(io, [&] { return call->done(); }));
+    BOOST_REQUIRE(call->failure);
+    BOOST_TEST(call->failure->reachedPeer);
+}
+
 BOOST_AUTO_TEST_CASE(answer_withoutLength_isWholeOnlyAtACleanEnd)
 {
     const std::string unframed = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nall of it";
--- a/tests/e2e/stream_faults_test.cpp
+++ b/tests/e2e/stream_faults_test.cpp
@@ -1,3 +1,7 @@
+#include <atomic>
+#include <thread>
+#include <vector>
+
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
 
@@ -159,6 +163,29 @@
     BOOST_TEST(Cluster::textOf(e2e::call(cluster.chat(1, 1, Prompt, Tokens, true))) == expected);
 }
 
+BOOST_AUTO_TEST_CASE(harmlessRequest_sentToEnginesThatDiedBefore_isNotBlamed)
+{
+    // The list still names them, so that requests are sent to them and probes find them dead.
+    for (std::size_t i = 0; i + 1 < cluster.fleet().engineCount(); ++i)
+        cluster.fleet().engine(i).process().kill();
+    constexpr int Rounds = 4;
+    std::vector<std::thread> callers;
+    std::atomic<int> blamed { 0 };
+    for (int i = 0; i < 2 * Rounds; ++i) {
+        callers.emplace_back([&, i] {
+            const HttpAnswer answer = e2e::call(cluster.chat(i % 2, 0, Prompt, Tokens, true));
+            blamed += answer.status == 403 ? 1 : 0;
+        });
+    }
+    for (std::thread &caller : callers)
+        caller.join();
+    BOOST_TEST(blamed == 0);
+    BOOST_TEST(waitUntil([this] {
+        const HttpAnswer answer = e2e::call(cluster.chat(0, 0, Prompt, Tokens, true));
+        return answer.status == 200 && Cluster::textOf(answer) == expected;
+    }));
+}
+
 BOOST_AUTO_TEST_CASE(engines_allRefusing_callerIsToldNotRunAtOnce)
 {
     setFaultsOnAll({ { "path", ChatPath }, { "kind", "refuse" } });
