Crash lists: only bodies that an endpoint took are blamed; a probe that is dropped is repeated

A crash blamed all bodies that had been handed to the client for that engine, also those not sent yet. And a process that is about to end drops a probe's connection before it closes its listening socket: the probe then said "silent", the crash went unnoticed and the harmful prompt took a third engine (503 in place of 403, trace by status and engines left).

Change: CrashList keeps what was taken apart from what was sent: the head of an answer, or a call lost after it left.

--- a/include/zinniadoor/daemon/endpoint_prober.hpp
+++ b/include/zinniadoor/daemon/endpoint_prober.hpp
@@ -34,9 +34,11 @@
 private:
     struct Probe
     {
-        base::EndpointId endpoint;
+        control::Endpoint endpoint;
+        int number = 1; ///< Of the probes in a row.
         bool answered = false;
     };
+    void start(const Probe &probe);
 
     void onCallNews(CallToken call, const CallNews &news) override;
 
--- a/include/zinniadoor/daemon/model_request.hpp
+++ b/include/zinniadoor/daemon/model_request.hpp
@@ -70,6 +70,9 @@
     void beginStreamOnce();
     void stopCall();
     void leaveEndpoint();
+
+    /// The endpoint has, or may have, begun to work on the request.
+    void noteTaken();
     void endWithFault(const base::Reason &reason, absl::Duration retryAfter);
     void countPartialUse();
     ports::EndpointRequest engineRequest(const control::Endpoint &endpoint, absl::Time now) const;
@@ -90,6 +93,7 @@
     bool mayHaveRun_ = false;
     bool lastMayHaveRun_ = false;
     int engineStatus_ = 0;
+    bool taken_ = false; ///< By the present endpoint.
     std::string engineError_;
     bool freshConnection_ = false; ///< A pooled connection failed this request.
     absl::Time startedAt_; ///< Of the running call.
--- a/include/zinniadoor/serving/crash_list.hpp
+++ b/include/zinniadoor/serving/crash_list.hpp
@@ -57,11 +57,14 @@
 public:
     explicit CrashList(const CrashListOptions &options);
 
-    /// A body begins and ends to run on an endpoint, sent by this instance.
+    /// A body is sent to an endpoint by this instance, is known to have been taken there, and ends
+    /// there; `taken` as told before.
     void begin(const std::string &bodyDigest, const base::EndpointId &endpoint);
-    void end(const std::string &bodyDigest, const base::EndpointId &endpoint);
+    void noteTaken(const std::string &bodyDigest, const base::EndpointId &endpoint);
+    void end(const std::string &bodyDigest, const base::EndpointId &endpoint, bool taken);
 
-    /// An endpoint crashed; returns what to tell peers at once.
+    /// An endpoint crashed; the bodies that it had taken are blamed. Returns what to tell peers at
+    /// once.
     std::vector<CrashEntry> endpointCrashed(const base::EndpointId &endpoint, absl::Time now);
 
     void merge(const std::vector<CrashEntry> &entries, absl::Time now);
@@ -86,13 +89,17 @@
         base::EndpointId endpoint;
         absl::Time at;
     };
+    struct Copies
+    {
+        std::uint32_t sent = 0;
+        std::uint32_t taken = 0; ///< Of those sent.
+    };
     void add(const std::string &bodyDigest, const Crash &crash);
     void makeRoom();
 
     CrashListOptions options_;
     absl::flat_hash_map<std::string, std::vector<Crash>> crashes_;
-    absl::flat_hash_map<base::EndpointId, absl::flat_hash_map<std::string, std::uint32_t>>
-        inFlight_;
+    absl::flat_hash_map<base::EndpointId, absl::flat_hash_map<std::string, Copies>> inFlight_;
 };
 
 } // namespace zinniadoor::serving
--- a/src/zinniadoor/daemon/model_request.cpp
+++ b/src/zinniadoor/daemon/model_request.cpp
@@ -160,9 +160,16 @@
         onCallEnd(*news.end);
 }
 
+void ModelRequest::noteTaken()
+{
+    if (!std::exchange(taken_, true))
+        services().crashes.noteTaken(facts_.bodyDigest, *endpoint_);
+}
+
 void ModelRequest::onHead(const AnswerHead &head)
 {
     engineStatus_ = head.status;
+    noteTaken();
     lastByteAt_ = services().clock.now();
 }
 
@@ -249,8 +256,8 @@
     services().metrics.countEndpointCall(endpoint, false);
     failedOn_.push_back(endpoint);
     // What never left this instance cannot have crashed the endpoint, whatever the probe shows.
-    if (!mayHaveRun)
-        services().crashes.end(facts_.bodyDigest, endpoint);
+    if (mayHaveRun)
+        noteTaken();
     if (connectionLost) {
         // Whether the endpoint crashed decides if this body may run again, so ask first.
         state_ = State::InDoubt;
@@ -392,7 +399,7 @@
 {
     if (!endpoint_)
         return;
-    services().crashes.end(facts_.bodyDigest, *endpoint_);
+    services().crashes.end(facts_.bodyDigest, *endpoint_, std::exchange(taken_, false));
     services().endpoints.noteFinished(id(), services().clock.now());
 }
 
--- a/src/zinniadoor/gateway/exchange.cpp
+++ b/src/zinniadoor/gateway/exchange.cpp
@@ -1,6 +1,7 @@
 #include "zinniadoor/gateway/exchange.hpp"
 
 #include <algorithm>
+#include <utility>
 
 #include "absl/strings/str_cat.h"
 
@@ -212,6 +213,8 @@
         return false;
     const AnswerFacts facts = context_.endpoints.decode(head);
     noteEndpointSigns(context_, writer_.id, facts);
+    if (!facts.notRun)
+        noteBodyTaken();
     const bool success = facts.status / 100 == 2;
     const bool encoded = head.find(net::http::field::content_encoding) != head.end();
     if (facts.notRun || !facts.isSigned || encoded) {
@@ -332,7 +335,7 @@
 void Exchange::onRunEnd()
 {
     call_.reset();
-    context_.crashes.end(bodyDigest_, writer_.id);
+    endFlight();
     const absl::Time now = context_.clock.now();
     if (phase_ == Phase::Streaming) {
         if (framer_.hasPartialEvent()) {
@@ -367,10 +370,12 @@
     call_.reset();
     writerLoad_.release();
     releasePrompt();
-    if (outcome.crashed)
+    if (outcome.crashed) {
+        noteBodyTaken();
         context_.news.announceCrashes(
             context_.crashes.endpointCrashed(writer_.id, context_.clock.now()));
-    context_.crashes.end(bodyDigest_, writer_.id);
+    }
+    endFlight();
     if (outcome.mayHaveRun)
         ++mayHaveRunAt_;
     noteCallEnded(writer_.id, outcome);
@@ -453,6 +458,17 @@
     }
 }
 
+void Exchange::noteBodyTaken()
+{
+    if (!std::exchange(bodyTaken_, true))
+        context_.crashes.noteTaken(bodyDigest_, writer_.id);
+}
+
+void Exchange::endFlight()
+{
+    context_.crashes.end(bodyDigest_, writer_.id, std::exchange(bodyTaken_, false));
+}
+
 Dispatch Exchange::dispatchTo(const EndpointRecord &endpoint) const
 {
     Dispatch dispatch;
--- a/src/zinniadoor/gateway/exchange_end.cpp
+++ b/src/zinniadoor/gateway/exchange_end.cpp
@@ -91,7 +91,7 @@
     call_.reset();
     readerLoad_.release();
     writerLoad_.release();
-    context_.crashes.end(bodyDigest_, writer_.id);
+    endFlight();
     releasePrompt();
 }
 
--- a/src/zinniadoor/gateway/exchange_state.hpp
+++ b/src/zinniadoor/gateway/exchange_state.hpp
@@ -102,6 +102,8 @@
     void noteCallEnded(const base::EndpointId &endpoint, const CallOutcome &outcome);
     void noteMisdirected(const base::EndpointId &endpoint, const AnswerFacts &facts);
     void noteStarted();
+    void noteBodyTaken();
+    void endFlight(); ///< The body is not at the writer any more.
     void deliverEvents(absl::string_view bytes);
     void startStream(const net::AnswerHead &head);
 
@@ -152,6 +154,7 @@
     LoadShare readerLoad_;
     LoadShare writerLoad_;
     std::optional<PromptHandle> prompt_;
+    bool bodyTaken_ = false; ///< The writer has, or may have, begun to work on the request.
     bool promptTaken_ = false; ///< The writer has the prompt: its answer began.
     std::shared_ptr<net::Call> call_;
     std::vector<base::EndpointId> tried_;
--- a/src/zinniadoor/serving/crash_list.cpp
+++ b/src/zinniadoor/serving/crash_list.cpp
@@ -10,10 +10,20 @@
 
 void CrashList::begin(const std::string &bodyDigest, const base::EndpointId &endpoint)
 {
-    ++inFlight_[endpoint][bodyDigest];
+    ++inFlight_[endpoint][bodyDigest].sent;
 }
 
-void CrashList::end(const std::string &bodyDigest, const base::EndpointId &endpoint)
+void CrashList::noteTaken(const std::string &bodyDigest, const base::EndpointId &endpoint)
+{
+    const auto bodies = inFlight_.find(endpoint);
+    if (bodies == inFlight_.end())
+        return;
+    const auto body = bodies->second.find(bodyDigest);
+    if (body != bodies->second.end())
+        body->second.taken = std::min(body->second.taken + 1, body->second.sent);
+}
+
+void CrashList::end(const std::string &bodyDigest, const base::EndpointId &endpoint, bool taken)
 {
     const auto bodies = inFlight_.find(endpoint);
     if (bodies == inFlight_.end())
@@ -21,7 +31,9 @@
     const auto body = bodies->second.find(bodyDigest);
     if (body == bodies->second.end())
         return;
-    if (--body->second == 0)
+    if (taken && body->second.taken > 0)
+        --body->second.taken;
+    if (--body->second.sent == 0)
         bodies->second.erase(body);
     if (bodies->second.empty())
         inFlight_.erase(bodies);
@@ -33,11 +45,13 @@
     const auto bodies = inFlight_.find(endpoint);
     if (bodies == inFlight_.end())
         return told;
-    for (const auto &[bodyDigest, copies] : bodies->second) {
+    for (auto &[bodyDigest, copies] : bodies->second) {
+        if (copies.taken == 0)
+            continue;
+        copies.taken = 0; // Blamed once; their calls still end.
         add(bodyDigest, { endpoint, now });
         told.push_back({ bodyDigest, endpoint, absl::ZeroDuration() });
     }
-    inFlight_.erase(bodies);
     return told;
 }
 
@@ -108,7 +122,7 @@
     std::uint32_t copies = 0;
     for (const auto &[endpoint, bodies] : inFlight_) {
         const auto body = bodies.find(bodyDigest);
-        copies += body == bodies.end() ? 0 : body->second;
+        copies += body == bodies.end() ? 0 : body->second.sent;
     }
     return copies;
 }
--- a/src/zinniadoor/serving/crash_list_test.cpp
+++ b/src/zinniadoor/serving/crash_list_test.cpp
@@ -21,6 +21,7 @@
     void crash(const std::string &body, const base::EndpointId &endpoint)
     {
         list.begin(body, endpoint);
+        list.noteTaken(body, endpoint);
         list.endpointCrashed(endpoint, now);
     }
 };
@@ -41,11 +42,33 @@
 {
     list.begin("x", a);
     BOOST_TEST(list.copiesInFlight("x") == 1);
-    list.end("x", a);
+    list.noteTaken("x", a);
+    list.end("x", a, true);
     BOOST_TEST(list.endpointCrashed(a, now).empty());
     BOOST_TEST((list.verdict("x", now) == CrashVerdict::Clear));
 }
 
+BOOST_AUTO_TEST_CASE(body_sentButNotTaken_isNotBlamed)
+{
+    list.begin("x", a);
+    list.begin("y", a);
+    list.noteTaken("y", a);
+    BOOST_TEST(list.endpointCrashed(a, now).size() == 1u);
+    BOOST_TEST((list.verdict("x", now) == CrashVerdict::Clear));
+    BOOST_TEST((list.verdict("y", now) == CrashVerdict::Suspect));
+    BOOST_TEST(list.copiesInFlight("x") == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(body_twoCopiesOfWhichOneWasTaken_otherOneIsNotBlamed)
+{
+    list.begin("x", a);
+    list.begin("x", a);
+    list.noteTaken("x", a);
+    list.end("x", a, true);
+    BOOST_TEST(list.endpointCrashed(a, now).empty());
+    BOOST_TEST(list.copiesInFlight("x") == 1u);
+}
+
 BOOST_AUTO_TEST_CASE(crash_toldByTwoPeers_countsOnce)
 {
     list.merge({ { "x", a, absl::Seconds(1) } }, now);
@@ -113,6 +136,8 @@
             CrashList &other = instances[random() % instances.size()];
             tried.begin("bad", endpoint);
             other.begin(bystander, endpoint);
+            tried.noteTaken("bad", endpoint);
+            other.noteTaken(bystander, endpoint);
             ++crashes;
             for (CrashList &seen : instances) {
                 const auto told = seen.endpointCrashed(endpoint, at);
--- a/tests/e2e/stream_faults_test.cpp
+++ b/tests/e2e/stream_faults_test.cpp
@@ -166,8 +166,10 @@
 BOOST_AUTO_TEST_CASE(harmlessRequest_sentToEnginesThatDiedBefore_isNotBlamed)
 {
     // The list still names them, so that requests are sent to them and probes find them dead.
-    for (std::size_t i = 0; i + 1 < cluster.fleet().engineCount(); ++i)
+    for (std::size_t i = 0; i + 1 < cluster.fleet().engineCount(); ++i) {
         cluster.fleet().engine(i).process().kill();
+        BOOST_REQUIRE(cluster.fleet().engine(i).process().wait(absl::Seconds(20)));
+    }
     constexpr int Rounds = 4;
     std::vector<std::thread> callers;
     std::atomic<int> blamed { 0 };
