--- a/include/zinniadoor/base/events.hpp
+++ b/include/zinniadoor/base/events.hpp
@@ -61,6 +61,7 @@
     PeerLost = 751,
     PeerMessageRejected = 752,
     LogReaderChanged = 753,
+    PeerLeaderChanged = 754,
 };
 
 /// One row of the catalogue.
--- a/include/zinniadoor/gateway/log_follower.hpp
+++ b/include/zinniadoor/gateway/log_follower.hpp
@@ -44,7 +44,7 @@
     virtual void onUnreadable(const base::Reason &reason) = 0;
 };
 
-/// Brings parts of a log to the other instances of the data centre; they may get lost.
+/// Brings parts of a log to the other instances; they may get lost.
 class LogRelay
 {
 public:
@@ -53,15 +53,15 @@
 };
 
 /// Follows a keyed log from its newest records on; starts anew when the store has dropped what it
-/// had not read yet. One instance of a data centre reads and tells the others, who read for
-/// themselves once they have heard nothing for their patience. For the event thread only.
+/// had not read yet. One instance reads and tells the others, who read for themselves once they
+/// have heard nothing for their patience. For the event thread only.
 class LogFollower
 {
 public:
     virtual ~LogFollower() = default;
     virtual void start() = 0;
 
-    /// Another instance of the data centre has read this log.
+    /// Another instance has read this log.
     virtual void onPart(const LogPart &part) = 0;
     virtual void stop() = 0;
 };
--- a/include/zinniadoor/gateway/peer_message.hpp
+++ b/include/zinniadoor/gateway/peer_message.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <string>
 #include <utility>
@@ -55,7 +56,7 @@
 /// anything depends on it.
 struct PeerMessage
 {
-    static constexpr std::uint8_t CurrentFormat = 3;
+    static constexpr std::uint8_t CurrentFormat = 7; ///< Unlike that of any other message.
 
     std::uint8_t format = CurrentFormat;
     ProcessName sender;
@@ -66,17 +67,88 @@
     std::vector<PromptNews> prompts; ///< Since the last message.
     std::vector<serving::CrashEntry> crashes; ///< Since the last message.
     std::map<std::string, std::int64_t> paused; ///< Endpoints without work, for so many ms.
+    bool hasCounts = false; ///< `taken`, `usage` and `usageFinalBefore` are told.
     TakenCounts taken; ///< Of the quotas of all organisations.
     std::map<WindowNumber, UsageCounts> usage; ///< Of the newest windows.
+    WindowNumber usageFinalBefore = 0; ///< The counts of windows before this one stay as they are.
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
         archive(format, sender, dataCentre, sequence, estimateMs, loads, prompts, crashes, paused,
-                taken, usage);
+                hasCounts, taken, usage, usageFinalBefore);
     }
 };
 
+/// Load of many instances together at one endpoint, in few bytes.
+struct PackedLoad
+{
+    std::uint32_t endpoint = 0; ///< Lower half of its digest.
+    std::uint16_t requests = 0;
+    std::array<std::uint16_t, serving::UrgencyRanks> kiloTokens {}; ///< To be read, by urgency.
+
+    static PackedLoad of(std::uint64_t endpoint, const serving::EngineLoad &load);
+    serving::EngineLoad unpacked() const;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(endpoint, requests);
+        for (std::uint16_t &tokens : kiloTokens)
+            archive(tokens);
+    }
+};
+
+/// Sums that the leader of a data centre tells the leaders of others (of the instances that tell
+/// it) and each of these instances (of all but that one). Advice, like all news of peers.
+struct LeaderMessage
+{
+    static constexpr std::uint8_t CurrentFormat = 6; ///< Unlike that of any other message.
+
+    std::uint8_t format = CurrentFormat;
+    ProcessName sender;
+    std::string dataCentre; ///< Of the sender.
+    std::uint64_t sequence = 0; ///< Counts on together with that of the other messages.
+    std::int64_t estimateMs = 0; ///< What the sender takes for true time, Unix milliseconds.
+    bool toMember = false;
+    std::string leader; ///< The instance that the sender takes for the leader of its data centre.
+    std::uint32_t heard = 0; ///< Instances that the sums stand for.
+    std::uint32_t known = 0; ///< Instances that have started and not stopped.
+    bool hasLoads = false;
+    std::vector<PackedLoad> loads;
+    bool hasAllCounts = false; ///< `taken` names all organisations, not only changed ones.
+    std::vector<std::pair<std::uint32_t, double>> taken; ///< By half of the organisation's digest.
+    std::vector<serving::CrashEntry> crashes; ///< Since the last message.
+    std::map<std::string, std::int64_t> paused; ///< Endpoints without work, for so many ms.
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(format, sender, dataCentre, sequence, estimateMs, toMember, leader, heard, known,
+                hasLoads, loads, hasAllCounts, taken, crashes, paused);
+    }
+};
+
+/// The counts of these processes for a window stand in the journal.
+struct UsageWritten
+{
+    static constexpr std::uint8_t CurrentFormat = 8; ///< Unlike that of any other message.
+
+    std::uint8_t format = CurrentFormat;
+    ProcessName sender;
+    WindowNumber window = 0;
+    std::vector<std::uint64_t> processes; ///< Digests, see `digestOf`.
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(format, sender, window, processes);
+    }
+};
+
+/// Short name of a process in messages.
+std::uint64_t digestOf(const ProcessName &process);
+
 /// What an instance tells its peers as soon as it has taken some of a quota, and several times a
 /// second in any case, so that its silence is noticed.
 struct TakenMessage
--- a/include/zinniadoor/gateway/peer_table.hpp
+++ b/include/zinniadoor/gateway/peer_table.hpp
@@ -1,11 +1,15 @@
 #pragma once
 
+#include <functional>
 #include <map>
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
 #include "absl/time/time.h"
 
+#include "zinniadoor/gateway/peer_group.hpp"
 #include "zinniadoor/gateway/peer_message.hpp"
 #include "zinniadoor/gateway/quota.hpp"
 
@@ -35,18 +39,58 @@
     /// Addresses of the peers that have said that they run in this data centre.
     std::vector<std::string> addressesIn(const base::DataCentreId &dataCentre) const;
 
-    /// How many of the heard instances come before this one, in an order that is the same for
-    /// all; 0 for the first.
+    /// Where a peer runs; empty if it is not known.
+    base::DataCentreId dataCentreOf(const std::string &instance) const;
+
+    /// The peers that have started and not stopped, or are heard.
+    std::vector<GroupCandidate> candidates(absl::Time now) const;
+
+    /// The heard peers of this data centre and their addresses, by instance.
+    std::map<std::string, std::string> heardIn(const base::DataCentreId &dataCentre,
+                                               absl::Time now) const;
+
+    /// How many of the instances come before this one, in an order that is the same for all; 0
+    /// for the first.
     std::size_t rankOfSelf(absl::Time now) const;
 
+    /// Where news takes two hops, what the leaders say takes the place of what is heard directly.
+    /// Nothing: all tell all.
+    struct Standing
+    {
+        std::size_t rank = 0;
+        bool leads = false; ///< This instance leads its data centre.
+        Membership membership;
+    };
+    void setStanding(std::optional<Standing> standing) { standing_ = std::move(standing); }
+
+    /// This instance writes the usage counts of those that it hears directly.
+    bool writesForOthers(absl::Time now) const;
+
     /// Counts this instance too.
     Membership membership(absl::Time now) const;
 
+    /// The same, of those that are heard directly.
+    Membership directMembership(absl::Time now) const;
+
     /// How far the heard peers' estimates of true time are ahead of this instance's own.
     std::vector<absl::Duration> timeOffsets(absl::Time now) const;
 
     /// The newest counts heard of each process for a window.
     std::map<ProcessName, UsageCounts> usageOf(WindowNumber window) const;
+
+    /// The same, of processes that have said that these counts stay as they are.
+    std::map<ProcessName, UsageCounts> finalUsageOf(WindowNumber window) const;
+
+    /// This process's counts of a window stand in the journal, written by a peer.
+    void noteWritten(const UsageWritten &written);
+    bool isWritten(WindowNumber window) const { return writtenWindows_.count(window) > 0; }
+
+    /// Tells peers whose counts stand in the journal; set by the link to them.
+    void onWritten(std::function<void(const UsageWritten &)> tell)
+    {
+        tellWritten_ = std::move(tell);
+    }
+    void tellWritten(const UsageWritten &written) const;
     void forgetUsageBefore(WindowNumber window);
 
     /// Peers whose state (heard or not) changed since the last call.
@@ -75,6 +119,10 @@
     bool isHeard(const Peer &peer, absl::Time now) const;
 
     ProcessName self_;
+    std::optional<Standing> standing_;
+    std::function<void(const UsageWritten &)> tellWritten_;
+    std::set<WindowNumber> writtenWindows_; ///< Of this process, by a peer.
+    std::map<ProcessName, WindowNumber> finalBefore_;
     absl::Time ownEstimate_;
     std::map<std::string, Peer> peers_;
     std::map<WindowNumber, std::map<ProcessName, UsageCounts>> usage_;
--- a/include/zinniadoor/gateway/quota.hpp
+++ b/include/zinniadoor/gateway/quota.hpp
@@ -17,6 +17,12 @@
 /// What a process has taken of each organisation's quota since its start, in its unit.
 using TakenCounts = std::map<std::string, double>;
 
+/// What a message says of the counts.
+enum class CountsTold : std::uint8_t {
+    All, ///< Organisations that it does not name have taken nothing.
+    Changed, ///< They are as before.
+};
+
 /// How many instances there are, and how many of them this one hears (itself included).
 struct Membership
 {
@@ -47,8 +53,13 @@
 
     void setMembership(const Membership &membership, absl::Time now);
 
-    /// What a peer says that it has taken; organisations that it does not name are unchanged.
-    void notePeer(const ProcessName &peer, const TakenCounts &taken, absl::Time now);
+    /// What a peer says that it has taken. A peer that was running before is counted from what it
+    /// first tells in full.
+    void notePeer(const ProcessName &peer, const TakenCounts &taken, absl::Time now,
+                  CountsTold told = CountsTold::All);
+
+    /// A peer will say nothing more under this name.
+    void forgetPeer(const std::string &instance);
 
     /// Takes `cost` if the organisation is within its quota; else says when to come back.
     std::optional<absl::Duration> take(const base::OrganisationId &organisation, double cost,
@@ -80,6 +91,7 @@
     {
         std::uint64_t incarnation = 0;
         absl::Time heard;
+        bool isCounted = false; ///< It has told its counts in full.
     };
 
     /// Part of the quotas that the instances that hear each other use.
--- a/include/zinniadoor/gateway/usage_book.hpp
+++ b/include/zinniadoor/gateway/usage_book.hpp
@@ -26,6 +26,9 @@
     WindowNumber windowAt(absl::Time trueTime) const;
     absl::Time endOf(WindowNumber window) const;
 
+    /// Windows before this one are complete: requests that began in them have been counted.
+    WindowNumber completeBefore(absl::Time trueTime) const;
+
     void count(const base::OrganisationId &organisation, absl::Time trueTime);
 
     /// Counts of a window; empty if nothing began in it.
--- a/include/zinniadoor/serving/engine_view.hpp
+++ b/include/zinniadoor/serving/engine_view.hpp
@@ -42,6 +42,9 @@
     /// Load of one request.
     static EngineLoad ofRequest(std::uint32_t promptTokens, std::size_t rank);
 
+    /// What is left without `other`; never less than nothing.
+    friend EngineLoad operator-(const EngineLoad &all, const EngineLoad &other);
+
     /// Tokens that an engine reads before those of a new request of this rank.
     std::uint64_t tokensAhead(std::size_t rank) const;
 
@@ -83,6 +86,10 @@
     void setPeerLoad(const base::InstanceId &peer,
                      absl::flat_hash_map<base::EndpointId, EngineLoad> loads, absl::Time now);
 
+    /// Load that a peer has brought, as last told.
+    EngineLoad peerLoad(const base::InstanceId &peer, const base::EndpointId &engine,
+                        absl::Time now) const;
+
     /// Load of all instances.
     EngineLoad load(const base::EndpointId &engine, absl::Time now) const;
 
--- a/src/zinniadoor/base/events.cpp
+++ b/src/zinniadoor/base/events.cpp
@@ -256,6 +256,8 @@
           "A peer's message could not be read." },
         { EventId::LogReaderChanged, EventLevel::Info, "log_reader_changed",
           "This instance begins to read a log for its data centre, or another one does." },
+        { EventId::PeerLeaderChanged, EventLevel::Info, "peer_leader_changed",
+          "Another instance sums up the news of this data centre, as this instance sees it." },
     };
     return table;
 }
--- a/src/zinniadoor/gateway/lease_runner.cpp
+++ b/src/zinniadoor/gateway/lease_runner.cpp
@@ -19,13 +19,15 @@
 /// How often the runner looks whether something is due.
 constexpr absl::Duration Tick = absl::Milliseconds(100);
 
-/// Parts of the lease: between renewals, and between reads of those who do not hold it: of the
-/// first few, who take over, and of the others, in case that all of those are lost.
+/// Parts of the lease: between renewals, and between reads of the first few instances, which take
+/// over. The others do not read: who hears none of the first is one of them.
 constexpr double RenewalShare = 1.0 / 3;
-constexpr double WatchShare = 1.0 / 3;
-constexpr double LookShare = 3;
+constexpr double WatchShare = 1.0 / 2;
 constexpr std::size_t Watchers = 2;
 
+/// After its start an instance does not know yet which are the first.
+constexpr absl::Duration PeersFound = absl::Milliseconds(1500);
+
 /// Instances that may claim do so up to this part of the lease later, each at its own time.
 constexpr double ClaimSpread = 0.15;
 
@@ -72,7 +74,11 @@
         claimDelay_ = options.lease * ClaimSpread * (static_cast<double>(step) / Steps);
     }
 
-    void start() override { tick(); }
+    void start() override
+    {
+        firstStep_ = clock_.now() + PeersFound;
+        tick();
+    }
     const DutyLease &lease() const override { return *lease_; }
     DutyPermitPtr permit() override
     {
@@ -154,13 +160,15 @@
             releaseOnceIdle();
             return;
         }
-        if (busy_)
+        if (busy_ || clock_.now() < firstStep_)
             return;
         const absl::Time now = clock_.now();
         const bool holds = lease_->isHolder() && !lease_->mayClaim(now);
         if (holds && now - lastAppend_ >= options_.lease * RenewalShare) {
             append(newRecord(LeaseRecordKind::Renewal), [](bool) {});
-        } else if (!holds && now - lastRead_ >= readPause(now)) {
+        } else if (!holds && peers_.rankOfSelf(now) >= Watchers) {
+            mayClaimSince_ = absl::InfiniteFuture();
+        } else if (!holds && now - lastRead_ >= options_.lease * WatchShare) {
             read();
         } else if (!holds && lease_->mayClaim(now)) {
             mayClaimSince_ = std::min(mayClaimSince_, now);
@@ -173,12 +181,6 @@
         }
     }
 
-    absl::Duration readPause(absl::Time now) const
-    {
-        const bool watches = peers_.rankOfSelf(now) < Watchers;
-        return options_.lease * (watches ? WatchShare : LookShare);
-    }
-
     LeaseRecord newRecord(LeaseRecordKind kind)
     {
         LeaseRecord record;
@@ -272,6 +274,7 @@
     std::shared_ptr<DutyLease> lease_;
     std::vector<std::weak_ptr<const DutyPermit>> permits_; ///< Of calls under way.
     absl::Duration claimDelay_;
+    absl::Time firstStep_;
     absl::Time lastAppend_ = absl::InfinitePast();
     absl::Time lastRead_ = absl::InfinitePast();
     absl::Time mayClaimSince_ = absl::InfiniteFuture();
--- a/src/zinniadoor/gateway/log_follower.cpp
+++ b/src/zinniadoor/gateway/log_follower.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "zinniadoor/base/events.hpp"
+#include "zinniadoor/serving/engine_view.hpp"
 
 namespace zinniadoor::gateway {
 
@@ -117,11 +118,11 @@
     }
 
 private:
-    // Of two instances that read, the one with the larger rank stops. Another rank for each log,
-    // so that not one instance reads them all.
-    std::size_t rankOf(const ProcessName &process) const
+    // Of two instances that read, the one with the larger rank stops. The order is that of leaders,
+    // who know the instances of their data centre best.
+    static std::uint64_t rankOf(const ProcessName &process)
     {
-        return std::hash<std::string> {}(nameOf(options_.log) + process.instance);
+        return serving::stableDigest(process.instance);
     }
 
     void again(absl::Duration pause)
@@ -279,7 +280,7 @@
     LogRelay &relay_;
     FollowerHandler *handler_;
     FollowerOptions options_;
-    std::size_t rank_;
+    std::uint64_t rank_;
     absl::Duration patience_;
     LogOffset next_ = 0;
     std::deque<LogPartRecord> news_; ///< Of the records from `newsFrom_` to `next_`.
--- /dev/null
+++ b/src/zinniadoor/gateway/peer_group.cpp
@@ -0,0 +1,126 @@
+#include "zinniadoor/gateway/peer_group.hpp"
+
+#include <algorithm>
+
+#include "absl/container/flat_hash_map.h"
+
+#include "zinniadoor/serving/engine_view.hpp"
+
+namespace zinniadoor::gateway {
+
+PeerGroup::PeerGroup(std::string self, base::DataCentreId dataCentre,
+                     const PeerGroupOptions &options)
+    : self_(std::move(self))
+    , dataCentre_(std::move(dataCentre))
+    , options_(options)
+{ }
+
+std::uint64_t PeerGroup::rankOf(const std::string &instance)
+{
+    return serving::stableDigest(instance);
+}
+
+void PeerGroup::setOthers(const std::vector<GroupCandidate> &others)
+{
+    absl::flat_hash_map<std::string, Member> known;
+    for (const auto &[dataCentre, members] : members_) {
+        for (const Member &member : members)
+            known[member.candidate.instance] = member;
+    }
+    members_.clear();
+    others_ = others.size();
+    for (const GroupCandidate &other : others) {
+        Member member = known[other.instance];
+        member.candidate = other;
+        member.rank = rankOf(other.instance);
+        members_[other.dataCentre].push_back(member);
+    }
+    for (auto &[dataCentre, members] : members_) {
+        std::sort(members.begin(), members.end(),
+                  [](const Member &a, const Member &b) { return a.rank < b.rank; });
+    }
+}
+
+std::optional<GroupCandidate> PeerGroup::leader(absl::Time now)
+{
+    const std::uint64_t own = rankOf(self_);
+    for (Member &member : members_[dataCentre_]) {
+        if (member.rank > own)
+            break;
+        if (now < member.passedOverUntil)
+            continue;
+        const std::string &instance = member.candidate.instance;
+        if (current_ != instance) {
+            current_ = instance;
+            currentHeard_ = now;
+        }
+        if (now - currentHeard_ < options_.patience)
+            return member.candidate;
+        member.passedOverSince = now;
+        member.passedOverUntil = now + options_.passedOver;
+    }
+    current_.clear();
+    return std::nullopt;
+}
+
+void PeerGroup::recall(const std::string &instance, absl::Time now)
+{
+    for (Member &member : members_[dataCentre_]) {
+        const bool longEnough = now - member.passedOverSince >= options_.passedOverAtLeast;
+        if (member.candidate.instance == instance && longEnough)
+            member.passedOverUntil = absl::InfinitePast();
+    }
+}
+
+void PeerGroup::noteAnswer(const std::string &sender, const std::string &leader, absl::Time now)
+{
+    if (sender == current_)
+        currentHeard_ = now;
+    if (leader != sender)
+        recall(leader, now);
+}
+
+void PeerGroup::noteLeading(const std::string &sender, const base::DataCentreId &dataCentre,
+                            const std::string &address, absl::Time now)
+{
+    heard_[sender] = { address, dataCentre, now };
+    if (dataCentre == dataCentre_)
+        recall(sender, now);
+}
+
+bool PeerGroup::isHeard(const HeardLeader &leader, absl::Time now) const
+{
+    return now - leader.heard < options_.patience;
+}
+
+std::vector<std::string> PeerGroup::leaderAddresses(absl::Time now)
+{
+    std::vector<std::string> addresses;
+    for (const auto &[dataCentre, members] : members_) {
+        const std::size_t before = addresses.size();
+        for (const auto &[instance, leader] : heard_) {
+            if (leader.dataCentre == dataCentre && isHeard(leader, now))
+                addresses.push_back(leader.address);
+        }
+        const bool own = dataCentre == dataCentre_;
+        if (!own && addresses.size() > before)
+            continue;
+        // Of the own data centre those that would lead next: they learn that somebody does.
+        std::size_t &next = nextGuess_[dataCentre];
+        for (std::size_t i = 0; i < std::min(options_.guesses, members.size()); ++i)
+            addresses.push_back(members[(next + i) % members.size()].candidate.address);
+        next = own ? 0 : (next + options_.guesses) % members.size();
+    }
+    return addresses;
+}
+
+std::size_t PeerGroup::leadersBefore(absl::Time now) const
+{
+    const std::uint64_t own = rankOf(self_);
+    return static_cast<std::size_t>(
+        std::count_if(heard_.begin(), heard_.end(), [&](const auto &entry) {
+            return isHeard(entry.second, now) && rankOf(entry.first) < own;
+        }));
+}
+
+} // namespace zinniadoor::gateway
--- a/src/zinniadoor/gateway/peer_link.cpp
+++ b/src/zinniadoor/gateway/peer_link.cpp
@@ -1,9 +1,17 @@
 #include "zinniadoor/gateway/peer_link.hpp"
 
+#include <algorithm>
+#include <limits>
+
 #include <boost/asio/steady_timer.hpp>
 
+#include "absl/container/flat_hash_map.h"
+#include "absl/strings/str_cat.h"
+
 #include "zinniadoor/base/codec.hpp"
 #include "zinniadoor/base/events.hpp"
+#include "zinniadoor/gateway/peer_group.hpp"
+#include "zinniadoor/gateway/taken_sums.hpp"
 #include "zinniadoor/net/datagram_socket.hpp"
 
 namespace zinniadoor::gateway {
@@ -41,6 +49,21 @@
 constexpr absl::Duration MinCountsPause = absl::Milliseconds(250);
 constexpr int MessagesPerCounts = 3;
 
+/// Where news takes two hops: between messages to a leader, and between those of a leader; some of
+/// these also tell loads, which are longer.
+constexpr absl::Duration ReportPause = absl::Milliseconds(250);
+constexpr absl::Duration LeaderPause = absl::Milliseconds(250);
+constexpr absl::Duration LoadsPause = absl::Milliseconds(480);
+
+/// Between messages that tell all counts, in case that one that told a change was lost.
+constexpr absl::Duration AllCountsPause = absl::Seconds(2);
+
+/// Sums of a leader that has not been heard for this time are dropped.
+constexpr absl::Duration LeaderSilence = absl::Milliseconds(1500);
+
+/// Sources of sums are kept apart from instances of the same name.
+constexpr char LeaderPrefix[] = "leader/";
+
 /// Windows whose counts are told.
 constexpr std::uint64_t UsageWindowsTold = 2;
 
@@ -52,7 +75,9 @@
                      std::function<void(const LogPart &)> onPart)
         : timer_(context)
         , takenTimer_(context)
+        , leaderTimer_(context)
         , self_(self)
+        , group_(self.instance, serving.dataCentre, PeerGroupOptions {})
         , serving_(serving)
         , peers_(peers)
         , onPart_(std::move(onPart))
@@ -71,8 +96,10 @@
 
     void start() override
     {
+        peers_.onWritten([this](const UsageWritten &written) { tellWritten(written); });
         tick();
         tickTaken();
+        tickLeader();
     }
 
     void announceParts(const base::EndpointId &engine,
@@ -83,7 +110,7 @@
         // The last part is the request's own; nobody else will ask for it.
         for (std::size_t i = 0; i + 1 < parts.size(); ++i)
             news.parts.emplace_back(parts[i].key, parts[i].tokens);
-        if (!news.parts.empty())
+        if (!news.parts.empty() && !group_.hasLeaders())
             prompts_.push_back(std::move(news));
     }
 
@@ -102,11 +129,25 @@
     void tell(const LogPart &part) override
     {
         const std::string bytes = base::encode(part);
+        if (!group_.hasLeaders()) {
+            for (const std::string &address : peers_.addresses())
+                socket_->send(address, bytes);
+            return;
+        }
+        tellDataCentre(bytes);
+        if (!leader_) {
+            for (const std::string &address : group_.leaderAddresses(now()))
+                socket_->send(address, bytes);
+        }
+    }
+
+private:
+    void tellDataCentre(const std::string &bytes)
+    {
         for (const std::string &address : peers_.addressesIn(serving_.dataCentre))
             socket_->send(address, bytes);
     }
 
-private:
     void tick()
     {
         timer_.expires_after(absl::ToChronoMilliseconds(pause_));
@@ -130,8 +171,22 @@
         });
     }
 
+    void tickLeader()
+    {
+        leaderTimer_.expires_after(absl::ToChronoMilliseconds(LeaderPause));
+        leaderTimer_.async_wait([this](boost::system::error_code error) {
+            if (error)
+                return;
+            if (group_.hasLeaders() && !leader_)
+                lead();
+            tickLeader();
+        });
+    }
+
     void sendTaken()
     {
+        if (group_.hasLeaders() && !leader_)
+            return; // Told with the sums.
         TakenMessage message;
         message.sender = self_;
         message.sequence = sequence_ + 1;
@@ -146,23 +201,202 @@
             return;
         takenSentAt_ = now;
         ++sequence_;
-        const std::string bytes = base::encode(message);
-        const std::vector<std::string> addresses = peers_.addresses();
-        for (const std::string &address : addresses)
-            socket_->send(address, bytes);
-        const double sent = static_cast<double>(bytes.size() * addresses.size());
-        takenPause_
-            = std::clamp(absl::Seconds(sent / TakenBytesPerSecond), MinTakenPause, MaxTakenPause);
+        const std::size_t sent = sendToHearers(base::encode(message));
+        takenPause_ = std::clamp(absl::Seconds(static_cast<double>(sent) / TakenBytesPerSecond),
+                                 leader_ ? ReportPause / 2 : MinTakenPause, MaxTakenPause);
     }
 
     void send()
     {
-        const std::vector<std::string> addresses = peers_.addresses();
-        const std::string bytes = base::encode(nextMessage());
+        pause_ = ReportPause;
+        if (group_.hasLeaders() && !leader_)
+            return; // The sums tell what this instance has, too.
+        const std::size_t sent = sendToHearers(base::encode(nextMessage()));
+        if (!leader_) {
+            pause_ = std::clamp(absl::Seconds(static_cast<double>(sent) / BytesPerSecond), MinPause,
+                                MaxPause);
+        }
+    }
+
+    /// Those that hear this instance directly: its leader, or all. Returns the bytes sent.
+    std::size_t sendToHearers(const std::string &bytes)
+    {
+        const std::vector<std::string> addresses
+            = leader_ ? std::vector<std::string> { leader_->address } : peers_.addresses();
         for (const std::string &address : addresses)
             socket_->send(address, bytes);
-        const double sent = static_cast<double>(bytes.size() * addresses.size());
-        pause_ = std::clamp(absl::Seconds(sent / BytesPerSecond), MinPause, MaxPause);
+        return bytes.size() * addresses.size();
+    }
+
+    void tellWritten(const UsageWritten &written)
+    {
+        const std::string bytes = base::encode(written);
+        for (const auto &[instance, address] : peers_.heardIn(serving_.dataCentre, now()))
+            socket_->send(address, bytes);
+        if (group_.hasLeaders())
+            return;
+        for (const std::string &address : peers_.addresses())
+            socket_->send(address, bytes);
+    }
+
+    absl::Time now() const { return serving_.clock.now(); }
+
+    // Sums of the members go to the other leaders; sums of all but itself go to each member.
+    void lead()
+    {
+        const absl::Time time = now();
+        sums_.note(self_, serving_.quota.ownTaken(), CountsTold::All);
+        LeaderMessage message;
+        message.sender = self_;
+        message.dataCentre = serving_.dataCentre.str();
+        message.estimateMs = absl::ToUnixMillis(serving_.trueTime.at(time));
+        message.leader = self_.instance;
+        message.known = peers_.directMembership(time).known;
+        message.hasLoads = time - loadsToldAt_ >= LoadsPause;
+        if (message.hasLoads)
+            loadsToldAt_ = time;
+        message.hasAllCounts = time - allToldAt_ >= AllCountsPause;
+        if (message.hasAllCounts)
+            allToldAt_ = time;
+        takeFirst(crashes_, MaxCrashesPerMessage, message.crashes);
+        message.paused = pausedNow(time);
+        const std::vector<base::EndpointId> engines = loadedEngines(time);
+        tellLeaders(message, engines, time);
+        tellMembers(message, engines, time);
+        for (const auto &[organisation, sum] : sums_.total())
+            toldSums_[organisation] = sum;
+        for (const auto &[organisation, sum] : otherSums_.total())
+            toldOtherSums_[organisation] = sum;
+    }
+
+    std::vector<base::EndpointId> loadedEngines(absl::Time time) const
+    {
+        std::vector<base::EndpointId> loaded;
+        for (const EndpointRecord *endpoint : serving_.directory.all()) {
+            if (serving_.load.load(endpoint->id, time).requests > 0)
+                loaded.push_back(endpoint->id);
+        }
+        return loaded;
+    }
+
+    void tellLeaders(LeaderMessage message, const std::vector<base::EndpointId> &engines,
+                     absl::Time time)
+    {
+        message.sequence = ++sequence_;
+        message.heard = 1;
+        for (const auto &[instance, address] : peers_.heardIn(serving_.dataCentre, time))
+            message.heard += otherLeaders_.count(instance) > 0 ? 0 : 1;
+        for (const base::EndpointId &engine : engines) {
+            serving::EngineLoad load = serving_.load.load(engine, time);
+            for (const auto &[instance, leader] : otherLeaders_)
+                load = load - serving_.load.peerLoad(sourceOf(instance), engine, time);
+            if (message.hasLoads && load.requests > 0)
+                message.loads.push_back(PackedLoad::of(digestOf(engine), load));
+        }
+        for (const auto &[organisation, sum] : sums_.total()) {
+            if (message.hasAllCounts || toldSums_[organisation] != sum)
+                message.taken.emplace_back(shortDigestOf(organisation), sum);
+        }
+        const std::string bytes = base::encode(message);
+        for (const std::string &address : group_.leaderAddresses(time))
+            socket_->send(address, bytes);
+    }
+
+    void tellMembers(LeaderMessage message, const std::vector<base::EndpointId> &engines,
+                     absl::Time time)
+    {
+        message.toMember = true;
+        message.heard = heardByLeaders(time);
+        const auto pausedElsewhere = pausedOthers(time);
+        message.paused.insert(pausedElsewhere.begin(), pausedElsewhere.end());
+        message.crashes.insert(message.crashes.end(), otherCrashes_.begin(), otherCrashes_.end());
+        otherCrashes_.clear();
+        std::vector<std::pair<std::string, double>> sums;
+        for (const auto &[organisation, sum] : allSums()) {
+            const bool changed = toldSums_[organisation] != sumOf(sums_, organisation)
+                || toldOtherSums_[organisation] != sumOf(otherSums_, organisation);
+            if (message.hasAllCounts || changed)
+                sums.emplace_back(organisation, sum);
+        }
+        std::vector<std::pair<base::EndpointId, serving::EngineLoad>> loads;
+        if (message.hasLoads) {
+            for (const base::EndpointId &engine : engines)
+                loads.emplace_back(engine, serving_.load.load(engine, time));
+        }
+        for (const auto &[instance, address] : peers_.heardIn(serving_.dataCentre, time)) {
+            if (otherLeaders_.count(instance) > 0)
+                continue;
+            message.sequence = ++sequence_;
+            message.loads.clear();
+            message.taken.clear();
+            const base::InstanceId member(instance);
+            for (const auto &[engine, all] : loads) {
+                const serving::EngineLoad load = all - serving_.load.peerLoad(member, engine, time);
+                if (load.requests > 0)
+                    message.loads.push_back(PackedLoad::of(digestOf(engine), load));
+            }
+            for (const auto &[organisation, sum] : sums) {
+                message.taken.emplace_back(shortDigestOf(organisation),
+                                           sum - sums_.contribution(instance, organisation));
+            }
+            socket_->send(address, base::encode(message));
+        }
+    }
+
+    static double sumOf(const TakenSums &sums, const std::string &organisation)
+    {
+        const auto found = sums.total().find(organisation);
+        return found == sums.total().end() ? 0 : found->second;
+    }
+
+    TakenCounts allSums() const
+    {
+        TakenCounts all = sums_.total();
+        for (const auto &[organisation, sum] : otherSums_.total())
+            all[organisation] += sum;
+        return all;
+    }
+
+    static std::uint32_t shortDigestOf(const std::string &organisation)
+    {
+        return static_cast<std::uint32_t>(serving::stableDigest(organisation));
+    }
+
+    static base::InstanceId sourceOf(const std::string &leader)
+    {
+        return base::InstanceId(absl::StrCat(LeaderPrefix, leader));
+    }
+
+    std::uint32_t heardByLeaders(absl::Time time) const
+    {
+        std::uint32_t heard = 1;
+        for (const auto &[instance, address] : peers_.heardIn(serving_.dataCentre, time))
+            heard += otherLeaders_.count(instance) > 0 ? 0 : 1;
+        for (const auto &[instance, leader] : otherLeaders_)
+            heard += leader.stands;
+        return heard;
+    }
+
+    std::map<std::string, std::int64_t> pausedOthers(absl::Time time)
+    {
+        return leftOf(otherPaused_, time);
+    }
+
+    std::map<std::string, std::int64_t> pausedNow(absl::Time time) { return leftOf(paused_, time); }
+
+    /// Milliseconds that are left; forgets what is over.
+    static std::map<std::string, std::int64_t> leftOf(std::map<std::string, absl::Time> &until,
+                                                      absl::Time time)
+    {
+        std::map<std::string, std::int64_t> left;
+        for (auto it = until.begin(); it != until.end();) {
+            const auto current = it++;
+            if (current->second > time)
+                left[current->first] = absl::ToInt64Milliseconds(current->second - time);
+            else
+                until.erase(current);
+        }
+        return left;
     }
 
     PeerMessage nextMessage()
@@ -180,13 +414,7 @@
         }
         takeFirst(prompts_, MaxPromptsPerMessage, message.prompts);
         takeFirst(crashes_, MaxCrashesPerMessage, message.crashes);
-        for (auto it = paused_.begin(); it != paused_.end();) {
-            const auto current = it++;
-            if (current->second > now)
-                message.paused[current->first] = absl::ToInt64Milliseconds(current->second - now);
-            else
-                paused_.erase(current);
-        }
+        message.paused = pausedNow(now);
         if (now - countsToldAt_ >= std::max(MinCountsPause, MessagesPerCounts * pause_)) {
             countsToldAt_ = now;
             addCounts(message, now);
@@ -196,7 +424,9 @@
 
     void addCounts(PeerMessage &message, absl::Time now) const
     {
+        message.hasCounts = true;
         message.taken = serving_.quota.ownTaken();
+        message.usageFinalBefore = serving_.usage.completeBefore(serving_.trueTime.at(now));
         const WindowNumber window = serving_.usage.windowAt(serving_.trueTime.at(now));
         for (std::uint64_t back = 0; back < UsageWindowsTold; ++back) {
             const UsageCounts counts = serving_.usage.countsOf(window - back);
@@ -219,6 +449,10 @@
             receivePart(bytes, from);
         else if (formatOf(bytes) == TakenMessage::CurrentFormat)
             receiveTaken(bytes, from);
+        else if (formatOf(bytes) == LeaderMessage::CurrentFormat)
+            receiveSums(bytes, from);
+        else if (formatOf(bytes) == UsageWritten::CurrentFormat)
+            receiveWritten(bytes, from);
         else
             receiveNews(bytes, from);
     }
@@ -226,10 +460,17 @@
     void receivePart(const std::string &bytes, const std::string &from)
     {
         const auto part = base::decode<LogPart>(bytes);
-        if (part && !(part->sender == self_))
-            onPart_(*part);
-        else if (!part)
+        if (!part) {
             logRejected(from, part.lastReason().text);
+            return;
+        }
+        if (part->sender == self_)
+            return;
+        const bool fromElsewhere
+            = peers_.dataCentreOf(part->sender.instance) != serving_.dataCentre;
+        if (group_.hasLeaders() && !leader_ && fromElsewhere)
+            tellDataCentre(bytes);
+        onPart_(*part);
     }
 
     void receiveTaken(const std::string &bytes, const std::string &from)
@@ -240,8 +481,104 @@
             return;
         }
         const absl::Time now = serving_.clock.now();
-        if (peers_.noteSign(message->sender, message->sequence, now))
-            serving_.quota.notePeer(message->sender, message->taken, now);
+        if (!peers_.noteSign(message->sender, message->sequence, now))
+            return;
+        serving_.quota.notePeer(message->sender, message->taken, now, CountsTold::Changed);
+        sums_.note(message->sender, message->taken, CountsTold::Changed);
+    }
+
+    void receiveWritten(const std::string &bytes, const std::string &from)
+    {
+        const auto written = base::decode<UsageWritten>(bytes);
+        if (written)
+            peers_.noteWritten(*written);
+        else
+            logRejected(from, written.lastReason().text);
+    }
+
+    void receiveSums(const std::string &bytes, const std::string &from)
+    {
+        const auto message = base::decode<LeaderMessage>(bytes);
+        if (!message) {
+            logRejected(from, message.lastReason().text);
+            return;
+        }
+        const absl::Time time = now();
+        const ProcessName &sender = message->sender;
+        if (sender.instance == self_.instance)
+            return;
+        peers_.noteStarted(sender, from, message->dataCentre);
+        if (!peers_.noteSign(sender, message->sequence, time))
+            return;
+        if (message->toMember) {
+            group_.noteAnswer(sender.instance, message->leader, time);
+            if (!leader_ || leader_->instance != sender.instance)
+                return;
+            const absl::Duration ahead
+                = absl::FromUnixMillis(message->estimateMs) - serving_.trueTime.ownEstimate(time);
+            leaderOffset_ = ahead;
+            leaderHeardAt_ = time;
+            standing_.membership = { message->known, message->heard };
+        } else {
+            group_.noteLeading(sender.instance, base::DataCentreId(message->dataCentre), from,
+                               time);
+            if (leader_)
+                return;
+            otherLeaders_[sender.instance] = { time, message->heard };
+        }
+        takeSums(*message, time);
+    }
+
+    void takeSums(const LeaderMessage &message, absl::Time time)
+    {
+        const base::InstanceId source = sourceOf(message.sender.instance);
+        if (message.hasLoads)
+            serving_.load.setPeerLoad(source, unpacked(message.loads), time);
+        const TakenCounts taken = namedCounts(message.taken);
+        const ProcessName name { source.str(), message.sender.incarnation };
+        const CountsTold told = message.hasAllCounts ? CountsTold::All : CountsTold::Changed;
+        serving_.quota.notePeer(name, taken, time, told);
+        if (!message.toMember)
+            otherSums_.note(name, taken, told);
+        for (const auto &[endpoint, milliseconds] : message.paused) {
+            const absl::Time until = time + std::min(absl::Milliseconds(milliseconds), LongestRest);
+            serving_.directory.pause(base::EndpointId(endpoint), until);
+            if (!message.toMember)
+                otherPaused_[endpoint] = until;
+        }
+        serving_.crashes.merge(message.crashes, time);
+        if (!message.toMember)
+            otherCrashes_.insert(otherCrashes_.end(), message.crashes.begin(),
+                                 message.crashes.end());
+    }
+
+    absl::flat_hash_map<base::EndpointId, serving::EngineLoad>
+    unpacked(const std::vector<PackedLoad> &loads) const
+    {
+        absl::flat_hash_map<std::uint32_t, const EndpointRecord *> byDigest;
+        for (const EndpointRecord *endpoint : serving_.directory.all())
+            byDigest[static_cast<std::uint32_t>(digestOf(endpoint->id))] = endpoint;
+        absl::flat_hash_map<base::EndpointId, serving::EngineLoad> result;
+        for (const PackedLoad &load : loads) {
+            const auto found = byDigest.find(load.endpoint);
+            if (found != byDigest.end()) // Else not listed here yet, or not any more.
+                result[found->second->id] = load.unpacked();
+        }
+        return result;
+    }
+
+    TakenCounts namedCounts(const std::vector<std::pair<std::uint32_t, double>> &taken) const
+    {
+        TakenCounts named;
+        if (!serving_.configuration)
+            return named;
+        absl::flat_hash_map<std::uint32_t, double> byDigest(taken.begin(), taken.end());
+        for (const Organisation &organisation : serving_.configuration->parts().organisations) {
+            const auto found = byDigest.find(shortDigestOf(organisation.id.str()));
+            if (found != byDigest.end())
+                named[organisation.id.str()] = found->second;
+        }
+        return named;
     }
 
     static void logRejected(const std::string &from, const std::string &reason)
@@ -260,7 +597,9 @@
         peers_.setOwnEstimate(serving_.trueTime.ownEstimate(now));
         if (!peers_.noteMessage(*message, from, now))
             return;
-        serving_.quota.notePeer(message->sender, message->taken, now);
+        const CountsTold told = message->hasCounts ? CountsTold::All : CountsTold::Changed;
+        serving_.quota.notePeer(message->sender, message->taken, now, told);
+        sums_.note(message->sender, message->taken, told);
         absl::flat_hash_map<base::EndpointId, serving::EngineLoad> loads;
         for (const EndpointLoad &load : message->loads) {
             if (const base::EndpointId *id = serving_.directory.findByDigest(load.endpoint))
@@ -277,19 +616,28 @@
                 parts.push_back({ key, tokens });
             serving_.load.noteParts(*id, parts);
         }
-        for (const auto &[endpoint, milliseconds] : message->paused)
-            serving_.directory.pause(base::EndpointId(endpoint),
-                                     now + std::min(absl::Milliseconds(milliseconds), LongestRest));
+        for (const auto &[endpoint, milliseconds] : message->paused) {
+            const absl::Time until = now + std::min(absl::Milliseconds(milliseconds), LongestRest);
+            serving_.directory.pause(base::EndpointId(endpoint), until);
+            if (group_.hasLeaders())
+                paused_[endpoint] = std::max(paused_[endpoint], until);
+        }
         serving_.crashes.merge(message->crashes, now);
+        if (group_.hasLeaders())
+            crashes_.insert(crashes_.end(), message->crashes.begin(), message->crashes.end());
     }
 
     void update()
     {
         const absl::Time now = serving_.clock.now();
+        updateStanding(now);
         const Membership membership = peers_.membership(now);
         serving_.quota.setMembership(membership, now);
         serving_.budget.setInstances(membership.known);
-        serving_.trueTime.setPeerOffsets(peers_.timeOffsets(now));
+        // A leader's estimate is the middle of many.
+        serving_.trueTime.setPeerOffsets(
+            leader_ ? std::vector<absl::Duration> { leaderOffset_, leaderOffset_ }
+                    : peers_.timeOffsets(now));
         for (const PeerTable::Change &change : peers_.takeChanges(now)) {
             logEvent(change.heard ? EventId::PeerFound : EventId::PeerLost,
                      { { "peer", change.instance },
@@ -298,9 +646,84 @@
         }
     }
 
+    void updateStanding(absl::Time time)
+    {
+        group_.setOthers(peers_.candidates(time));
+        if (!group_.hasLeaders()) {
+            leader_.reset();
+            peers_.setStanding(std::nullopt);
+            return;
+        }
+        const auto before = leader_;
+        leader_ = group_.leader(time);
+        if (before && (!leader_ || leader_->instance != before->instance))
+            forgetSource(before->instance, time);
+        for (auto it = otherLeaders_.begin(); it != otherLeaders_.end();) {
+            const auto current = it++;
+            if (leader_ || time - current->second.heard >= LeaderSilence) {
+                forgetSource(current->first, time);
+                otherLeaders_.erase(current);
+            }
+        }
+        standing_.leads = !leader_;
+        if (leader_) {
+            standing_.rank = std::numeric_limits<std::size_t>::max();
+            if (time - leaderHeardAt_ >= LeaderSilence)
+                standing_.membership = { peers_.directMembership(time).known, 1 };
+        } else {
+            leaderHeardAt_ = time;
+            standing_.rank = group_.leadersBefore(time);
+            standing_.membership = { peers_.directMembership(time).known, heardByLeaders(time) };
+        }
+        peers_.setStanding(standing_);
+        noteRole(before);
+    }
+
+    void forgetSource(const std::string &leader, absl::Time time)
+    {
+        serving_.load.setPeerLoad(sourceOf(leader), {}, time);
+        serving_.quota.forgetPeer(sourceOf(leader).str());
+    }
+
+    void noteRole(const std::optional<GroupCandidate> &before)
+    {
+        const std::string now = leader_ ? leader_->instance : self_.instance;
+        if (now == leaderLogged_)
+            return;
+        leaderLogged_ = now;
+        logEvent(EventId::PeerLeaderChanged,
+                 { { "leader", now },
+                   { "before", before ? before->instance : "" },
+                   { "heard", std::to_string(standing_.membership.heard) },
+                   { "known", std::to_string(standing_.membership.known) } });
+    }
+
+    /// What another leader's sums stand for.
+    struct OtherLeader
+    {
+        absl::Time heard;
+        std::uint32_t stands = 0; ///< Instances.
+    };
+
     boost::asio::steady_timer timer_;
     boost::asio::steady_timer takenTimer_;
+    boost::asio::steady_timer leaderTimer_;
     ProcessName self_;
+    PeerGroup group_;
+    std::optional<GroupCandidate> leader_; ///< Nothing: this instance leads, or all tell all.
+    std::string leaderLogged_;
+    absl::Duration leaderOffset_;
+    absl::Time leaderHeardAt_ = absl::InfinitePast();
+    PeerTable::Standing standing_;
+    std::map<std::string, OtherLeader> otherLeaders_; ///< By instance.
+    TakenSums sums_; ///< Of this instance and those that it hears directly.
+    TakenSums otherSums_; ///< Of other leaders.
+    TakenCounts toldSums_;
+    TakenCounts toldOtherSums_;
+    absl::Time loadsToldAt_ = absl::InfinitePast();
+    absl::Time allToldAt_ = absl::InfinitePast();
+    std::vector<serving::CrashEntry> otherCrashes_; ///< Told by other leaders, for the members.
+    std::map<std::string, absl::Time> otherPaused_; ///< The same of endpoints without work.
     ServingContext &serving_;
     PeerTable &peers_;
     std::function<void(const LogPart &)> onPart_;
--- a/src/zinniadoor/gateway/peer_table.cpp
+++ b/src/zinniadoor/gateway/peer_table.cpp
@@ -53,6 +53,8 @@
     peer.timeOffset = absl::FromUnixMillis(message.estimateMs) - ownEstimate_;
     for (const auto &[window, counts] : message.usage)
         usage_[window][message.sender] = counts;
+    if (message.hasCounts)
+        finalBefore_[message.sender] = message.usageFinalBefore;
     return true;
 }
 
@@ -92,8 +94,55 @@
     return addresses;
 }
 
+base::DataCentreId PeerTable::dataCentreOf(const std::string &instance) const
+{
+    const auto found = peers_.find(instance);
+    return found == peers_.end() ? base::DataCentreId() : found->second.dataCentre;
+}
+
+std::vector<GroupCandidate> PeerTable::candidates(absl::Time now) const
+{
+    std::vector<GroupCandidate> candidates;
+    for (const auto &[instance, peer] : peers_) {
+        if (!peer.stopped || isHeard(peer, now))
+            candidates.push_back({ instance, peer.dataCentre, peer.address });
+    }
+    return candidates;
+}
+
+std::map<std::string, std::string> PeerTable::heardIn(const base::DataCentreId &dataCentre,
+                                                      absl::Time now) const
+{
+    std::map<std::string, std::string> heard;
+    for (const auto &[instance, peer] : peers_) {
+        if (peer.dataCentre == dataCentre && isHeard(peer, now))
+            heard[instance] = peer.address;
+    }
+    return heard;
+}
+
+bool PeerTable::writesForOthers(absl::Time now) const
+{
+    return standing_ ? standing_->leads : rankOfSelf(now) == 0;
+}
+
+void PeerTable::noteWritten(const UsageWritten &written)
+{
+    const auto &processes = written.processes;
+    if (std::find(processes.begin(), processes.end(), digestOf(self_)) != processes.end())
+        writtenWindows_.insert(written.window);
+}
+
+void PeerTable::tellWritten(const UsageWritten &written) const
+{
+    if (tellWritten_)
+        tellWritten_(written);
+}
+
 std::size_t PeerTable::rankOfSelf(absl::Time now) const
 {
+    if (standing_)
+        return standing_->rank;
     const std::hash<std::string> place;
     const std::size_t own = place(self_.instance);
     return static_cast<std::size_t>(
@@ -103,6 +152,11 @@
 }
 
 Membership PeerTable::membership(absl::Time now) const
+{
+    return standing_ ? standing_->membership : directMembership(now);
+}
+
+Membership PeerTable::directMembership(absl::Time now) const
 {
     Membership membership;
     for (const auto &[instance, peer] : peers_) {
@@ -130,8 +184,20 @@
     return found == usage_.end() ? std::map<ProcessName, UsageCounts> {} : found->second;
 }
 
+std::map<ProcessName, UsageCounts> PeerTable::finalUsageOf(WindowNumber window) const
+{
+    std::map<ProcessName, UsageCounts> final;
+    for (const auto &[process, counts] : usageOf(window)) {
+        const auto before = finalBefore_.find(process);
+        if (before != finalBefore_.end() && window < before->second)
+            final[process] = counts;
+    }
+    return final;
+}
+
 void PeerTable::forgetUsageBefore(WindowNumber window)
 {
+    writtenWindows_.erase(writtenWindows_.begin(), writtenWindows_.lower_bound(window));
     usage_.erase(usage_.begin(), usage_.lower_bound(window));
 }
 
--- a/src/zinniadoor/gateway/quota.cpp
+++ b/src/zinniadoor/gateway/quota.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace zinniadoor::gateway {
 
@@ -17,6 +18,9 @@
 /// longest pause between two messages.
 constexpr absl::Duration SilenceThatCounts = absl::Milliseconds(400);
 
+/// After this time what a silent peer may have taken meanwhile has been refilled.
+constexpr absl::Duration SilenceThatIsLoss = absl::Seconds(10);
+
 /// Earliest and latest time at which a refused caller is asked back.
 constexpr absl::Duration MinReturn = absl::Milliseconds(50);
 constexpr absl::Duration MaxReturn = absl::Seconds(5);
@@ -73,25 +77,37 @@
     membership_ = membership;
 }
 
-void Quota::notePeer(const ProcessName &peer, const TakenCounts &taken, absl::Time now)
+void Quota::notePeer(const ProcessName &peer, const TakenCounts &taken, absl::Time now,
+                     CountsTold told)
 {
-    const auto [it, isFirst] = peers_.try_emplace(peer.instance);
-    if (peer.incarnation < it->second.incarnation)
+    Peer &known = peers_[peer.instance];
+    if (peer.incarnation < known.incarnation)
         return;
     // A process that was running before counts from what it says first; a new one from zero.
-    const bool restarted = !isFirst && peer.incarnation > it->second.incarnation;
-    it->second = { peer.incarnation, now };
+    const bool restarted = known.isCounted && peer.incarnation > known.incarnation;
+    known.incarnation = peer.incarnation;
+    known.heard = now;
+    if (!known.isCounted && told != CountsTold::All)
+        return;
+    const bool isBaseline = !std::exchange(known.isCounted, true);
     for (auto &[id, bucket] : buckets_) {
         if (restarted)
             bucket.peers[peer.instance].taken = 0;
-        const auto told = taken.find(id.str());
-        if (bucket.rate > 0 && told != taken.end()) {
+        const auto count = taken.find(id.str());
+        if (bucket.rate > 0 && count != taken.end()) {
             refill(bucket, now);
-            noteUse(bucket, peer.instance, told->second, isFirst, now);
+            noteUse(bucket, peer.instance, count->second, isBaseline, now);
         }
     }
 }
 
+void Quota::forgetPeer(const std::string &instance)
+{
+    peers_.erase(instance);
+    for (auto &[id, bucket] : buckets_)
+        bucket.peers.erase(instance);
+}
+
 void Quota::noteUse(Bucket &bucket, const std::string &instance, double taken, bool isBaseline,
                     absl::Time now) const
 {
@@ -114,7 +130,7 @@
         if (peer == peers_.end())
             continue;
         const absl::Duration silent = now - peer->second.heard;
-        if (silent > SilenceThatCounts)
+        if (silent > SilenceThatCounts && silent < SilenceThatIsLoss)
             sum += use.rate * absl::ToDoubleSeconds(std::min(silent, absl::Seconds(UseSeconds)));
     }
     return sum;
--- a/src/zinniadoor/gateway/quota_test.cpp
+++ b/src/zinniadoor/gateway/quota_test.cpp
@@ -335,6 +335,41 @@
     BOOST_TEST(quota.take(Org, 1, now).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(peer_firstHeardByAChange_isCountedFromWhatItTellsInFull)
+{
+    Quota quota(QuotaOptions {});
+    quota.configure(*configurationOf(100, 100, QuotaUnit::Requests));
+    const absl::Time now = absl::FromUnixSeconds(1);
+    quota.notePeer({ "p", 1 }, { { "another", 7 } }, now, CountsTold::Changed);
+    quota.notePeer({ "p", 1 }, { { "org", 5000 }, { "another", 7 } }, now);
+    BOOST_TEST(!quota.take(Org, 90, now).has_value());
+    quota.notePeer({ "p", 1 }, { { "org", 5020 } }, now, CountsTold::Changed);
+    BOOST_TEST(quota.take(Org, 11, now).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(peer_organisationFirstNamedLater_countsFromZero)
+{
+    Quota quota(QuotaOptions {});
+    quota.configure(*configurationOf(100, 100, QuotaUnit::Requests));
+    const absl::Time now = absl::FromUnixSeconds(1);
+    quota.notePeer({ "p", 1 }, {}, now);
+    quota.notePeer({ "p", 1 }, { { "org", 60 } }, now, CountsTold::Changed);
+    BOOST_TEST(quota.take(Org, 41, now).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(peer_silentForLong_isNotTakenToGoOn)
+{
+    Quota quota(QuotaOptions {});
+    quota.configure(*configurationOf(100, 100, QuotaUnit::Requests));
+    absl::Time now = absl::FromUnixSeconds(1);
+    for (int i = 0; i <= 10; ++i) {
+        quota.notePeer({ "p", 1 }, { { "org", 10.0 * i } }, now);
+        now += absl::Milliseconds(100);
+    }
+    now += absl::Seconds(30); // Gone for good; the level is full again.
+    BOOST_TEST(!quota.take(Org, 99, now).has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
--- a/src/zinniadoor/gateway/usage_book.cpp
+++ b/src/zinniadoor/gateway/usage_book.cpp
@@ -2,6 +2,13 @@
 
 namespace zinniadoor::gateway {
 
+namespace {
+
+/// After a window's end: requests that began in it have been counted by then.
+constexpr absl::Duration CountsComplete = absl::Milliseconds(600);
+
+} // namespace
+
 UsageBook::UsageBook(absl::Duration window)
     : window_(window)
 { }
@@ -16,6 +23,11 @@
     return absl::UnixEpoch() + static_cast<std::int64_t>(window + 1) * window_;
 }
 
+WindowNumber UsageBook::completeBefore(absl::Time trueTime) const
+{
+    return windowAt(trueTime - CountsComplete);
+}
+
 void UsageBook::count(const base::OrganisationId &organisation, absl::Time trueTime)
 {
     ++counts_[windowAt(trueTime)][organisation.str()];
--- a/src/zinniadoor/gateway/usage_duty.cpp
+++ b/src/zinniadoor/gateway/usage_duty.cpp
@@ -3,6 +3,7 @@
 #include <deque>
 #include <set>
 #include <utility>
+#include <vector>
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -20,8 +21,10 @@
 
 constexpr absl::Duration Tick = absl::Milliseconds(250);
 
-/// After a window's end: requests that began in it have been counted by then.
-constexpr absl::Duration CountsComplete = absl::Milliseconds(600);
+/// After a window is complete: all have told the instance that writes for them, and the longest
+/// time until the others write for themselves.
+constexpr absl::Duration PeersHaveTold = absl::Milliseconds(700);
+constexpr absl::Duration WriterPatience = absl::Milliseconds(2000);
 
 /// Part of the due time after which figures are fixed; counts that come later are lost.
 constexpr double FixShare = 0.45;
@@ -30,8 +33,8 @@
 constexpr double OldestReport = 4;
 
 /// Between reads of the journal, by the holder and by the others.
-constexpr absl::Duration HolderRead = absl::Seconds(1);
-constexpr absl::Duration OtherRead = absl::Seconds(10);
+constexpr absl::Duration HolderRead = absl::Seconds(2);
+constexpr absl::Duration OtherRead = absl::Seconds(15);
 constexpr absl::Duration ReportRetry = absl::Milliseconds(700);
 
 /// After an append to the journal that failed.
@@ -65,8 +68,10 @@
     {
         stopped_ = std::move(done);
         const WindowNumber now = parts_.book.windowAt(trueNow());
-        while (nextOwn_ <= now)
-            queueOwn(nextOwn_++);
+        for (; nextOwn_ <= now; ++nextOwn_) {
+            if (!parts_.peers.isWritten(nextOwn_))
+                queueOwn(nextOwn_);
+        }
         JournalRecord record;
         record.kind = JournalKind::Stopped;
         record.process = options_.self;
@@ -99,25 +104,68 @@
     void step()
     {
         const absl::Time now = trueNow();
-        while (now >= parts_.book.endOf(nextOwn_) + CountsComplete)
-            queueOwn(nextOwn_++);
+        queueWindows(now);
         write();
         const bool holds = parts_.lease.lease().mayAct(parts_.clock.now());
-        readJournal(holds ? HolderRead : OtherRead);
+        // Who does not write for others learns of instances by those that do.
+        const bool needsPeers = parts_.peers.writesForOthers(parts_.clock.now());
+        const bool hasRead = currentAt_ != absl::InfinitePast();
+        if (holds || needsPeers || !hasRead)
+            readJournal(holds ? HolderRead : OtherRead);
         if (holds)
             report();
         forgetOld(now);
     }
 
+    /// One instance writes for those that it hears; the others only if it does not say so in time.
+    void queueWindows(absl::Time now)
+    {
+        const WindowNumber complete = parts_.book.completeBefore(now - PeersHaveTold);
+        const bool writes = parts_.peers.writesForOthers(parts_.clock.now());
+        for (; nextOwn_ < complete; ++nextOwn_) {
+            if (parts_.peers.isWritten(nextOwn_))
+                continue;
+            if (!writes && nextOwn_ >= parts_.book.completeBefore(now - WriterPatience))
+                return;
+            queueOwn(nextOwn_);
+            if (writes)
+                queueOthers(nextOwn_);
+        }
+    }
+
     void queueOwn(WindowNumber window)
     {
+        queueCounts(options_.self, window, parts_.book.countsOf(window));
+    }
+
+    void queueOthers(WindowNumber window)
+    {
+        UsageWritten written;
+        written.sender = options_.self;
+        written.window = window;
+        for (const auto &[process, counts] : parts_.peers.finalUsageOf(window)) {
+            queueCounts(process, window, counts);
+            written.processes.push_back(digestOf(process));
+        }
+        unsaid_.push_back(std::move(written));
+    }
+
+    void queueCounts(const ProcessName &process, WindowNumber window, const UsageCounts &counts)
+    {
+        if (counts.empty())
+            return;
         JournalRecord record;
         record.kind = JournalKind::Usage;
-        record.process = options_.self;
+        record.process = process;
         record.window = window;
-        record.counts = parts_.book.countsOf(window);
-        if (!record.counts.empty())
-            unwritten_.push_back(base::encode(record));
+        record.counts = counts;
+        unwritten_.push_back(base::encode(record));
+    }
+
+    void tellWritten()
+    {
+        for (const UsageWritten &written : std::exchange(unsaid_, {}))
+            parts_.peers.tellWritten(written);
     }
 
     // A repeated append after a lost answer does no harm: the first record counts.
@@ -139,11 +187,13 @@
                     return;
                 // Whoever starts meanwhile reads this record, or is read here after it.
                 if (result && !std::exchange(self->announced_, true))
-                    self->lastRead_ = absl::InfinitePast();
+                    self->lastRead_ = self->currentAt_ = absl::InfinitePast();
                 if (result) {
                     auto &waiting = self->unwritten_;
                     waiting.erase(waiting.begin(),
                                   waiting.begin() + static_cast<std::ptrdiff_t>(count));
+                    if (waiting.empty())
+                        self->tellWritten();
                 } else
                     self->writeAt_ = self->parts_.clock.now() + WriteRetry;
                 if (self->stopped_ && (!result || self->unwritten_.empty()))
@@ -302,6 +352,7 @@
     UsageDutyOptions options_;
     UsageLedger ledger_;
     std::deque<std::string> unwritten_;
+    std::vector<UsageWritten> unsaid_; ///< Told once all of `unwritten_` is written.
     std::set<WindowNumber> reported_;
     WindowNumber firstWindow_ = 0;
     WindowNumber nextOwn_ = 0;
--- a/src/zinniadoor/serving/engine_view.cpp
+++ b/src/zinniadoor/serving/engine_view.cpp
@@ -25,6 +25,15 @@
 
 } // namespace
 
+EngineLoad operator-(const EngineLoad &all, const EngineLoad &other)
+{
+    EngineLoad left = all;
+    for (std::size_t rank = 0; rank < UrgencyRanks; ++rank)
+        left.promptTokens[rank] -= std::min(left.promptTokens[rank], other.promptTokens[rank]);
+    left.requests -= std::min(left.requests, other.requests);
+    return left;
+}
+
 std::uint64_t stableDigest(const std::string &text)
 {
     return detail::mixedDigest(text);
@@ -80,10 +89,7 @@
     const auto found = own_.find(engine);
     if (found == own_.end())
         return;
-    EngineLoad &own = found->second;
-    for (std::size_t rank = 0; rank < UrgencyRanks; ++rank)
-        own.promptTokens[rank] -= std::min(own.promptTokens[rank], load.promptTokens[rank]);
-    own.requests -= std::min(own.requests, load.requests);
+    found->second = found->second - load;
 }
 
 EngineLoad EngineView::ownLoad(const base::EndpointId &engine) const
@@ -99,6 +105,16 @@
     peers_[peer] = { now, std::move(loads) };
 }
 
+EngineLoad EngineView::peerLoad(const base::InstanceId &peer, const base::EndpointId &engine,
+                                absl::Time now) const
+{
+    const auto known = peers_.find(peer);
+    if (known == peers_.end() || now - known->second.heard > PeerLoadLife)
+        return {};
+    const auto found = known->second.loads.find(engine);
+    return found == known->second.loads.end() ? EngineLoad {} : found->second;
+}
+
 EngineLoad EngineView::load(const base::EndpointId &engine, absl::Time now) const
 {
     EngineLoad sum = ownLoad(engine);
