Peers: a stopping instance makes way; a restart of all keeps quotas and finds a lease holder at once

Duties missed there: the lease was watched by instances that were stopping, and the first reads waited 1.5 s.

Stopping instances say so and are left out of ranks; a stopping leader names the next one. An earlier process of an instance acts no later than the start of the next. Parts of logs up to 24 KB are told, at a pace (before: 4 KB at once).

--- a/include/zinniadoor/gateway/duty_lease.hpp
+++ b/include/zinniadoor/gateway/duty_lease.hpp
@@ -51,6 +51,9 @@
 public:
     DutyLease(ProcessName self, const LeaseOptions &options);
 
+    /// Processes of this instance that were started before this one have ended by `start`.
+    void noteStart(absl::Time start) { start_ = start; }
+
     /// Applies the record at `offset`, read at `now`.
     void apply(const LeaseRecord &record, LogOffset offset, absl::Time now);
 
@@ -98,6 +101,7 @@
     std::optional<std::uint64_t> superseded_;
     std::string lastInstance_; ///< Of the newest holder, also after its release.
     absl::Time ownActsEnd_ = absl::InfinitePast(); ///< This instance's processes act no later.
+    std::optional<absl::Time> start_; ///< Of this process.
     bool stopping_ = false;
     absl::Time lastSignRead_ = absl::InfinitePast(); ///< When the holder's last record was read.
     bool caughtUp_ = false;
--- a/include/zinniadoor/gateway/peer_group.hpp
+++ b/include/zinniadoor/gateway/peer_group.hpp
@@ -18,11 +18,11 @@
     std::size_t meshLimit = 16;
 
     /// A leader that has not answered for this time is passed over; several messages were lost.
-    absl::Duration patience = absl::Milliseconds(800);
+    absl::Duration patience = absl::Milliseconds(1000);
 
     /// For how long a silent leader is passed over, and for how long nobody can shorten that.
     absl::Duration passedOver = absl::Seconds(10);
-    absl::Duration passedOverAtLeast = absl::Seconds(3);
+    absl::Duration passedOverAtLeast = absl::Milliseconds(1500);
 
     /// Instances of another data centre that a leader writes to while it hears no leader there.
     std::size_t guesses = 3;
@@ -56,9 +56,14 @@
     /// `sender` answered as a leader, and names the instance that it takes for the leader.
     void noteAnswer(const std::string &sender, const std::string &leader, absl::Time now);
 
-    /// `sender` leads instances of `dataCentre` and is reached at `address`.
-    void noteLeading(const std::string &sender, const base::DataCentreId &dataCentre,
-                     const std::string &address, absl::Time now);
+    /// `sender` leads instances of `dataCentre`, is reached at `address`, and takes `leader` for
+    /// the leader there.
+    void noteLeading(const std::string &sender, const std::string &leader,
+                     const base::DataCentreId &dataCentre, const std::string &address,
+                     absl::Time now);
+
+    /// This instance stops: it leads only if no other instance of its data centre can.
+    void noteStopping() { stopping_ = true; }
 
     /// Where a leader sends its sums: to the leaders that it hears, and where it hears none to
     /// some instances that may lead. Each call tries others of them.
@@ -82,13 +87,20 @@
         absl::Time heard;
     };
     static std::uint64_t rankOf(const std::string &instance);
-    void recall(const std::string &instance, absl::Time now);
+    Member *find(const std::string &instance);
+
+    /// `sender` says that `leader` leads: either it makes way for one that comes before it, or it
+    /// stops and another one comes after it.
+    void noteNamed(const std::string &sender, const std::string &leader, absl::Time now);
+    void recall(Member &member, absl::Time now) const;
+    std::optional<GroupCandidate> firstBefore(std::uint64_t rank, absl::Time now);
     bool isHeard(const HeardLeader &leader, absl::Time now) const;
 
     std::string self_;
     base::DataCentreId dataCentre_;
     PeerGroupOptions options_;
     std::size_t others_ = 0;
+    bool stopping_ = false;
     std::map<base::DataCentreId, std::vector<Member>> members_; ///< In order of rank.
     std::string current_; ///< The leader that is waited for.
     absl::Time currentHeard_; ///< When it answered last, or was taken up.
--- a/include/zinniadoor/gateway/peer_link.hpp
+++ b/include/zinniadoor/gateway/peer_link.hpp
@@ -22,6 +22,9 @@
     virtual void announceCrashes(const std::vector<serving::CrashEntry> &crashes) = 0;
     virtual void announcePause(const base::EndpointId &endpoint, absl::Duration time) = 0;
     virtual void start() = 0;
+
+    /// This instance leads no more and takes on no duties: peers hear of it.
+    virtual void noteStopping() = 0;
 };
 
 /// Binds `address`. `serving` and `peers` outlive the link; `onPart` gets what other instances of
--- a/include/zinniadoor/gateway/peer_message.hpp
+++ b/include/zinniadoor/gateway/peer_message.hpp
@@ -62,6 +62,7 @@
     ProcessName sender;
     std::string dataCentre; ///< Of the sender.
     std::uint64_t sequence = 0;
+    bool stopping = false; ///< The sender takes on no duties any more.
     std::int64_t estimateMs = 0; ///< Sender's own estimate of true time, Unix milliseconds.
     std::vector<EndpointLoad> loads;
     std::vector<PromptNews> prompts; ///< Since the last message.
@@ -75,8 +76,8 @@
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(format, sender, dataCentre, sequence, estimateMs, loads, prompts, crashes, paused,
-                hasCounts, taken, usage, usageFinalBefore);
+        archive(format, sender, dataCentre, sequence, stopping, estimateMs, loads, prompts, crashes,
+                paused, hasCounts, taken, usage, usageFinalBefore);
     }
 };
 
--- a/include/zinniadoor/gateway/peer_table.hpp
+++ b/include/zinniadoor/gateway/peer_table.hpp
@@ -39,6 +39,10 @@
     /// Addresses of the peers that have said that they run in this data centre.
     std::vector<std::string> addressesIn(const base::DataCentreId &dataCentre) const;
 
+    /// The journal has been read since this instance's start stands in it.
+    void noteJournalRead(absl::Time now);
+    bool knowsInstances() const { return journalReadAt_ != absl::InfiniteFuture(); }
+
     /// Where a peer runs; empty if it is not known.
     base::DataCentreId dataCentreOf(const std::string &instance) const;
 
@@ -50,7 +54,7 @@
                                                absl::Time now) const;
 
     /// How many of the instances come before this one, in an order that is the same for all; 0
-    /// for the first.
+    /// for the first. Shortly after the journal was read all known ones are taken to be there.
     std::size_t rankOfSelf(absl::Time now) const;
 
     /// Where news takes two hops, what the leaders say takes the place of what is heard directly.
@@ -111,6 +115,7 @@
         std::string address;
         base::DataCentreId dataCentre;
         bool stopped = false;
+        bool stopping = false; ///< It takes on no duties any more.
         std::uint64_t sequence = 0;
         absl::Time heard = absl::InfinitePast();
         absl::Duration timeOffset;
@@ -120,6 +125,7 @@
 
     ProcessName self_;
     std::optional<Standing> standing_;
+    absl::Time journalReadAt_ = absl::InfiniteFuture(); ///< For the first time.
     std::function<void(const UsageWritten &)> tellWritten_;
     std::set<WindowNumber> writtenWindows_; ///< Of this process, by a peer.
     std::map<ProcessName, WindowNumber> finalBefore_;
--- a/include/zinniadoor/gateway/process_name.hpp
+++ b/include/zinniadoor/gateway/process_name.hpp
@@ -29,4 +29,12 @@
     }
 };
 
+/// Whether a process was started about when another one was, or later. Incarnations are times of
+/// day in microseconds; clocks of instances differ.
+inline bool startedWithOrAfter(std::uint64_t incarnation, std::uint64_t other)
+{
+    constexpr std::uint64_t About = 2'000'000;
+    return incarnation + About >= other;
+}
+
 } // namespace zinniadoor::gateway
--- a/include/zinniadoor/gateway/quota.hpp
+++ b/include/zinniadoor/gateway/quota.hpp
@@ -38,6 +38,13 @@
 
     /// Part of the burst that a new instance begins with; it does not know yet what was taken.
     double startShare = 1;
+
+    /// Part of the quotas that a new instance uses until it knows who the others are.
+    double startGroup = 1;
+
+    /// Of this process. Peers that were started about then or later are counted from zero, others
+    /// from what they first tell; 0: all from what they first tell.
+    std::uint64_t incarnation = 0;
 };
 
 /// The level of each organisation's quota as this instance knows it. All instances tell each other
@@ -109,7 +116,7 @@
     QuotaOptions options_;
     absl::flat_hash_map<base::OrganisationId, Bucket> buckets_;
     absl::flat_hash_map<std::string, Peer> peers_;
-    Membership membership_;
+    std::optional<Membership> membership_;
     TakenCounts ownTaken_;
 };
 
--- a/include/zinniadoor/gateway/taken_sums.hpp
+++ b/include/zinniadoor/gateway/taken_sums.hpp
@@ -14,6 +14,9 @@
 class TakenSums
 {
 public:
+    /// `incarnation`: of this process; sources started about then or later count from zero.
+    explicit TakenSums(std::uint64_t incarnation);
+
     /// Counts told by a source. Late ones must have been dropped before.
     void note(const ProcessName &source, const TakenCounts &counts, CountsTold told);
 
@@ -32,6 +35,7 @@
         TakenCounts contributed;
     };
 
+    std::uint64_t incarnation_;
     std::map<std::string, Source> sources_; ///< By instance.
     TakenCounts total_;
 };
--- a/src/zinniadoor/gateway/duty_lease.cpp
+++ b/src/zinniadoor/gateway/duty_lease.cpp
@@ -23,8 +23,9 @@
     fencingNumber_ = number;
     lastInstance_ = record.holder.instance;
     const bool ofThisInstance = record.holder.instance == self_.instance;
+    const bool ofEarlierProcess = record.holder.incarnation < self_.incarnation && start_;
     if (ofThisInstance && record.kind != LeaseRecordKind::Release)
-        ownActsEnd_ = std::max(ownActsEnd_, now + options_.lease);
+        ownActsEnd_ = std::max(ownActsEnd_, ofEarlierProcess ? *start_ : now + options_.lease);
     else
         ownActsEnd_ = std::min(ownActsEnd_, now);
     if (record.kind == LeaseRecordKind::Release) {
--- a/src/zinniadoor/gateway/duty_lease_test.cpp
+++ b/src/zinniadoor/gateway/duty_lease_test.cpp
@@ -261,6 +261,19 @@
     BOOST_TEST(lease.mayClaim(at(3501)));
 }
 
+BOOST_AUTO_TEST_CASE(mayClaim_earlierProcessOfTheInstanceHeld_onlyALeaseAfterTheStart)
+{
+    const ProcessName restarted { "a", 2 };
+    DutyLease fresh(restarted, Options);
+    fresh.noteStart(at(1000));
+    fresh.apply(record(LeaseRecordKind::Claim, self), 0, at(1200));
+    fresh.apply(record(LeaseRecordKind::Claim, other), 1, at(1200));
+    fresh.apply(record(LeaseRecordKind::Release, other, 1), 2, at(1200));
+    fresh.noteRead(3, at(1200));
+    BOOST_TEST(!fresh.mayClaim(at(4000)));
+    BOOST_TEST(fresh.mayClaim(at(4001)));
+}
+
 BOOST_AUTO_TEST_CASE(stopping_holder_neitherActsNorClaims)
 {
     const LeaseRecord claim = record(LeaseRecordKind::Claim, self);
--- a/src/zinniadoor/gateway/gateway.cpp
+++ b/src/zinniadoor/gateway/gateway.cpp
@@ -56,11 +56,24 @@
 /// Requests of callers on kept connections reach a stopping instance until then.
 constexpr absl::Duration IdleGrace = absl::Milliseconds(2500);
 
+/// Part of the quotas that a new instance uses until it knows who the others are.
+constexpr double BlindQuotaShare = 0.25;
+
 net::ServerLimits serverLimits(const CallerLimits &limits)
 {
     return { limits.maxHeadBytes, limits.maxBodyBytes, limits.requestTimeout, limits.idleTimeout };
 }
 
+QuotaOptions quotaOptions(const GatewaySettings &settings, std::uint64_t incarnation)
+{
+    QuotaOptions options;
+    options.slack = settings.quotaSlack;
+    options.startShare = 0;
+    options.startGroup = BlindQuotaShare;
+    options.incarnation = incarnation;
+    return options;
+}
+
 RetryBudgetOptions budgetOptions(const GatewaySettings &settings)
 {
     return { settings.retryRatio, settings.retrySlack, settings.retryWindow };
@@ -108,6 +121,7 @@
         : io_(context)
         , settings_(settings)
         , ports_(ports)
+        , processStart_(static_cast<std::uint64_t>(absl::ToUnixMicros(ports.clock->wallTime())))
         , serving_ { context,
                      *ports.clock,
                      *ports.client,
@@ -121,13 +135,12 @@
                      serving::EngineView(),
                      serving::OutlierEjection(serving::EjectionOptions {}),
                      serving::CrashList(serving::CrashListOptions {}),
-                     Quota(QuotaOptions { settings.quotaSlack, 0 }),
+                     Quota(quotaOptions(settings, processStart_)),
                      RetryBudget(budgetOptions(settings)),
                      UsageBook(settings.usageWindow),
                      TrueTime(ports.clock->now(), ports.clock->wallTime()),
                      SpeedEstimate() }
-        , self_ { settings.instance.str(),
-                  static_cast<std::uint64_t>(absl::ToUnixMicros(ports.clock->wallTime())) }
+        , self_ { settings.instance.str(), processStart_ }
         , peers_(self_)
         , feed_(serving_.directory, *ports.decoder)
         , configurationHandler_(*this)
@@ -202,6 +215,7 @@
         noteReadiness();
         callerServer_->drain(IdleGrace);
         leaseRunner_->stop();
+        peerLink_->noteStopping();
         pollStop();
     }
 
@@ -469,6 +483,7 @@
     boost::asio::io_context &io_;
     GatewaySettings settings_;
     GatewayPorts ports_;
+    std::uint64_t processStart_; ///< Microseconds of the time of day.
     GatewayMetrics metrics_;
     ServingContext serving_;
     ProcessName self_;
--- a/src/zinniadoor/gateway/lease_runner.cpp
+++ b/src/zinniadoor/gateway/lease_runner.cpp
@@ -25,7 +25,8 @@
 constexpr double WatchShare = 1.0 / 2;
 constexpr std::size_t Watchers = 2;
 
-/// After its start an instance does not know yet which are the first.
+/// After its start an instance does not know which are the first until it has read the journal; it
+/// waits for that no longer than this.
 constexpr absl::Duration PeersFound = absl::Milliseconds(1500);
 
 /// Instances that may claim do so up to this part of the lease later, each at its own time.
@@ -77,6 +78,7 @@
     void start() override
     {
         firstStep_ = clock_.now() + PeersFound;
+        lease_->noteStart(clock_.now());
         tick();
     }
     const DutyLease &lease() const override { return *lease_; }
@@ -160,7 +162,7 @@
             releaseOnceIdle();
             return;
         }
-        if (busy_ || clock_.now() < firstStep_)
+        if (busy_ || (clock_.now() < firstStep_ && !peers_.knowsInstances()))
             return;
         const absl::Time now = clock_.now();
         const bool holds = lease_->isHolder() && !lease_->mayClaim(now);
--- a/src/zinniadoor/gateway/log_follower.cpp
+++ b/src/zinniadoor/gateway/log_follower.cpp
@@ -28,9 +28,8 @@
 /// A part stays below one packet of an ordinary network.
 constexpr std::size_t MaxPartBytes = 1100;
 
-/// More than this is read from the store by each instance itself: told to all instances of a data
-/// centre at once it would not fit into the sending socket.
-constexpr std::size_t MaxToldBytes = 4096;
+/// More than this is read from the store by each instance itself: it would take too long to tell.
+constexpr std::size_t MaxToldBytes = std::size_t { 24 } * 1024;
 
 /// What a record takes beside its key and value.
 constexpr std::size_t RecordOverhead = 32;
--- a/src/zinniadoor/gateway/peer_group.cpp
+++ b/src/zinniadoor/gateway/peer_group.cpp
@@ -1,6 +1,7 @@
 #include "zinniadoor/gateway/peer_group.hpp"
 
 #include <algorithm>
+#include <limits>
 
 #include "absl/container/flat_hash_map.h"
 
@@ -44,8 +45,18 @@
 std::optional<GroupCandidate> PeerGroup::leader(absl::Time now)
 {
     const std::uint64_t own = rankOf(self_);
+    auto first = firstBefore(own, now);
+    if (!first && stopping_)
+        first = firstBefore(std::numeric_limits<std::uint64_t>::max(), now);
+    if (!first)
+        current_.clear();
+    return first;
+}
+
+std::optional<GroupCandidate> PeerGroup::firstBefore(std::uint64_t rank, absl::Time now)
+{
     for (Member &member : members_[dataCentre_]) {
-        if (member.rank > own)
+        if (member.rank > rank)
             break;
         if (now < member.passedOverUntil)
             continue;
@@ -59,16 +70,33 @@
         member.passedOverSince = now;
         member.passedOverUntil = now + options_.passedOver;
     }
-    current_.clear();
     return std::nullopt;
 }
 
-void PeerGroup::recall(const std::string &instance, absl::Time now)
+PeerGroup::Member *PeerGroup::find(const std::string &instance)
 {
     for (Member &member : members_[dataCentre_]) {
-        const bool longEnough = now - member.passedOverSince >= options_.passedOverAtLeast;
-        if (member.candidate.instance == instance && longEnough)
-            member.passedOverUntil = absl::InfinitePast();
+        if (member.candidate.instance == instance)
+            return &member;
+    }
+    return nullptr;
+}
+
+void PeerGroup::recall(Member &member, absl::Time now) const
+{
+    if (now - member.passedOverSince >= options_.passedOverAtLeast)
+        member.passedOverUntil = absl::InfinitePast();
+}
+
+void PeerGroup::noteNamed(const std::string &sender, const std::string &leader, absl::Time now)
+{
+    Member *named = find(leader);
+    Member *from = find(sender);
+    if (named)
+        recall(*named, now);
+    if (from && sender != leader && rankOf(sender) < rankOf(leader)) {
+        from->passedOverSince = now;
+        from->passedOverUntil = now + options_.passedOver;
     }
 }
 
@@ -76,16 +104,20 @@
 {
     if (sender == current_)
         currentHeard_ = now;
-    if (leader != sender)
-        recall(leader, now);
+    noteNamed(sender, leader, now);
+    // It answers only those whose reports reach it, so that messages pass both ways.
+    Member *from = find(sender);
+    if (from && sender == leader)
+        from->passedOverUntil = absl::InfinitePast();
 }
 
-void PeerGroup::noteLeading(const std::string &sender, const base::DataCentreId &dataCentre,
-                            const std::string &address, absl::Time now)
+void PeerGroup::noteLeading(const std::string &sender, const std::string &leader,
+                            const base::DataCentreId &dataCentre, const std::string &address,
+                            absl::Time now)
 {
     heard_[sender] = { address, dataCentre, now };
     if (dataCentre == dataCentre_)
-        recall(sender, now);
+        noteNamed(sender, leader, now);
 }
 
 bool PeerGroup::isHeard(const HeardLeader &leader, absl::Time now) const
--- a/src/zinniadoor/gateway/peer_link.cpp
+++ b/src/zinniadoor/gateway/peer_link.cpp
@@ -1,6 +1,7 @@
 #include "zinniadoor/gateway/peer_link.hpp"
 
 #include <algorithm>
+#include <deque>
 #include <limits>
 
 #include <boost/asio/steady_timer.hpp>
@@ -58,6 +59,14 @@
 /// Between messages that tell all counts, in case that one that told a change was lost.
 constexpr absl::Duration AllCountsPause = absl::Seconds(2);
 
+/// Parts of logs go to many instances at once; they leave at a pace that sockets and slow links
+/// bear: so many bytes a step.
+constexpr absl::Duration PaceStep = absl::Milliseconds(10);
+constexpr std::size_t BytesPerStep = std::size_t { 16 } * 1024;
+
+/// Without the journal an instance goes by the peers that it hears from this time on.
+constexpr absl::Duration BlindStart = absl::Seconds(3);
+
 /// Sums of a leader that has not been heard for this time are dropped.
 constexpr absl::Duration LeaderSilence = absl::Milliseconds(1500);
 
@@ -76,8 +85,11 @@
         : timer_(context)
         , takenTimer_(context)
         , leaderTimer_(context)
+        , paceTimer_(context)
         , self_(self)
         , group_(self.instance, serving.dataCentre, PeerGroupOptions {})
+        , sums_(self.incarnation)
+        , otherSums_(self.incarnation)
         , serving_(serving)
         , peers_(peers)
         , onPart_(std::move(onPart))
@@ -96,12 +108,19 @@
 
     void start() override
     {
+        startedAt_ = now();
         peers_.onWritten([this](const UsageWritten &written) { tellWritten(written); });
         tick();
         tickTaken();
         tickLeader();
     }
 
+    void noteStopping() override
+    {
+        stopping_ = true;
+        group_.noteStopping();
+    }
+
     void announceParts(const base::EndpointId &engine,
                        const std::vector<serving::KeyedPart> &parts) override
     {
@@ -130,22 +149,40 @@
     {
         const std::string bytes = base::encode(part);
         if (!group_.hasLeaders()) {
-            for (const std::string &address : peers_.addresses())
-                socket_->send(address, bytes);
+            sendPaced(peers_.addresses(), bytes);
             return;
         }
-        tellDataCentre(bytes);
-        if (!leader_) {
-            for (const std::string &address : group_.leaderAddresses(now()))
-                socket_->send(address, bytes);
-        }
+        if (!leader_) // First: they pass it on.
+            sendPaced(group_.leaderAddresses(now()), bytes);
+        sendPaced(peers_.addressesIn(serving_.dataCentre), bytes);
     }
 
 private:
-    void tellDataCentre(const std::string &bytes)
+    void sendPaced(const std::vector<std::string> &addresses, const std::string &bytes)
     {
-        for (const std::string &address : peers_.addressesIn(serving_.dataCentre))
-            socket_->send(address, bytes);
+        const auto shared = std::make_shared<const std::string>(bytes);
+        for (const std::string &address : addresses)
+            paced_.emplace_back(address, shared);
+        if (!pacing_)
+            sendStep();
+    }
+
+    void sendStep()
+    {
+        std::size_t sent = 0;
+        while (!paced_.empty() && sent < BytesPerStep) {
+            socket_->send(paced_.front().first, *paced_.front().second);
+            sent += paced_.front().second->size();
+            paced_.pop_front();
+        }
+        pacing_ = sent > 0;
+        if (!pacing_)
+            return;
+        paceTimer_.expires_after(absl::ToChronoMilliseconds(PaceStep));
+        paceTimer_.async_wait([this](boost::system::error_code error) {
+            if (!error)
+                sendStep();
+        });
     }
 
     void tick()
@@ -177,7 +214,9 @@
         leaderTimer_.async_wait([this](boost::system::error_code error) {
             if (error)
                 return;
-            if (group_.hasLeaders() && !leader_)
+            // A leader that stops tells its members where to go.
+            const bool leads = !leader_ || stopping_;
+            if (group_.hasLeaders() && leads)
                 lead();
             tickLeader();
         });
@@ -250,7 +289,7 @@
         message.sender = self_;
         message.dataCentre = serving_.dataCentre.str();
         message.estimateMs = absl::ToUnixMillis(serving_.trueTime.at(time));
-        message.leader = self_.instance;
+        message.leader = leader_ ? leader_->instance : self_.instance;
         message.known = peers_.directMembership(time).known;
         message.hasLoads = time - loadsToldAt_ >= LoadsPause;
         if (message.hasLoads)
@@ -406,6 +445,7 @@
         message.sender = self_;
         message.dataCentre = serving_.dataCentre.str();
         message.sequence = ++sequence_;
+        message.stopping = stopping_;
         message.estimateMs = absl::ToUnixMillis(serving_.trueTime.ownEstimate(now));
         for (const EndpointRecord *endpoint : serving_.directory.all()) {
             const serving::EngineLoad load = serving_.load.ownLoad(endpoint->id);
@@ -469,7 +509,7 @@
         const bool fromElsewhere
             = peers_.dataCentreOf(part->sender.instance) != serving_.dataCentre;
         if (group_.hasLeaders() && !leader_ && fromElsewhere)
-            tellDataCentre(bytes);
+            sendPaced(peers_.addressesIn(serving_.dataCentre), bytes);
         onPart_(*part);
     }
 
@@ -520,8 +560,8 @@
             leaderHeardAt_ = time;
             standing_.membership = { message->known, message->heard };
         } else {
-            group_.noteLeading(sender.instance, base::DataCentreId(message->dataCentre), from,
-                               time);
+            group_.noteLeading(sender.instance, message->leader,
+                               base::DataCentreId(message->dataCentre), from, time);
             if (leader_)
                 return;
             otherLeaders_[sender.instance] = { time, message->heard };
@@ -632,7 +672,8 @@
         const absl::Time now = serving_.clock.now();
         updateStanding(now);
         const Membership membership = peers_.membership(now);
-        serving_.quota.setMembership(membership, now);
+        if (peers_.knowsInstances() || now - startedAt_ >= BlindStart)
+            serving_.quota.setMembership(membership, now);
         serving_.budget.setInstances(membership.known);
         // A leader's estimate is the middle of many.
         serving_.trueTime.setPeerOffsets(
@@ -708,10 +749,15 @@
     boost::asio::steady_timer timer_;
     boost::asio::steady_timer takenTimer_;
     boost::asio::steady_timer leaderTimer_;
+    boost::asio::steady_timer paceTimer_;
+    bool pacing_ = false;
+    bool stopping_ = false;
+    std::deque<std::pair<std::string, std::shared_ptr<const std::string>>> paced_; ///< By address.
     ProcessName self_;
     PeerGroup group_;
     std::optional<GroupCandidate> leader_; ///< Nothing: this instance leads, or all tell all.
     std::string leaderLogged_;
+    absl::Time startedAt_;
     absl::Duration leaderOffset_;
     absl::Time leaderHeardAt_ = absl::InfinitePast();
     PeerTable::Standing standing_;
--- a/src/zinniadoor/gateway/peer_table.cpp
+++ b/src/zinniadoor/gateway/peer_table.cpp
@@ -10,6 +10,9 @@
 /// A peer counts as lost after this time; it says something several times as often.
 constexpr absl::Duration PeerSilence = absl::Milliseconds(1500);
 
+/// Within this time after it got to know them an instance has heard those that live.
+constexpr absl::Duration PeersAnswer = absl::Seconds(2);
+
 } // namespace
 
 PeerTable::PeerTable(ProcessName self)
@@ -26,6 +29,7 @@
         return;
     if (process.incarnation > peer.incarnation) {
         peer.stopped = false;
+        peer.stopping = false;
         peer.sequence = 0;
     }
     peer.incarnation = process.incarnation;
@@ -50,6 +54,7 @@
         return false;
     peer.sequence = message.sequence;
     peer.heard = now;
+    peer.stopping = message.stopping;
     peer.timeOffset = absl::FromUnixMillis(message.estimateMs) - ownEstimate_;
     for (const auto &[window, counts] : message.usage)
         usage_[window][message.sender] = counts;
@@ -121,6 +126,11 @@
     return heard;
 }
 
+void PeerTable::noteJournalRead(absl::Time now)
+{
+    journalReadAt_ = std::min(journalReadAt_, now);
+}
+
 bool PeerTable::writesForOthers(absl::Time now) const
 {
     return standing_ ? standing_->leads : rankOfSelf(now) == 0;
@@ -145,9 +155,11 @@
         return standing_->rank;
     const std::hash<std::string> place;
     const std::size_t own = place(self_.instance);
+    const bool justRead = now - journalReadAt_ < PeersAnswer;
     return static_cast<std::size_t>(
         std::count_if(peers_.begin(), peers_.end(), [&](const auto &entry) {
-            return isHeard(entry.second, now) && place(entry.first) < own;
+            const bool counts = isHeard(entry.second, now) || (justRead && !entry.second.stopped);
+            return counts && !entry.second.stopping && place(entry.first) < own;
         }));
 }
 
--- a/src/zinniadoor/gateway/quota.cpp
+++ b/src/zinniadoor/gateway/quota.cpp
@@ -33,8 +33,10 @@
 
 double Quota::group() const
 {
-    const double known = std::max<std::uint32_t>(membership_.known, 1);
-    return std::min(1.0, membership_.heard / known);
+    if (!membership_)
+        return options_.startGroup;
+    const double known = std::max<std::uint32_t>(membership_->known, 1);
+    return std::min(1.0, membership_->heard / known);
 }
 
 double Quota::overdraft(const Bucket &bucket) const
@@ -89,7 +91,9 @@
     known.heard = now;
     if (!known.isCounted && told != CountsTold::All)
         return;
-    const bool isBaseline = !std::exchange(known.isCounted, true);
+    const bool isBaseline = !std::exchange(known.isCounted, true)
+        && !(options_.incarnation > 0
+             && startedWithOrAfter(peer.incarnation, options_.incarnation));
     for (auto &[id, bucket] : buckets_) {
         if (restarted)
             bucket.peers[peer.instance].taken = 0;
--- a/src/zinniadoor/gateway/quota_test.cpp
+++ b/src/zinniadoor/gateway/quota_test.cpp
@@ -35,6 +35,7 @@
     bool faults = true;
     double load = 3; ///< Demand as a part of the rate.
     double lost = 0; ///< Share of messages.
+    bool herdRestart = false; ///< All end and start anew at half of the time.
     bool suddenly = false; ///< A seventh of the load before a third of the time has passed.
 };
 
@@ -70,6 +71,8 @@
     {
         for (tick_ = 0; tick_ < Ticks; ++tick_) {
             now_ += absl::Milliseconds(50);
+            for (std::size_t i = 0; i < count_ && options_.herdRestart && tick_ == Ticks / 2; ++i)
+                start(i);
             for (std::size_t i = 0; i < count_; ++i)
                 step(i);
         }
@@ -96,10 +99,22 @@
     void start(std::size_t i)
     {
         quotas_.resize(count_);
-        quotas_[i] = std::make_unique<Quota>(QuotaOptions { Slack, 0 });
+        incarnation_[i] = static_cast<std::uint64_t>(absl::ToUnixMicros(now_)) + i;
+        QuotaOptions options;
+        options.slack = Slack;
+        options.startShare = 0;
+        options.startGroup = 0.25;
+        options.incarnation = incarnation_[i];
+        quotas_[i] = std::make_unique<Quota>(options);
         quotas_[i]->configure(*configurationOf(rate_, burst_));
         heard_[i].clear();
-        ++incarnation_[i];
+    }
+
+    /// After its start an instance has not read yet who the others are.
+    bool isBlind(std::size_t i) const
+    {
+        const auto age = absl::ToUnixMicros(now_) - static_cast<std::int64_t>(incarnation_.at(i));
+        return age < 100000;
     }
 
     bool chance(double p) { return std::bernoulli_distribution(p)(random_); }
@@ -115,7 +130,8 @@
             start(i);
         if (frozenUntil_[i] > now_)
             return;
-        hear(i);
+        if (!isBlind(i))
+            hear(i);
         // Requests of some thousand tokens, as many as the load asks for.
         const bool calm = options_.suddenly && tick_ < Ticks / 3;
         const double load = options_.load * (calm ? 1.0 / 7 : 1);
@@ -143,7 +159,8 @@
         for (std::size_t peer = 0; peer < count_; ++peer) {
             if (peer == i)
                 continue;
-            const bool reaches = frozenUntil_[peer] <= now_ && cut_[peer * count_ + i] <= now_;
+            const bool reaches
+                = frozenUntil_[peer] <= now_ && cut_[peer * count_ + i] <= now_ && !isBlind(peer);
             if (reaches && !chance(options_.lost)) {
                 heard_[i][peer] = now_;
                 quotas_[i]->notePeer({ absl::StrCat(peer), incarnation_[peer] },
@@ -187,6 +204,23 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(quota_allRestartedAtOnce_noWindowTakesMoreThanGranted)
+{
+    for (std::uint32_t seed = 1; seed <= 10; ++seed) {
+        for (const std::size_t instances : { 8, 24 }) {
+            WorldOptions options;
+            options.instances = instances;
+            options.rate = 800000;
+            options.largestCost = 20000;
+            options.faults = false;
+            options.herdRestart = true;
+            QuotaWorld world(seed, options);
+            world.run();
+            BOOST_TEST(world.worstExcess() <= 0, "seed " << seed << ": " << world.worstExcess());
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(quota_withinRateAndAllHeard_isAdmitted)
 {
     for (std::uint32_t seed = 1; seed <= 10; ++seed) {
--- a/src/zinniadoor/gateway/taken_sums.cpp
+++ b/src/zinniadoor/gateway/taken_sums.cpp
@@ -4,6 +4,10 @@
 
 namespace zinniadoor::gateway {
 
+TakenSums::TakenSums(std::uint64_t incarnation)
+    : incarnation_(incarnation)
+{ }
+
 void TakenSums::note(const ProcessName &source, const TakenCounts &counts, CountsTold told)
 {
     Source &known = sources_[source.instance];
@@ -15,7 +19,8 @@
     if (!known.isCounted && told != CountsTold::All)
         return;
     // A process that was running before counts from what it says first; a new one from zero.
-    const bool isBaseline = !std::exchange(known.isCounted, true);
+    const bool isBaseline = !std::exchange(known.isCounted, true)
+        && !startedWithOrAfter(source.incarnation, incarnation_);
     for (const auto &[organisation, count] : counts) {
         double &before = known.told[organisation];
         const double more = isBaseline ? 0 : count - before;
--- a/src/zinniadoor/gateway/usage_duty.cpp
+++ b/src/zinniadoor/gateway/usage_duty.cpp
@@ -61,6 +61,7 @@
         started.address = options_.peerAddress;
         started.dataCentre = options_.dataCentre;
         unwritten_.push_back(base::encode(started));
+        write(); // Until the journal has been read, little may be admitted.
         tick();
     }
 
@@ -186,8 +187,10 @@
                 if (self->closed_)
                     return;
                 // Whoever starts meanwhile reads this record, or is read here after it.
-                if (result && !std::exchange(self->announced_, true))
+                if (result && !std::exchange(self->announced_, true)) {
                     self->lastRead_ = self->currentAt_ = absl::InfinitePast();
+                    self->readJournal(absl::ZeroDuration());
+                }
                 if (result) {
                     auto &waiting = self->unwritten_;
                     waiting.erase(waiting.begin(),
@@ -244,6 +247,8 @@
                 parts_.peers.noteStopped(record->process);
         }
         currentAt_ = parts_.clock.now();
+        if (announced_)
+            parts_.peers.noteJournalRead(currentAt_);
     }
 
     /// The oldest window that is due and not known to be reported.
