Peers: who is taken for a leader and is none names the leader; leaders always tell the first instances

Cause: peer_group_test news_manyLost (a fifth of the messages lost): an instance that lost touch with its leader for a moment walked through all others, a second each, since those that do not lead did not answer; and a leader that heard such a lone one did not tell the true leader of that data centre. Trace: which leader each named, what each leader's sums held.

--- a/include/zinniadoor/gateway/peer_group.hpp
+++ b/include/zinniadoor/gateway/peer_group.hpp
@@ -24,7 +24,9 @@
     absl::Duration passedOver = absl::Seconds(10);
     absl::Duration passedOverAtLeast = absl::Milliseconds(1500);
 
-    /// Instances of another data centre that a leader writes to while it hears no leader there.
+    /// Instances of each data centre, first in the order, that a leader tells in any case, and
+    /// further ones of another data centre that it tells while it hears no leader there.
+    std::size_t firstTold = 2;
     std::size_t guesses = 3;
 };
 
@@ -65,8 +67,8 @@
     /// This instance stops: it leads only if no other instance of its data centre can.
     void noteStopping() { stopping_ = true; }
 
-    /// Where a leader sends its sums: to the leaders that it hears, and where it hears none to
-    /// some instances that may lead. Each call tries others of them.
+    /// Where a leader sends its sums: to the leaders that it hears, to the first instances of each
+    /// data centre, and where it hears no leader to some that may lead. Each call tries others.
     std::vector<std::string> leaderAddresses(absl::Time now);
 
     /// Leaders heard, this one included, that come before this one in the common order.
--- a/src/zinniadoor/gateway/peer_group.cpp
+++ b/src/zinniadoor/gateway/peer_group.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <set>
 
 #include "absl/container/flat_hash_map.h"
 
@@ -127,23 +128,29 @@
 
 std::vector<std::string> PeerGroup::leaderAddresses(absl::Time now)
 {
-    std::vector<std::string> addresses;
+    std::set<std::string> addresses;
+    for (const auto &[instance, leader] : heard_) {
+        if (isHeard(leader, now))
+            addresses.insert(leader.address);
+    }
     for (const auto &[dataCentre, members] : members_) {
-        const std::size_t before = addresses.size();
-        for (const auto &[instance, leader] : heard_) {
-            if (leader.dataCentre == dataCentre && isHeard(leader, now))
-                addresses.push_back(leader.address);
-        }
-        const bool own = dataCentre == dataCentre_;
-        if (!own && addresses.size() > before)
+        // The first ones always: an instance that lost touch with its leader for a moment is heard
+        // as a leader, too.
+        const std::size_t first = std::min(options_.firstTold, members.size());
+        for (std::size_t i = 0; i < first; ++i)
+            addresses.insert(members[i].candidate.address);
+        const bool anyHeard
+            = std::any_of(heard_.begin(), heard_.end(), [&, &dc = dataCentre](const auto &entry) {
+                  return entry.second.dataCentre == dc && isHeard(entry.second, now);
+              });
+        if (dataCentre == dataCentre_ || anyHeard)
             continue;
-        // Of the own data centre those that would lead next: they learn that somebody does.
         std::size_t &next = nextGuess_[dataCentre];
         for (std::size_t i = 0; i < std::min(options_.guesses, members.size()); ++i)
-            addresses.push_back(members[(next + i) % members.size()].candidate.address);
-        next = own ? 0 : (next + options_.guesses) % members.size();
+            addresses.insert(members[(next + i) % members.size()].candidate.address);
+        next = (next + options_.guesses) % members.size();
     }
-    return addresses;
+    return { addresses.begin(), addresses.end() };
 }
 
 std::size_t PeerGroup::leadersBefore(absl::Time now) const
--- a/src/zinniadoor/gateway/peer_group_test.cpp
+++ b/src/zinniadoor/gateway/peer_group_test.cpp
@@ -191,6 +191,14 @@
             send(node, member, sums);
     }
 
+    void redirect(const Node &node, const std::string &member, const std::string &leader)
+    {
+        Message message;
+        message.toMember = true;
+        message.leader = leader;
+        send(node, member, message);
+    }
+
     void deliver()
     {
         while (!pending_.empty() && pending_.begin()->first <= now_) {
@@ -202,9 +210,12 @@
                 continue;
             if (message.report) {
                 to.reported.insert(from.name);
+                const std::string leader = leaderOf(to);
+                if (leader != to.name)
+                    redirect(to, from.name, leader);
             } else if (message.toMember) {
                 to.group->noteAnswer(from.name, message.leader, now_);
-                if (leaderOf(to) == from.name)
+                if (leaderOf(to) == from.name && message.leader == from.name)
                     to.known.insert(message.news.begin(), message.news.end());
             } else {
                 to.group->noteLeading(from.name, message.leader, from.dataCentre, from.name, now_);
--- a/src/zinniadoor/gateway/peer_link.cpp
+++ b/src/zinniadoor/gateway/peer_link.cpp
@@ -527,6 +527,18 @@
         sums_.note(message->sender, message->taken, CountsTold::Changed);
     }
 
+    /// Answers an instance that takes this one for its leader.
+    void redirect(const std::string &address)
+    {
+        LeaderMessage message;
+        message.sender = self_;
+        message.dataCentre = serving_.dataCentre.str();
+        message.sequence = ++sequence_;
+        message.toMember = true;
+        message.leader = leader_->instance;
+        socket_->send(address, base::encode(message));
+    }
+
     void receiveWritten(const std::string &bytes, const std::string &from)
     {
         const auto written = base::decode<UsageWritten>(bytes);
@@ -552,7 +564,8 @@
             return;
         if (message->toMember) {
             group_.noteAnswer(sender.instance, message->leader, time);
-            if (!leader_ || leader_->instance != sender.instance)
+            if (!leader_ || leader_->instance != sender.instance
+                || message->leader != sender.instance)
                 return;
             const absl::Duration ahead
                 = absl::FromUnixMillis(message->estimateMs) - serving_.trueTime.ownEstimate(time);
@@ -637,6 +650,8 @@
         peers_.setOwnEstimate(serving_.trueTime.ownEstimate(now));
         if (!peers_.noteMessage(*message, from, now))
             return;
+        if (leader_ && !stopping_)
+            redirect(from);
         const CountsTold told = message->hasCounts ? CountsTold::All : CountsTold::Changed;
         serving_.quota.notePeer(message->sender, message->taken, now, told);
         sums_.note(message->sender, message->taken, told);
