Quota: the past of a leader or member that is first heard later is not charged

Change: only a process younger than 3 s asks when a peer was started. Tests: peer_startedTogetherButFirstHeardLater*, sums_sourcesComeAndGo*.

--- a/include/zinniadoor/gateway/process_name.hpp
+++ b/include/zinniadoor/gateway/process_name.hpp
@@ -6,6 +6,8 @@
 
 #include <cereal/types/string.hpp>
 
+#include "absl/time/time.h"
+
 namespace zinniadoor::gateway {
 
 /// A process of an instance; later processes of the same name have larger incarnations.
@@ -29,12 +31,20 @@
     }
 };
 
-/// Whether a process was started about when another one was, or later. Incarnations are times of
-/// day in microseconds; clocks of instances differ.
-inline bool startedWithOrAfter(std::uint64_t incarnation, std::uint64_t other)
+/// When this process was started.
+struct ProcessStart
 {
-    constexpr std::uint64_t About = 2'000'000;
-    return incarnation + About >= other;
-}
+    std::uint64_t incarnation = 0; ///< A time of day in microseconds; clocks of instances differ.
+    absl::Time at = absl::InfinitePast(); ///< By the clock of this process.
+
+    /// Whether all that a process with this incarnation has done was done since this one's start,
+    /// as far as that can matter: only a young process, started with others, has to ask.
+    bool covers(std::uint64_t other, absl::Time now) const
+    {
+        constexpr std::uint64_t About = 2'000'000;
+        constexpr absl::Duration Young = absl::Seconds(3);
+        return now - at < Young && other + About >= incarnation;
+    }
+};
 
 } // namespace zinniadoor::gateway
--- a/include/zinniadoor/gateway/quota.hpp
+++ b/include/zinniadoor/gateway/quota.hpp
@@ -42,9 +42,8 @@
     /// Part of the quotas that a new instance uses until it knows who the others are.
     double startGroup = 1;
 
-    /// Of this process. Peers that were started about then or later are counted from zero, others
-    /// from what they first tell; 0: all from what they first tell.
-    std::uint64_t incarnation = 0;
+    /// Peers whose counts it covers count from zero, others from what they first tell.
+    ProcessStart start;
 };
 
 /// The level of each organisation's quota as this instance knows it. All instances tell each other
--- a/include/zinniadoor/gateway/taken_sums.hpp
+++ b/include/zinniadoor/gateway/taken_sums.hpp
@@ -14,11 +14,12 @@
 class TakenSums
 {
 public:
-    /// `incarnation`: of this process; sources started about then or later count from zero.
-    explicit TakenSums(std::uint64_t incarnation);
+    /// Sources whose counts `start` covers count from zero.
+    explicit TakenSums(const ProcessStart &start);
 
     /// Counts told by a source. Late ones must have been dropped before.
-    void note(const ProcessName &source, const TakenCounts &counts, CountsTold told);
+    void note(const ProcessName &source, const TakenCounts &counts, CountsTold told,
+              absl::Time now);
 
     /// Sum of all sources since they were first heard.
     const TakenCounts &total() const { return total_; }
@@ -35,7 +36,7 @@
         TakenCounts contributed;
     };
 
-    std::uint64_t incarnation_;
+    ProcessStart start_;
     std::map<std::string, Source> sources_; ///< By instance.
     TakenCounts total_;
 };
--- a/src/zinniadoor/gateway/gateway.cpp
+++ b/src/zinniadoor/gateway/gateway.cpp
@@ -64,13 +64,13 @@
     return { limits.maxHeadBytes, limits.maxBodyBytes, limits.requestTimeout, limits.idleTimeout };
 }
 
-QuotaOptions quotaOptions(const GatewaySettings &settings, std::uint64_t incarnation)
+QuotaOptions quotaOptions(const GatewaySettings &settings, const ProcessStart &start)
 {
     QuotaOptions options;
     options.slack = settings.quotaSlack;
     options.startShare = 0;
     options.startGroup = BlindQuotaShare;
-    options.incarnation = incarnation;
+    options.start = start;
     return options;
 }
 
@@ -121,7 +121,8 @@
         : io_(context)
         , settings_(settings)
         , ports_(ports)
-        , processStart_(static_cast<std::uint64_t>(absl::ToUnixMicros(ports.clock->wallTime())))
+        , start_ { static_cast<std::uint64_t>(absl::ToUnixMicros(ports.clock->wallTime())),
+                   ports.clock->now() }
         , serving_ { context,
                      *ports.clock,
                      *ports.client,
@@ -135,12 +136,12 @@
                      serving::EngineView(),
                      serving::OutlierEjection(serving::EjectionOptions {}),
                      serving::CrashList(serving::CrashListOptions {}),
-                     Quota(quotaOptions(settings, processStart_)),
+                     Quota(quotaOptions(settings, start_)),
                      RetryBudget(budgetOptions(settings)),
                      UsageBook(settings.usageWindow),
                      TrueTime(ports.clock->now(), ports.clock->wallTime()),
                      SpeedEstimate() }
-        , self_ { settings.instance.str(), processStart_ }
+        , self_ { settings.instance.str(), start_.incarnation }
         , peers_(self_)
         , feed_(serving_.directory, *ports.decoder)
         , configurationHandler_(*this)
@@ -483,7 +484,7 @@
     boost::asio::io_context &io_;
     GatewaySettings settings_;
     GatewayPorts ports_;
-    std::uint64_t processStart_; ///< Microseconds of the time of day.
+    ProcessStart start_;
     GatewayMetrics metrics_;
     ServingContext serving_;
     ProcessName self_;
--- a/src/zinniadoor/gateway/peer_group_test.cpp
+++ b/src/zinniadoor/gateway/peer_group_test.cpp
@@ -338,18 +338,22 @@
 BOOST_AUTO_TEST_CASE(sums_sourcesComeAndGo_growOnlyByWhatIsTaken)
 {
     constexpr std::uint64_t Start = 10'000'000;
-    TakenSums sums(Start);
-    sums.note({ "old", 1 }, { { "org", 500 } }, CountsTold::Changed); // Not told in full yet.
-    sums.note({ "old", 1 }, { { "org", 500 } }, CountsTold::All);
-    sums.note({ "old", 1 }, { { "org", 520 } }, CountsTold::Changed);
-    sums.note({ "new", Start + 1 }, { { "org", 7 } }, CountsTold::All);
+    const absl::Time now = absl::FromUnixSeconds(100);
+    TakenSums sums({ Start, now });
+    sums.note({ "old", 1 }, { { "org", 500 } }, CountsTold::Changed, now); // Not told in full yet.
+    sums.note({ "old", 1 }, { { "org", 500 } }, CountsTold::All, now);
+    sums.note({ "old", 1 }, { { "org", 520 } }, CountsTold::Changed, now);
+    sums.note({ "new", Start + 1 }, { { "org", 7 } }, CountsTold::All, now);
     BOOST_TEST(sums.total().at("org") == 27);
     BOOST_TEST(sums.contribution("old", "org") == 20);
-    sums.note({ "old", 2 }, { { "org", 3 } }, CountsTold::All); // Started anew.
+    sums.note({ "old", 2 }, { { "org", 3 } }, CountsTold::All, now); // Started anew.
     BOOST_TEST(sums.total().at("org") == 30);
-    sums.note({ "old", 1 }, { { "org", 600 } }, CountsTold::All); // Late.
+    sums.note({ "old", 1 }, { { "org", 600 } }, CountsTold::All, now); // Late.
     BOOST_TEST(sums.total().at("org") == 30);
     BOOST_TEST(sums.contribution("nobody", "org") == 0);
+    const absl::Time later = now + absl::Minutes(1); // A member of a leader that ended.
+    sums.note({ "moved", Start }, { { "org", 900 } }, CountsTold::All, later);
+    BOOST_TEST(sums.total().at("org") == 30);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/zinniadoor/gateway/peer_link.cpp
+++ b/src/zinniadoor/gateway/peer_link.cpp
@@ -88,8 +88,8 @@
         , paceTimer_(context)
         , self_(self)
         , group_(self.instance, serving.dataCentre, PeerGroupOptions {})
-        , sums_(self.incarnation)
-        , otherSums_(self.incarnation)
+        , sums_({ self.incarnation, serving.clock.now() })
+        , otherSums_({ self.incarnation, serving.clock.now() })
         , serving_(serving)
         , peers_(peers)
         , onPart_(std::move(onPart))
@@ -284,7 +284,7 @@
     void lead()
     {
         const absl::Time time = now();
-        sums_.note(self_, serving_.quota.ownTaken(), CountsTold::All);
+        sums_.note(self_, serving_.quota.ownTaken(), CountsTold::All, time);
         LeaderMessage message;
         message.sender = self_;
         message.dataCentre = serving_.dataCentre.str();
@@ -524,7 +524,7 @@
         if (!peers_.noteSign(message->sender, message->sequence, now))
             return;
         serving_.quota.notePeer(message->sender, message->taken, now, CountsTold::Changed);
-        sums_.note(message->sender, message->taken, CountsTold::Changed);
+        sums_.note(message->sender, message->taken, CountsTold::Changed, now);
     }
 
     /// Answers an instance that takes this one for its leader.
@@ -592,7 +592,7 @@
         const CountsTold told = message.hasAllCounts ? CountsTold::All : CountsTold::Changed;
         serving_.quota.notePeer(name, taken, time, told);
         if (!message.toMember)
-            otherSums_.note(name, taken, told);
+            otherSums_.note(name, taken, told, time);
         for (const auto &[endpoint, milliseconds] : message.paused) {
             const absl::Time until = time + std::min(absl::Milliseconds(milliseconds), LongestRest);
             serving_.directory.pause(base::EndpointId(endpoint), until);
@@ -654,7 +654,7 @@
             redirect(from);
         const CountsTold told = message->hasCounts ? CountsTold::All : CountsTold::Changed;
         serving_.quota.notePeer(message->sender, message->taken, now, told);
-        sums_.note(message->sender, message->taken, told);
+        sums_.note(message->sender, message->taken, told, now);
         absl::flat_hash_map<base::EndpointId, serving::EngineLoad> loads;
         for (const EndpointLoad &load : message->loads) {
             if (const base::EndpointId *id = serving_.directory.findByDigest(load.endpoint))
--- a/src/zinniadoor/gateway/quota.cpp
+++ b/src/zinniadoor/gateway/quota.cpp
@@ -91,9 +91,8 @@
     known.heard = now;
     if (!known.isCounted && told != CountsTold::All)
         return;
-    const bool isBaseline = !std::exchange(known.isCounted, true)
-        && !(options_.incarnation > 0
-             && startedWithOrAfter(peer.incarnation, options_.incarnation));
+    const bool isBaseline
+        = !std::exchange(known.isCounted, true) && !options_.start.covers(peer.incarnation, now);
     for (auto &[id, bucket] : buckets_) {
         if (restarted)
             bucket.peers[peer.instance].taken = 0;
--- a/src/zinniadoor/gateway/quota_test.cpp
+++ b/src/zinniadoor/gateway/quota_test.cpp
@@ -104,7 +104,7 @@
         options.slack = Slack;
         options.startShare = 0;
         options.startGroup = 0.25;
-        options.incarnation = incarnation_[i];
+        options.start = { incarnation_[i], now_ };
         quotas_[i] = std::make_unique<Quota>(options);
         quotas_[i]->configure(*configurationOf(rate_, burst_));
         heard_[i].clear();
@@ -334,7 +334,9 @@
 
 BOOST_AUTO_TEST_CASE(take_newInstanceWithoutStartShare_beginsEmpty)
 {
-    Quota quota(QuotaOptions { 0, 0 });
+    QuotaOptions options;
+    options.startShare = 0;
+    Quota quota(options);
     quota.configure(*configurationOf(10, 10, QuotaUnit::Requests));
     const absl::Time now = absl::FromUnixSeconds(1);
     BOOST_TEST(quota.take(Org, 1, now).has_value());
@@ -391,6 +393,18 @@
     BOOST_TEST(quota.take(Org, 41, now).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(peer_startedTogetherButFirstHeardLater_isNotChargedItsPast)
+{
+    // As of a leader that takes over: its sums began long before it was heard here.
+    QuotaOptions options;
+    options.start = { 5'000'000, absl::FromUnixSeconds(1) };
+    Quota quota(options);
+    quota.configure(*configurationOf(100, 100, QuotaUnit::Requests));
+    const absl::Time now = absl::FromUnixSeconds(60);
+    quota.notePeer({ "leader/p", 5'000'000 }, { { "org", 50000 } }, now);
+    BOOST_TEST(!quota.take(Org, 90, now).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(peer_silentForLong_isNotTakenToGoOn)
 {
     Quota quota(QuotaOptions {});
--- a/src/zinniadoor/gateway/taken_sums.cpp
+++ b/src/zinniadoor/gateway/taken_sums.cpp
@@ -4,11 +4,12 @@
 
 namespace zinniadoor::gateway {
 
-TakenSums::TakenSums(std::uint64_t incarnation)
-    : incarnation_(incarnation)
+TakenSums::TakenSums(const ProcessStart &start)
+    : start_(start)
 { }
 
-void TakenSums::note(const ProcessName &source, const TakenCounts &counts, CountsTold told)
+void TakenSums::note(const ProcessName &source, const TakenCounts &counts, CountsTold told,
+                     absl::Time now)
 {
     Source &known = sources_[source.instance];
     if (source.incarnation < known.incarnation)
@@ -19,8 +20,8 @@
     if (!known.isCounted && told != CountsTold::All)
         return;
     // A process that was running before counts from what it says first; a new one from zero.
-    const bool isBaseline = !std::exchange(known.isCounted, true)
-        && !startedWithOrAfter(source.incarnation, incarnation_);
+    const bool isBaseline
+        = !std::exchange(known.isCounted, true) && !start_.covers(source.incarnation, now);
     for (const auto &[organisation, count] : counts) {
         double &before = known.told[organisation];
         const double more = isBaseline ? 0 : count - before;
