Peers: leaders pass on which engines read shared parts anew

Change: members tell only parts that the engine was not known to hold; leaders pass on what is new to them.

--- a/include/zinniadoor/gateway/peer_message.hpp
+++ b/include/zinniadoor/gateway/peer_message.hpp
@@ -119,6 +119,7 @@
     std::vector<PackedLoad> loads;
     bool hasAllCounts = false; ///< `taken` names all organisations, not only changed ones.
     std::vector<std::pair<std::uint32_t, double>> taken; ///< By half of the organisation's digest.
+    std::vector<PromptNews> prompts; ///< Parts that engines did not hold, since the last message.
     std::vector<serving::CrashEntry> crashes; ///< Since the last message.
     std::map<std::string, std::int64_t> paused; ///< Endpoints without work, for so many ms.
 
@@ -126,7 +127,7 @@
     void serialize(Archive &archive)
     {
         archive(format, sender, dataCentre, sequence, estimateMs, toMember, leader, heard, known,
-                hasLoads, loads, hasAllCounts, taken, crashes, paused);
+                hasLoads, loads, hasAllCounts, taken, prompts, crashes, paused);
     }
 };
 
--- a/include/zinniadoor/gateway/serving_context.hpp
+++ b/include/zinniadoor/gateway/serving_context.hpp
@@ -27,9 +27,9 @@
 public:
     virtual ~NewsSink() = default;
 
-    /// An engine reads a prompt with these parts.
+    /// An engine reads a prompt with these parts; `held`: it should have had the shared ones.
     virtual void announceParts(const base::EndpointId &engine,
-                               const std::vector<serving::KeyedPart> &parts)
+                               const std::vector<serving::KeyedPart> &parts, bool held)
         = 0;
     virtual void announceCrashes(const std::vector<serving::CrashEntry> &crashes) = 0;
 
--- a/include/zinniadoor/serving/engine_view.hpp
+++ b/include/zinniadoor/serving/engine_view.hpp
@@ -100,6 +100,9 @@
     std::uint64_t cachedTokens(const base::EndpointId &engine,
                                const std::vector<KeyedPart> &parts) const;
 
+    /// Whether the engine should hold all parts but the last, which is the request's own.
+    bool holdsShared(const base::EndpointId &engine, const std::vector<KeyedPart> &parts) const;
+
     /// The engine started anew or may hold nothing.
     void forgetParts(const base::EndpointId &engine);
 
--- a/src/zinniadoor/gateway/gateway.cpp
+++ b/src/zinniadoor/gateway/gateway.cpp
@@ -230,10 +230,10 @@
         serveRequest(serving_, std::move(request), std::move(responder));
     }
 
-    void announceParts(const base::EndpointId &engine,
-                       const std::vector<serving::KeyedPart> &parts) override
+    void announceParts(const base::EndpointId &engine, const std::vector<serving::KeyedPart> &parts,
+                       bool held) override
     {
-        peerLink_->announceParts(engine, parts);
+        peerLink_->announceParts(engine, parts, held);
     }
     void announceCrashes(const std::vector<serving::CrashEntry> &crashes) override
     {
--- a/src/zinniadoor/gateway/peer_link.cpp
+++ b/src/zinniadoor/gateway/peer_link.cpp
@@ -40,8 +40,12 @@
 
 /// A message stays below one packet of an ordinary network.
 constexpr std::size_t MaxPromptsPerMessage = 16;
+constexpr std::size_t MaxPromptsPerSums = 24;
 constexpr std::size_t MaxCrashesPerMessage = 8;
 
+/// News of prompts that waits for more than so many messages is out of date.
+constexpr std::size_t MaxPromptsWaiting = 4 * MaxPromptsPerSums;
+
 /// Longest time without work that a peer's message may bring about.
 constexpr absl::Duration LongestRest = absl::Seconds(10);
 
@@ -121,15 +125,18 @@
         group_.noteStopping();
     }
 
-    void announceParts(const base::EndpointId &engine,
-                       const std::vector<serving::KeyedPart> &parts) override
+    void announceParts(const base::EndpointId &engine, const std::vector<serving::KeyedPart> &parts,
+                       bool held) override
     {
+        if (held && group_.hasLeaders())
+            return; // Too many to be told each time.
+
         PromptNews news;
         news.endpoint = digestOf(engine);
         // The last part is the request's own; nobody else will ask for it.
         for (std::size_t i = 0; i + 1 < parts.size(); ++i)
             news.parts.emplace_back(parts[i].key, parts[i].tokens);
-        if (!news.parts.empty() && !group_.hasLeaders())
+        if (!news.parts.empty())
             prompts_.push_back(std::move(news));
     }
 
@@ -297,6 +304,7 @@
         message.hasAllCounts = time - allToldAt_ >= AllCountsPause;
         if (message.hasAllCounts)
             allToldAt_ = time;
+        takeFirst(prompts_, MaxPromptsPerSums, message.prompts);
         takeFirst(crashes_, MaxCrashesPerMessage, message.crashes);
         message.paused = pausedNow(time);
         const std::vector<base::EndpointId> engines = loadedEngines(time);
@@ -350,6 +358,9 @@
         message.paused.insert(pausedElsewhere.begin(), pausedElsewhere.end());
         message.crashes.insert(message.crashes.end(), otherCrashes_.begin(), otherCrashes_.end());
         otherCrashes_.clear();
+        std::vector<PromptNews> others;
+        takeFirst(otherPrompts_, MaxPromptsPerSums, others);
+        message.prompts.insert(message.prompts.end(), others.begin(), others.end());
         std::vector<std::pair<std::string, double>> sums;
         for (const auto &[organisation, sum] : allSums()) {
             const bool changed = toldSums_[organisation] != sumOf(sums_, organisation)
@@ -599,6 +610,10 @@
             if (!message.toMember)
                 otherPaused_[endpoint] = until;
         }
+        for (const PromptNews &news : message.prompts) {
+            if (notePrompt(news) && !message.toMember)
+                addWaiting(otherPrompts_, news);
+        }
         serving_.crashes.merge(message.crashes, time);
         if (!message.toMember)
             otherCrashes_.insert(otherCrashes_.end(), message.crashes.begin(),
@@ -634,6 +649,35 @@
         return named;
     }
 
+    /// Returns whether an engine listed here holds parts that it was not known to hold.
+    bool notePrompt(const PromptNews &news)
+    {
+        const base::EndpointId *id = serving_.directory.findByDigest(news.endpoint);
+        if (!id)
+            return false; // Not listed here yet, or not any more.
+        std::vector<serving::KeyedPart> parts;
+        for (const auto &[key, tokens] : news.parts)
+            parts.push_back({ key, tokens });
+        const bool isNew = serving_.load.cachedTokens(*id, parts) < tokensOf(parts);
+        serving_.load.noteParts(*id, parts);
+        return isNew;
+    }
+
+    static std::uint64_t tokensOf(const std::vector<serving::KeyedPart> &parts)
+    {
+        std::uint64_t tokens = 0;
+        for (const serving::KeyedPart &part : parts)
+            tokens += part.tokens;
+        return tokens;
+    }
+
+    static void addWaiting(std::vector<PromptNews> &waiting, const PromptNews &news)
+    {
+        if (waiting.size() >= MaxPromptsWaiting)
+            waiting.erase(waiting.begin());
+        waiting.push_back(news);
+    }
+
     static void logRejected(const std::string &from, const std::string &reason)
     {
         logEvent(EventId::PeerMessageRejected, { { "from", from }, { "reason", reason } });
@@ -663,13 +707,8 @@
         serving_.load.setPeerLoad(base::InstanceId(message->sender.instance), std::move(loads),
                                   now);
         for (const PromptNews &news : message->prompts) {
-            const base::EndpointId *id = serving_.directory.findByDigest(news.endpoint);
-            if (!id)
-                continue; // Not listed here yet, or not any more.
-            std::vector<serving::KeyedPart> parts;
-            for (const auto &[key, tokens] : news.parts)
-                parts.push_back({ key, tokens });
-            serving_.load.noteParts(*id, parts);
+            if (notePrompt(news) && group_.hasLeaders())
+                addWaiting(prompts_, news);
         }
         for (const auto &[endpoint, milliseconds] : message->paused) {
             const absl::Time until = now + std::min(absl::Milliseconds(milliseconds), LongestRest);
@@ -783,6 +822,7 @@
     TakenCounts toldOtherSums_;
     absl::Time loadsToldAt_ = absl::InfinitePast();
     absl::Time allToldAt_ = absl::InfinitePast();
+    std::vector<PromptNews> otherPrompts_; ///< Told by other leaders, for the members.
     std::vector<serving::CrashEntry> otherCrashes_; ///< Told by other leaders, for the members.
     std::map<std::string, absl::Time> otherPaused_; ///< The same of endpoints without work.
     ServingContext &serving_;
--- a/src/zinniadoor/serving/engine_view.cpp
+++ b/src/zinniadoor/serving/engine_view.cpp
@@ -168,6 +168,19 @@
     return tokens;
 }
 
+bool EngineView::holdsShared(const base::EndpointId &engine,
+                             const std::vector<KeyedPart> &parts) const
+{
+    const auto found = caches_.find(engine);
+    if (found == caches_.end())
+        return parts.size() <= 1;
+    for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
+        if (!found->second.index.contains(parts[i].key))
+            return false;
+    }
+    return true;
+}
+
 void EngineView::forgetParts(const base::EndpointId &engine)
 {
     caches_.erase(engine);
