Placement: an answer waits for a slot where all are taken

Load pattern: long prompts and short answers on engines with few slots (16): a further request cost 0.05 ms also at an engine whose slots were all taken, and the wait was not in the expected first token. Change: the wait for a slot, from the measured time of an answer's writing, counts when choosing a writer, when reading in place and in the expected first token. Engines with room are as before. Test: writers_fewSlots_areNotFilledBeyondThem*.

--- a/include/zinniadoor/gateway/speed_estimate.hpp
+++ b/include/zinniadoor/gateway/speed_estimate.hpp
@@ -18,6 +18,9 @@
     void noteRead(const std::string &service, std::uint64_t tokens, std::uint64_t waiting,
                   absl::Duration time, bool inPlace);
 
+    /// An answer was written in this time, from its first token to its end.
+    void noteWriting(const std::string &service, absl::Duration time);
+
     /// A plain service's endpoint answered in `time`.
     void noteAnswer(const std::string &service, absl::Duration time);
 
--- a/include/zinniadoor/serving/placement.hpp
+++ b/include/zinniadoor/serving/placement.hpp
@@ -30,6 +30,7 @@
     double inPlaceShare = 0.5; ///< Of that speed, on an engine that also writes answers.
     absl::Duration handOver = absl::Milliseconds(12); ///< From one engine to another.
     absl::Duration firstStep = absl::Milliseconds(15); ///< From the read prompt to the first token.
+    absl::Duration writing = absl::Milliseconds(200); ///< Of one answer; a slot is taken as long.
 };
 
 /// Where a model call goes.
--- a/src/zinniadoor/gateway/exchange.cpp
+++ b/src/zinniadoor/gateway/exchange.cpp
@@ -347,6 +347,8 @@
         }
         context_.directory.noteSuccess(writer_.id);
         context_.health.noteSuccess(writer_.id, now - callBegan_, now);
+        if (firstByteAt_)
+            context_.speeds.noteWriting(service_, now - *firstByteAt_);
         responder_->finish();
         end("served", "");
         return;
--- a/src/zinniadoor/gateway/speed_estimate.cpp
+++ b/src/zinniadoor/gateway/speed_estimate.cpp
@@ -30,6 +30,12 @@
     speeds.readTokensPerMs = std::clamp(speeds.readTokensPerMs, MinReadSpeed, MaxReadSpeed);
 }
 
+void SpeedEstimate::noteWriting(const std::string &service, absl::Duration time)
+{
+    absl::Duration &mean = engines_[service].writing;
+    mean += SampleWeight * (time - mean);
+}
+
 void SpeedEstimate::noteAnswer(const std::string &service, absl::Duration time)
 {
     const auto [it, inserted] = answers_.try_emplace(service, time);
--- a/src/zinniadoor/serving/placement.cpp
+++ b/src/zinniadoor/serving/placement.cpp
@@ -77,21 +77,39 @@
     return parts.size() == 1 ? parts.front().key : parts[parts.size() - 2].key;
 }
 
-const EngineInfo *pickWriter(const std::vector<const EngineInfo *> &writers, const EngineView &view,
-                             const EngineInfo &reader, double speed, PartKey request,
-                             absl::Time now)
+/// Time until a slot is free for a further answer, as answers end one after the other.
+double slotWaitMs(const EngineInfo &engine, const EngineLoad &load, const EngineSpeeds &speeds)
 {
-    const EngineInfo *best = nullptr;
+    if (load.requests < engine.slots)
+        return 0;
+    const double place = load.requests - engine.slots + 1.0;
+    return place * absl::ToDoubleMilliseconds(speeds.writing) / engine.slots;
+}
+
+struct WriterChoice
+{
+    const EngineInfo *engine = nullptr;
+    double slotWaitMs = 0;
+};
+
+WriterChoice pickWriter(const std::vector<const EngineInfo *> &writers, const EngineView &view,
+                        const EngineInfo &reader, const EngineSpeeds &speeds, PartKey request,
+                        absl::Time now)
+{
+    const double speed = speeds.readTokensPerMs * speeds.inPlaceShare;
+    WriterChoice best;
     double bestCost = 0;
     for (std::size_t i = 0; i < writers.size(); ++i) {
         const EngineInfo *writer = writers[i];
         const EngineLoad load = view.load(writer->id, now);
-        double cost = WriterSpreadMs * spreadOf(request, i) + StepPerRequestMs * load.requests
+        const double slotWait = slotWaitMs(*writer, load, speeds);
+        double cost = slotWait + WriterSpreadMs * spreadOf(request, i)
+            + StepPerRequestMs * load.requests
             + WriterReadWeight * static_cast<double>(load.tokensAhead(UrgencyRanks - 1)) / speed;
         if (writer->dataCentre != reader.dataCentre)
             cost += OtherDataCentreMs;
-        if (!best || cost < bestCost) {
-            best = writer;
+        if (!best.engine || cost < bestCost) {
+            best = { writer, slotWait };
             bestCost = cost;
         }
     }
@@ -132,6 +150,8 @@
         candidate.tokensToRead = facts.promptTokens - cached;
         const EngineLoad load = view.load(engine->id, now);
         candidate.waitMs = static_cast<double>(load.tokensAhead(facts.rank)) / speed;
+        if (!engine->readsForOthers)
+            candidate.waitMs += slotWaitMs(*engine, load, speeds);
         candidate.readMs = static_cast<double>(candidate.tokensToRead) / speed;
         double disturbanceMs = 0;
         if (engine->readsForOthers)
@@ -151,9 +171,9 @@
     plan.firstToken = absl::Milliseconds(best.waitMs + best.readMs) + speeds.firstStep;
     if (best.engine->readsForOthers) {
         plan.reader = best.engine->id;
-        plan.writer = pickWriter(writers, view, *best.engine,
-                                 speeds.readTokensPerMs * speeds.inPlaceShare, request, now)
-                          ->id;
+        const WriterChoice writer = pickWriter(writers, view, *best.engine, speeds, request, now);
+        plan.writer = writer.engine->id;
+        plan.firstToken += absl::Milliseconds(writer.slotWaitMs);
     } else {
         plan.writer = best.engine->id;
     }
--- a/src/zinniadoor/serving/placement_test.cpp
+++ b/src/zinniadoor/serving/placement_test.cpp
@@ -260,6 +260,31 @@
     BOOST_TEST(!changes[0].readsForOthers);
 }
 
+BOOST_AUTO_TEST_CASE(writers_fewSlots_areNotFilledBeyondThemWhileOthersHaveRoom)
+{
+    // The load of long prompts and short answers on engines with few slots.
+    std::vector<EngineInfo> engines { engine("r0", true) };
+    for (std::size_t i = 0; i < 3; ++i) {
+        engines.push_back(engine(absl::StrCat("w", i), false));
+        engines.back().slots = 16;
+        engines.back().dataCentre = base::DataCentreId(i == 0 ? "dc" : "elsewhere");
+    }
+    view.setEngines(engines);
+    std::map<std::string, int> running;
+    for (int i = 0; i < 48; ++i) {
+        const EnginePlan plan = place(prompt(absl::StrCat("p", i), 13000, 3000));
+        BOOST_REQUIRE(plan.reader.has_value());
+        ++running[plan.writer.str()];
+        view.addLoad(plan.writer, EngineLoad::ofRequest(0, 0));
+    }
+    for (const auto &[writer, requests] : running)
+        BOOST_TEST(requests <= 16, writer);
+    const absl::Duration free = place(prompt("q", 13000, 3000)).firstToken;
+    for (int i = 0; i < 32; ++i)
+        view.addLoad(base::EndpointId(absl::StrCat("w", i % 3)), EngineLoad::ofRequest(0, 0));
+    BOOST_TEST((place(prompt("q", 13000, 3000)).firstToken > free)); // It waits for a slot.
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
