--- a/spec/property.h
+++ b/spec/property.h
@@ -46,3 +46,18 @@
 #else
 #define CHECK_countedOnce(x) skip
 #endif
+#if !defined(ONLY) || defined(ONLY_oneActor)
+#define CHECK_oneActor(x) assert(x)
+#else
+#define CHECK_oneActor(x) skip
+#endif
+#if !defined(ONLY) || defined(ONLY_numbersAscend)
+#define CHECK_numbersAscend(x) assert(x)
+#else
+#define CHECK_numbersAscend(x) skip
+#endif
+#if !defined(ONLY) || defined(ONLY_noTurns)
+#define CHECK_noTurns(x) assert(x)
+#else
+#define CHECK_noTurns(x) skip
+#endif
