Logs of the store: shorter patience, since one instance reads for all

Change: patience 0.4 to 0.52 of the notice in place of 0.55 to 0.72, held reads 0.25 in place of 0.4, reads of endpoints each 0.25 in place of 0.3: more calls, by one reader.

--- a/src/zinniadoor/gateway/gateway.cpp
+++ b/src/zinniadoor/gateway/gateway.cpp
@@ -23,14 +23,14 @@
 
 /// Part of the time until a configuration has to be in force for which the store may hold a read:
 /// one that is lost is noticed and repeated within the rest.
-constexpr double ConfigurationWaitShare = 0.4;
+constexpr double ConfigurationWaitShare = 0.25;
 
 /// Part of either notice without news of another reader, after which an instance reads a log for
 /// itself: a read that fails then is repeated within the rest.
-constexpr double PatienceShare = 0.55;
+constexpr double PatienceShare = 0.4;
 
 /// Part of the time for which a leaving endpoint may be sent requests, between reads of the list.
-constexpr double EndpointsPauseShare = 0.3;
+constexpr double EndpointsPauseShare = 0.25;
 constexpr absl::Duration StoreRetryPause = absl::Milliseconds(150);
 
 /// The balancer asks for readiness once a second and acts on the second miss.
