Leaders: who was not told lately is told all counts; a leader that goes is charged for its silence

A new leader's sums, and those told to a member that moved, named only changed organisations until the next full message (2 s): until then they were not counted, and what the lost leader's instances took meanwhile was never charged. Change: all counts to whoever was not told within 0.9 s, and each second; on a change of leader the level is charged with the old one's rate for the time since it was heard, once. Test: peer_retired_isChargedForItsSilenceAndNoMore.

--- a/include/zinniadoor/gateway/quota.hpp
+++ b/include/zinniadoor/gateway/quota.hpp
@@ -64,8 +64,9 @@
     void notePeer(const ProcessName &peer, const TakenCounts &taken, absl::Time now,
                   CountsTold told = CountsTold::All);
 
-    /// A peer will say nothing more under this name.
-    void forgetPeer(const std::string &instance);
+    /// A peer will say nothing more under this name; what it is likely to have taken since it was
+    /// heard is taken off.
+    void retirePeer(const std::string &instance, absl::Time now);
 
     /// Takes `cost` if the organisation is within its quota; else says when to come back.
     std::optional<absl::Duration> take(const base::OrganisationId &organisation, double cost,
--- a/src/zinniadoor/gateway/peer_link.cpp
+++ b/src/zinniadoor/gateway/peer_link.cpp
@@ -61,7 +61,10 @@
 constexpr absl::Duration LoadsPause = absl::Milliseconds(480);
 
 /// Between messages that tell all counts, in case that one that told a change was lost.
-constexpr absl::Duration AllCountsPause = absl::Seconds(2);
+constexpr absl::Duration AllCountsPause = absl::Seconds(1);
+
+/// Who has not been told sums for longer is told all counts: it cannot tell which ones it missed.
+constexpr absl::Duration ToldLately = absl::Milliseconds(900);
 
 /// Parts of logs go to many instances at once; they leave at a pace that sockets and slow links
 /// bear: so many bytes a step.
@@ -340,13 +343,26 @@
             if (message.hasLoads && load.requests > 0)
                 message.loads.push_back(PackedLoad::of(digestOf(engine), load));
         }
+        LeaderMessage whole = message;
+        whole.hasAllCounts = true;
         for (const auto &[organisation, sum] : sums_.total()) {
-            if (message.hasAllCounts || toldSums_[organisation] != sum)
-                message.taken.emplace_back(shortDigestOf(organisation), sum);
+            whole.taken.emplace_back(shortDigestOf(organisation), sum);
+            if (toldSums_[organisation] != sum)
+                message.taken.emplace_back(whole.taken.back());
         }
-        const std::string bytes = base::encode(message);
+        const std::string wholeBytes = base::encode(whole);
+        const std::string bytes = message.hasAllCounts ? wholeBytes : base::encode(message);
         for (const std::string &address : group_.leaderAddresses(time))
-            socket_->send(address, bytes);
+            socket_->send(address, noteTold(address, time) ? bytes : wholeBytes);
+    }
+
+    /// Returns whether sums were told there lately.
+    bool noteTold(const std::string &address, absl::Time time)
+    {
+        const auto [it, isFirst] = toldAt_.try_emplace(address, absl::InfinitePast());
+        const bool lately = !isFirst && time - it->second < ToldLately;
+        it->second = time;
+        return lately;
     }
 
     void tellMembers(LeaderMessage message, const std::vector<base::EndpointId> &engines,
@@ -361,13 +377,19 @@
         std::vector<PromptNews> others;
         takeFirst(otherPrompts_, MaxPromptsPerSums, others);
         message.prompts.insert(message.prompts.end(), others.begin(), others.end());
-        std::vector<std::pair<std::string, double>> sums;
+        struct Sum
+        {
+            std::string organisation;
+            double taken = 0;
+            bool changed = false;
+        };
+        std::vector<Sum> sums;
         for (const auto &[organisation, sum] : allSums()) {
             const bool changed = toldSums_[organisation] != sumOf(sums_, organisation)
                 || toldOtherSums_[organisation] != sumOf(otherSums_, organisation);
-            if (message.hasAllCounts || changed)
-                sums.emplace_back(organisation, sum);
+            sums.push_back({ organisation, sum, changed });
         }
+        const bool allForAll = message.hasAllCounts;
         std::vector<std::pair<base::EndpointId, serving::EngineLoad>> loads;
         if (message.hasLoads) {
             for (const base::EndpointId &engine : engines)
@@ -385,9 +407,14 @@
                 if (load.requests > 0)
                     message.loads.push_back(PackedLoad::of(digestOf(engine), load));
             }
-            for (const auto &[organisation, sum] : sums) {
-                message.taken.emplace_back(shortDigestOf(organisation),
-                                           sum - sums_.contribution(instance, organisation));
+            const bool lately = noteTold(address, time);
+            message.hasAllCounts = allForAll || !lately;
+            for (const Sum &sum : sums) {
+                if (!message.hasAllCounts && !sum.changed)
+                    continue;
+                message.taken.emplace_back(shortDigestOf(sum.organisation),
+                                           sum.taken
+                                               - sums_.contribution(instance, sum.organisation));
             }
             socket_->send(address, base::encode(message));
         }
@@ -777,7 +804,7 @@
     void forgetSource(const std::string &leader, absl::Time time)
     {
         serving_.load.setPeerLoad(sourceOf(leader), {}, time);
-        serving_.quota.forgetPeer(sourceOf(leader).str());
+        serving_.quota.retirePeer(sourceOf(leader).str(), time);
     }
 
     void noteRole(const std::optional<GroupCandidate> &before)
@@ -820,6 +847,7 @@
     TakenSums otherSums_; ///< Of other leaders.
     TakenCounts toldSums_;
     TakenCounts toldOtherSums_;
+    absl::flat_hash_map<std::string, absl::Time> toldAt_; ///< Sums, by address.
     absl::Time loadsToldAt_ = absl::InfinitePast();
     absl::Time allToldAt_ = absl::InfinitePast();
     std::vector<PromptNews> otherPrompts_; ///< Told by other leaders, for the members.
--- a/src/zinniadoor/gateway/quota.cpp
+++ b/src/zinniadoor/gateway/quota.cpp
@@ -104,11 +104,23 @@
     }
 }
 
-void Quota::forgetPeer(const std::string &instance)
+void Quota::retirePeer(const std::string &instance, absl::Time now)
 {
-    peers_.erase(instance);
-    for (auto &[id, bucket] : buckets_)
-        bucket.peers.erase(instance);
+    const auto peer = peers_.find(instance);
+    if (peer == peers_.end())
+        return;
+    const double silent = absl::ToDoubleSeconds(now - peer->second.heard);
+    for (auto &[id, bucket] : buckets_) {
+        const auto use = bucket.peers.find(instance);
+        if (use == bucket.peers.end())
+            continue;
+        if (bucket.rate > 0) {
+            refill(bucket, now);
+            bucket.level -= use->second.rate * std::clamp(silent, 0.0, UseSeconds);
+        }
+        bucket.peers.erase(use);
+    }
+    peers_.erase(peer);
 }
 
 void Quota::noteUse(Bucket &bucket, const std::string &instance, double taken, bool isBaseline,
--- a/src/zinniadoor/gateway/quota_test.cpp
+++ b/src/zinniadoor/gateway/quota_test.cpp
@@ -405,6 +405,24 @@
     BOOST_TEST(!quota.take(Org, 90, now).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(peer_retired_isChargedForItsSilenceAndNoMore)
+{
+    Quota quota(QuotaOptions {});
+    quota.configure(*configurationOf(100, 200, QuotaUnit::Requests));
+    absl::Time now = absl::FromUnixSeconds(1);
+    for (int i = 0; i <= 50; ++i) { // 80 a second.
+        now += absl::Milliseconds(100);
+        quota.notePeer({ "leader/p", 1 }, { { "org", 8.0 * i } }, now);
+    }
+    now += absl::Seconds(1);
+    quota.retirePeer("leader/p", now);
+    BOOST_TEST(!quota.take(Org, 120, now).has_value()); // 200 less the 70 or so of that second.
+    BOOST_TEST(quota.take(Org, 30, now).has_value());
+    quota.notePeer({ "leader/q", 1 }, { { "org", 5000 } }, now);
+    now += absl::Seconds(3);
+    BOOST_TEST(!quota.take(Org, 190, now).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(peer_silentForLong_isNotTakenToGoOn)
 {
     Quota quota(QuotaOptions {});
