Loads of peers are kept as a sum

Change: one sum an engine, kept as peers tell; silent peers are taken off when their time is over. Test: peerLoads_toldAgainAndGoneSilent*.

--- a/include/zinniadoor/serving/engine_view.hpp
+++ b/include/zinniadoor/serving/engine_view.hpp
@@ -118,11 +118,17 @@
         absl::Time heard;
         absl::flat_hash_map<base::EndpointId, EngineLoad> loads;
     };
+    void takeOff(const PeerLoad &peer) const;
+
+    /// Drops peers that have not been heard for long.
+    void dropSilent(absl::Time now) const;
 
     std::vector<EngineInfo> engines_;
     absl::flat_hash_map<base::EndpointId, std::uint64_t> kvTokens_;
     absl::flat_hash_map<base::EndpointId, EngineLoad> own_;
-    absl::flat_hash_map<base::InstanceId, PeerLoad> peers_;
+    mutable absl::flat_hash_map<base::InstanceId, PeerLoad> peers_;
+    mutable absl::flat_hash_map<base::EndpointId, EngineLoad> peerSums_; ///< Of all `peers_`.
+    mutable absl::Time silentFrom_ = absl::InfiniteFuture(); ///< No peer is dropped earlier.
     absl::flat_hash_map<base::EndpointId, Cache> caches_;
 };
 
--- a/src/zinniadoor/serving/engine_view.cpp
+++ b/src/zinniadoor/serving/engine_view.cpp
@@ -102,7 +102,15 @@
                              absl::flat_hash_map<base::EndpointId, EngineLoad> loads,
                              absl::Time now)
 {
+    const auto known = peers_.find(peer);
+    if (known != peers_.end())
+        takeOff(known->second);
+    for (const auto &[engine, load] : loads) {
+        EngineLoad &sum = peerSums_[engine];
+        sum = sum + load;
+    }
     peers_[peer] = { now, std::move(loads) };
+    silentFrom_ = std::min(silentFrom_, now + PeerLoadLife);
 }
 
 EngineLoad EngineView::peerLoad(const base::InstanceId &peer, const base::EndpointId &engine,
@@ -115,17 +123,38 @@
     return found == known->second.loads.end() ? EngineLoad {} : found->second;
 }
 
-EngineLoad EngineView::load(const base::EndpointId &engine, absl::Time now) const
+void EngineView::takeOff(const PeerLoad &peer) const
 {
-    EngineLoad sum = ownLoad(engine);
-    for (const auto &[peer, load] : peers_) {
-        if (now - load.heard > PeerLoadLife)
-            continue;
-        const auto found = load.loads.find(engine);
-        if (found != load.loads.end())
-            sum = sum + found->second;
+    for (const auto &[engine, load] : peer.loads) {
+        const auto sum = peerSums_.find(engine);
+        if (sum != peerSums_.end())
+            sum->second = sum->second - load;
     }
-    return sum;
+}
+
+void EngineView::dropSilent(absl::Time now) const
+{
+    if (now <= silentFrom_)
+        return;
+    silentFrom_ = absl::InfiniteFuture();
+    for (auto it = peers_.begin(); it != peers_.end();) {
+        const auto current = it++;
+        const absl::Time end = current->second.heard + PeerLoadLife;
+        if (now > end) {
+            takeOff(current->second);
+            peers_.erase(current);
+        } else {
+            silentFrom_ = std::min(silentFrom_, end);
+        }
+    }
+}
+
+// Asked for each engine of each request: what many peers have told is kept as a sum.
+EngineLoad EngineView::load(const base::EndpointId &engine, absl::Time now) const
+{
+    dropSilent(now);
+    const auto found = peerSums_.find(engine);
+    return found == peerSums_.end() ? ownLoad(engine) : ownLoad(engine) + found->second;
 }
 
 void EngineView::noteParts(const base::EndpointId &engine, const std::vector<KeyedPart> &parts)
--- a/src/zinniadoor/serving/placement_test.cpp
+++ b/src/zinniadoor/serving/placement_test.cpp
@@ -285,6 +285,28 @@
     BOOST_TEST((place(prompt("q", 13000, 3000)).firstToken > free)); // It waits for a slot.
 }
 
+BOOST_AUTO_TEST_CASE(peerLoads_toldAgainAndGoneSilent_addUpToWhatWasToldLast)
+{
+    const base::EndpointId engine("w0");
+    absl::Time at = now;
+    for (int round = 0; round < 5; ++round) {
+        for (int peer = 0; peer < 30; ++peer) {
+            view.setPeerLoad(base::InstanceId(absl::StrCat("p", peer)),
+                             { { engine, EngineLoad::ofRequest(100 * peer, 1) } }, at);
+        }
+        at += absl::Milliseconds(300);
+    }
+    view.setPeerLoad(base::InstanceId("p29"), {}, at);
+    BOOST_TEST(view.load(engine, at).requests == 29u);
+    BOOST_TEST(view.load(engine, at).promptTokens[1] == 100u * 28 * 29 / 2);
+    at += absl::Milliseconds(2000);
+    view.setPeerLoad(base::InstanceId("p1"), { { engine, EngineLoad::ofRequest(7, 0) } }, at);
+    at += absl::Milliseconds(500); // All others have been silent for too long.
+    BOOST_TEST(view.load(engine, at).requests == 1u);
+    BOOST_TEST(view.load(engine, at).promptTokens[0] == 7u);
+    BOOST_TEST(view.load(engine, at + absl::Seconds(10)).requests == 0u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
