--- a/src/zinniadoor/gateway/log_follower.cpp
+++ b/src/zinniadoor/gateway/log_follower.cpp
@@ -29,7 +29,7 @@
 constexpr std::size_t MaxPartBytes = 1100;
 
 /// More than this is read from the store by each instance itself: it would take too long to tell.
-constexpr std::size_t MaxToldBytes = std::size_t { 24 } * 1024;
+constexpr std::size_t MaxToldBytes = std::size_t { 8 } * 1024;
 
 /// What a record takes beside its key and value.
 constexpr std::size_t RecordOverhead = 32;
--- a/src/zinniadoor/gateway/peer_link.cpp
+++ b/src/zinniadoor/gateway/peer_link.cpp
@@ -69,7 +69,7 @@
 /// Parts of logs go to many instances at once; they leave at a pace that sockets and slow links
 /// bear: so many bytes a step.
 constexpr absl::Duration PaceStep = absl::Milliseconds(10);
-constexpr std::size_t BytesPerStep = std::size_t { 16 } * 1024;
+constexpr std::size_t BytesPerStep = std::size_t { 4 } * 1024;
 
 /// Without the journal an instance goes by the peers that it hears from this time on.
 constexpr absl::Duration BlindStart = absl::Seconds(3);
