--- a/include/zinniadoor/gateway/peer_table.hpp
+++ b/include/zinniadoor/gateway/peer_table.hpp
@@ -65,7 +65,7 @@
         bool leads = false; ///< This instance leads its data centre.
         Membership membership;
     };
-    void setStanding(std::optional<Standing> standing) { standing_ = std::move(standing); }
+    void setStanding(const std::optional<Standing> &standing) { standing_ = standing; }
 
     /// This instance writes the usage counts of those that it hears directly.
     bool writesForOthers(absl::Time now) const;
--- a/src/zinniadoor/net/http_client_test.cpp
+++ b/src/zinniadoor/net/http_client_test.cpp
@@ -33,6 +33,8 @@
 
 struct HttpClientFixture
 {
+    static constexpr std::size_t KiloByte = 1024;
+
     static Request request(const std::string &body = "")
     {
         Request request(http::verb::post, "/run", 11);
@@ -202,7 +204,7 @@
     const auto call = start();
     BOOST_REQUIRE(arrived(0));
     listener.connection(0).write("HTTP/1.1 200 OK\r\nX-Long: ");
-    BOOST_TEST(endsWhileSent(*call, std::string(4096, 'a'), 64 * 1024));
+    BOOST_TEST(endsWhileSent(*call, std::string(4096, 'a'), 64 * KiloByte));
     BOOST_REQUIRE(call->failure);
     BOOST_TEST((call->failure->error == CallError::Malformed));
     BOOST_TEST(runUntil(io, [&] { return listener.connection(0).ended(); }));
@@ -212,7 +214,7 @@
 {
     const auto call = start();
     BOOST_REQUIRE(arrived(0));
-    BOOST_TEST(endsWhileSent(*call, std::string(4096, 'x'), 64 * 1024));
+    BOOST_TEST(endsWhileSent(*call, std::string(4096, 'x'), 64 * KiloByte));
     BOOST_REQUIRE(call->failure);
     BOOST_TEST((call->failure->error == CallError::Malformed));
 }
@@ -231,7 +233,7 @@
     const auto call = start();
     BOOST_REQUIRE(arrived(0));
     listener.connection(0).write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;");
-    BOOST_TEST(endsWhileSent(*call, std::string(16384, 'a'), 4 * 1024 * 1024));
+    BOOST_TEST(endsWhileSent(*call, std::string(16384, 'a'), 4 * KiloByte * KiloByte));
     BOOST_TEST(call->failure.has_value());
     BOOST_TEST(call->body.empty());
 }
@@ -243,8 +245,8 @@
     const auto call = start(std::move(options));
     BOOST_REQUIRE(arrived(0));
     listener.connection(0).write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
-    BOOST_TEST(
-        endsWhileSent(*call, "4000\r\n" + std::string(16384, 'a') + "\r\n", 4 * 1024 * 1024));
+    BOOST_TEST(endsWhileSent(*call, "4000\r\n" + std::string(16384, 'a') + "\r\n",
+                             4 * KiloByte * KiloByte));
     BOOST_TEST(call->failure.has_value());
 }
 
