Placement: speeds from the first samples; shared beginnings at home where nobody writes

Cause: an engine was taken to read 120 tokens a millisecond until some tens of long prompts had moved the mean. On the new customer's engines (about 40) a queue looked a third as long as it was, and an instance sees three long prompts a second. Beginnings had their homes among all engines, so that a home on a writing engine was read in place at half the speed. The time from the read prompt to the first token was a constant, a third of what it is there.

Change: running means start with the first samples; the first step is measured (answers whose prompt was read elsewhere, at writers with a free slot); homes are among engines that read, as long as there are any.

--- a/include/zinniadoor/gateway/speed_estimate.hpp
+++ b/include/zinniadoor/gateway/speed_estimate.hpp
@@ -21,6 +21,9 @@
     /// An answer was written in this time, from its first token to its end.
     void noteWriting(const std::string &service, absl::Duration time);
 
+    /// An answer whose prompt was read elsewhere began after this time at a writing engine.
+    void noteFirstStep(const std::string &service, absl::Duration time);
+
     /// A plain service's endpoint answered in `time`.
     void noteAnswer(const std::string &service, absl::Duration time);
 
@@ -30,7 +33,14 @@
     absl::Duration answerTime(const std::string &service) const;
 
 private:
-    absl::flat_hash_map<std::string, serving::EngineSpeeds> engines_;
+    struct Engines
+    {
+        serving::EngineSpeeds speeds;
+        std::uint32_t readSamples = 0;
+        std::uint32_t writingSamples = 0;
+        std::uint32_t firstStepSamples = 0;
+    };
+    absl::flat_hash_map<std::string, Engines> engines_;
     absl::flat_hash_map<std::string, absl::Duration> answers_;
 };
 
--- a/src/zinniadoor/gateway/exchange.cpp
+++ b/src/zinniadoor/gateway/exchange.cpp
@@ -197,6 +197,8 @@
 void Exchange::run()
 {
     phase_ = Phase::Running;
+    runBegan_ = context_.clock.now();
+    mayHaveWaited_ = context_.load.load(writer_.id, runBegan_).requests >= writer_.slots;
     Dispatch dispatch = dispatchTo(writer_);
     dispatch.prompt = prompt_;
     if (streamBegun_)
@@ -325,6 +327,8 @@
         if (!firstByteAt_) {
             firstByteAt_ = context_.clock.now();
             context_.metrics.observeFirstByte(*firstByteAt_ - arrived_);
+            if (prompt_ && !mayHaveWaited_)
+                context_.speeds.noteFirstStep(service_, *firstByteAt_ - runBegan_);
             writerLoad_.releaseTokens();
         }
         responder_->send(event.bytes);
--- a/src/zinniadoor/gateway/exchange_state.hpp
+++ b/src/zinniadoor/gateway/exchange_state.hpp
@@ -147,6 +147,8 @@
     absl::Time arrived_;
     absl::Time endsAt_;
     absl::Time callBegan_;
+    absl::Time runBegan_;
+    bool mayHaveWaited_ = false; ///< For a slot of the writer.
     EndpointChoice choice_;
     EndpointRecord reader_;
     EndpointRecord writer_;
--- a/src/zinniadoor/gateway/speed_estimate.cpp
+++ b/src/zinniadoor/gateway/speed_estimate.cpp
@@ -10,12 +10,18 @@
 constexpr double SampleWeight = 0.05;
 
 /// Prompts shorter than this say more about fixed costs than about speed.
-constexpr std::uint64_t MinSampleTokens = 4000;
+constexpr std::uint64_t MinSampleTokens = 2000;
 
 /// Speeds outside these bounds are measuring errors (tokens a millisecond).
 constexpr double MinReadSpeed = 10;
 constexpr double MaxReadSpeed = 5000;
 
+/// The first samples count in full, so that a wrong start is forgotten at once.
+double weightOf(std::uint32_t samples)
+{
+    return std::max(SampleWeight, 1.0 / samples);
+}
+
 } // namespace
 
 void SpeedEstimate::noteRead(const std::string &service, std::uint64_t tokens,
@@ -24,16 +30,27 @@
     // In place the speed depends on what else runs; only reading apart is measured.
     if (inPlace || tokens < MinSampleTokens || time <= absl::ZeroDuration())
         return;
-    const double sample = static_cast<double>(tokens + waiting) / absl::ToDoubleMilliseconds(time);
-    serving::EngineSpeeds &speeds = engines_[service];
-    speeds.readTokensPerMs += SampleWeight * (sample - speeds.readTokensPerMs);
-    speeds.readTokensPerMs = std::clamp(speeds.readTokensPerMs, MinReadSpeed, MaxReadSpeed);
+    const double sample
+        = std::clamp(static_cast<double>(tokens + waiting) / absl::ToDoubleMilliseconds(time),
+                     MinReadSpeed, MaxReadSpeed);
+    Engines &known = engines_[service];
+    known.readSamples += 1;
+    known.speeds.readTokensPerMs
+        += weightOf(known.readSamples) * (sample - known.speeds.readTokensPerMs);
 }
 
 void SpeedEstimate::noteWriting(const std::string &service, absl::Duration time)
 {
-    absl::Duration &mean = engines_[service].writing;
-    mean += SampleWeight * (time - mean);
+    Engines &known = engines_[service];
+    known.writingSamples += 1;
+    known.speeds.writing += weightOf(known.writingSamples) * (time - known.speeds.writing);
+}
+
+void SpeedEstimate::noteFirstStep(const std::string &service, absl::Duration time)
+{
+    Engines &known = engines_[service];
+    known.firstStepSamples += 1;
+    known.speeds.firstStep += weightOf(known.firstStepSamples) * (time - known.speeds.firstStep);
 }
 
 void SpeedEstimate::noteAnswer(const std::string &service, absl::Duration time)
@@ -46,7 +63,7 @@
 serving::EngineSpeeds SpeedEstimate::engine(const std::string &service) const
 {
     const auto found = engines_.find(service);
-    return found == engines_.end() ? serving::EngineSpeeds {} : found->second;
+    return found == engines_.end() ? serving::EngineSpeeds {} : found->second.speeds;
 }
 
 absl::Duration SpeedEstimate::answerTime(const std::string &service) const
--- a/src/zinniadoor/serving/placement.cpp
+++ b/src/zinniadoor/serving/placement.cpp
@@ -123,17 +123,18 @@
                                       const std::function<bool(const EngineInfo &)> &usable)
 {
     std::vector<const EngineInfo *> engines;
+    std::vector<const EngineInfo *> readers;
     std::vector<const EngineInfo *> writers;
     for (const EngineInfo &engine : view.engines()) {
         if (engine.service != facts.service || !usable(engine))
             continue;
         engines.push_back(&engine);
-        if (!engine.readsForOthers)
-            writers.push_back(&engine);
+        (engine.readsForOthers ? readers : writers).push_back(&engine);
     }
     if (writers.empty())
         return std::nullopt;
-    const base::EndpointId home = homeOf(engines, sharedKey(facts.parts));
+    const base::EndpointId home
+        = homeOf(readers.empty() ? writers : readers, sharedKey(facts.parts));
     std::uint64_t sharedTokens = 0;
     for (std::size_t i = 0; i + 1 < facts.parts.size(); ++i)
         sharedTokens += facts.parts[i].tokens;
--- a/src/zinniadoor/serving/placement_test.cpp
+++ b/src/zinniadoor/serving/placement_test.cpp
@@ -79,6 +79,17 @@
     }
 }
 
+// Load pattern: long prompts that share their beginnings, half of the engines writing.
+BOOST_AUTO_TEST_CASE(placePrompt_manyWriters_sharedBeginningsAreAtHomeWhereNobodyWrites)
+{
+    setEngines(6, 6);
+    for (int i = 0; i < 40; ++i) {
+        const EnginePlan plan = place(prompt(absl::StrCat("part", i), 13000, 3700));
+        BOOST_TEST(plan.reader.has_value(),
+                   "beginning " << i << " is read at " << plan.writer.str());
+    }
+}
+
 // Load pattern: short prompts at many instances that have not heard of each other's choices.
 BOOST_AUTO_TEST_CASE(placePrompt_manyShortPromptsUnseenByEachOther_areSpread)
 {
