Placement: what reading apart and in place costs beside the reading is measured

Cause: a prompt read apart was charged 12 ms beside its reading, one read in place nothing. So short prompts kept queueing at engines that read.

Change: running means of both overheads, from prompts too short to show the speed; each candidate is charged its own.

--- a/include/zinniadoor/gateway/speed_estimate.hpp
+++ b/include/zinniadoor/gateway/speed_estimate.hpp
@@ -14,9 +14,12 @@
 class SpeedEstimate
 {
 public:
-    /// An engine read `tokens` in `time`, after `waiting` tokens of others.
+    /// An engine read `tokens` apart in `time`, after `waiting` tokens of others.
     void noteRead(const std::string &service, std::uint64_t tokens, std::uint64_t waiting,
-                  absl::Duration time, bool inPlace);
+                  absl::Duration time);
+
+    /// A writing engine read `tokens` itself; its first token came after `time`.
+    void noteInPlace(const std::string &service, std::uint64_t tokens, absl::Duration time);
 
     /// An answer was written in this time, from its first token to its end.
     void noteWriting(const std::string &service, absl::Duration time);
@@ -33,12 +36,19 @@
     absl::Duration answerTime(const std::string &service) const;
 
 private:
+    struct RunningMean
+    {
+        void note(absl::Duration sample, absl::Duration &mean);
+        std::uint32_t samples = 0;
+    };
     struct Engines
     {
         serving::EngineSpeeds speeds;
         std::uint32_t readSamples = 0;
-        std::uint32_t writingSamples = 0;
-        std::uint32_t firstStepSamples = 0;
+        RunningMean readOverhead;
+        RunningMean firstStep;
+        RunningMean inPlaceOverhead;
+        RunningMean writing;
     };
     absl::flat_hash_map<std::string, Engines> engines_;
     absl::flat_hash_map<std::string, absl::Duration> answers_;
--- a/include/zinniadoor/serving/placement.hpp
+++ b/include/zinniadoor/serving/placement.hpp
@@ -28,8 +28,9 @@
 {
     double readTokensPerMs = 120; ///< Of an engine that reads for others.
     double inPlaceShare = 0.5; ///< Of that speed, on an engine that also writes answers.
-    absl::Duration handOver = absl::Milliseconds(12); ///< From one engine to another.
-    absl::Duration firstStep = absl::Milliseconds(15); ///< From the read prompt to the first token.
+    absl::Duration readOverhead = absl::Milliseconds(12); ///< Of a prompt that is read apart.
+    absl::Duration firstStep = absl::Milliseconds(15); ///< From that to the first token elsewhere.
+    absl::Duration inPlaceOverhead = absl::Milliseconds(15); ///< To the first token, in place.
     absl::Duration writing = absl::Milliseconds(200); ///< Of one answer; a slot is taken as long.
 };
 
--- a/src/zinniadoor/gateway/exchange.cpp
+++ b/src/zinniadoor/gateway/exchange.cpp
@@ -132,10 +132,10 @@
 {
     call_.reset();
     const absl::Time now = context_.clock.now();
+    readFor_ = now - callBegan_;
     readerLoad_.release();
     context_.directory.noteSuccess(reader_.id);
-    context_.speeds.noteRead(service_, choice_.tokensToRead, waitingTokens_, now - callBegan_,
-                             false);
+    context_.speeds.noteRead(service_, choice_.tokensToRead, waitingTokens_, *readFor_);
     prompt_ = PromptHandle { reader_.address, handle };
     promptTaken_ = false;
     promptReadBefore_ = true;
@@ -327,8 +327,7 @@
         if (!firstByteAt_) {
             firstByteAt_ = context_.clock.now();
             context_.metrics.observeFirstByte(*firstByteAt_ - arrived_);
-            if (prompt_ && !mayHaveWaited_)
-                context_.speeds.noteFirstStep(service_, *firstByteAt_ - runBegan_);
+            noteBegin(*firstByteAt_ - runBegan_);
             writerLoad_.releaseTokens();
         }
         responder_->send(event.bytes);
@@ -337,6 +336,16 @@
         armSilenceTimer(std::max(EventSilence, route_.longestGap * GapsUntilSilent));
 }
 
+void Exchange::noteBegin(absl::Duration time)
+{
+    if (!route_.carriesPrompt || mayHaveWaited_)
+        return;
+    if (prompt_)
+        context_.speeds.noteFirstStep(service_, time);
+    else
+        context_.speeds.noteInPlace(service_, choice_.tokensToRead, time);
+}
+
 void Exchange::onRunEnd()
 {
     call_.reset();
--- a/src/zinniadoor/gateway/exchange_end.cpp
+++ b/src/zinniadoor/gateway/exchange_end.cpp
@@ -79,6 +79,9 @@
                { "reason", why },
                { "endpoint", sendings_ > 0 ? writer_.id.str() : "" },
                { "sendings", std::to_string(sendings_) },
+               { "objective_ms", shortMs(route_.objective) },
+               { "read_ms", readFor_ ? shortMs(*readFor_) : "" },
+               { "begin_ms", firstByteAt_ ? shortMs(*firstByteAt_ - runBegan_) : "" },
                { "first_ms", firstByteAt_ ? shortMs(*firstByteAt_ - arrived_) : "" },
                { "total_ms", shortMs(now - arrived_) },
                { "version", configuration_ ? std::to_string(configuration_->version()) : "" } });
--- a/src/zinniadoor/gateway/exchange_state.hpp
+++ b/src/zinniadoor/gateway/exchange_state.hpp
@@ -105,6 +105,7 @@
     void noteBodyTaken();
     void endFlight(); ///< The body is not at the writer any more.
     void deliverEvents(absl::string_view bytes);
+    void noteBegin(absl::Duration time); ///< The first event came this long after the run's call.
     void startStream(const net::AnswerHead &head);
 
     void refuse(RefusalKind kind, const std::string &why,
@@ -148,6 +149,7 @@
     absl::Time endsAt_;
     absl::Time callBegan_;
     absl::Time runBegan_;
+    std::optional<absl::Duration> readFor_; ///< The last prompt read, from its sending on.
     bool mayHaveWaited_ = false; ///< For a slot of the writer.
     EndpointChoice choice_;
     EndpointRecord reader_;
--- a/src/zinniadoor/gateway/speed_estimate.cpp
+++ b/src/zinniadoor/gateway/speed_estimate.cpp
@@ -24,33 +24,54 @@
 
 } // namespace
 
+void SpeedEstimate::RunningMean::note(absl::Duration sample, absl::Duration &mean)
+{
+    mean += weightOf(++samples) * (sample - mean);
+}
+
 void SpeedEstimate::noteRead(const std::string &service, std::uint64_t tokens,
-                             std::uint64_t waiting, absl::Duration time, bool inPlace)
+                             std::uint64_t waiting, absl::Duration time)
 {
-    // In place the speed depends on what else runs; only reading apart is measured.
-    if (inPlace || tokens < MinSampleTokens || time <= absl::ZeroDuration())
+    if (time <= absl::ZeroDuration())
         return;
+    Engines &known = engines_[service];
+    if (tokens < MinSampleTokens) {
+        const auto reading = absl::Milliseconds(static_cast<double>(tokens + waiting)
+                                                / known.speeds.readTokensPerMs);
+        known.readOverhead.note(std::max(absl::ZeroDuration(), time - reading),
+                                known.speeds.readOverhead);
+        return;
+    }
+    known.readSamples += 1;
     const double sample
         = std::clamp(static_cast<double>(tokens + waiting) / absl::ToDoubleMilliseconds(time),
                      MinReadSpeed, MaxReadSpeed);
-    Engines &known = engines_[service];
-    known.readSamples += 1;
     known.speeds.readTokensPerMs
         += weightOf(known.readSamples) * (sample - known.speeds.readTokensPerMs);
 }
 
+void SpeedEstimate::noteInPlace(const std::string &service, std::uint64_t tokens,
+                                absl::Duration time)
+{
+    if (tokens >= MinSampleTokens)
+        return;
+    Engines &known = engines_[service];
+    const double speed = known.speeds.readTokensPerMs * known.speeds.inPlaceShare;
+    const auto reading = absl::Milliseconds(static_cast<double>(tokens) / speed);
+    known.inPlaceOverhead.note(std::max(absl::ZeroDuration(), time - reading),
+                               known.speeds.inPlaceOverhead);
+}
+
 void SpeedEstimate::noteWriting(const std::string &service, absl::Duration time)
 {
     Engines &known = engines_[service];
-    known.writingSamples += 1;
-    known.speeds.writing += weightOf(known.writingSamples) * (time - known.speeds.writing);
+    known.writing.note(time, known.speeds.writing);
 }
 
 void SpeedEstimate::noteFirstStep(const std::string &service, absl::Duration time)
 {
     Engines &known = engines_[service];
-    known.firstStepSamples += 1;
-    known.speeds.firstStep += weightOf(known.firstStepSamples) * (time - known.speeds.firstStep);
+    known.firstStep.note(time, known.speeds.firstStep);
 }
 
 void SpeedEstimate::noteAnswer(const std::string &service, absl::Duration time)
--- a/src/zinniadoor/serving/placement.cpp
+++ b/src/zinniadoor/serving/placement.cpp
@@ -155,10 +155,12 @@
             candidate.waitMs += slotWaitMs(*engine, load, speeds);
         candidate.readMs = static_cast<double>(candidate.tokensToRead) / speed;
         double disturbanceMs = 0;
-        if (engine->readsForOthers)
-            candidate.readMs += absl::ToDoubleMilliseconds(speeds.handOver);
-        else
+        if (engine->readsForOthers) {
+            candidate.readMs += absl::ToDoubleMilliseconds(speeds.readOverhead + speeds.firstStep);
+        } else {
             disturbanceMs = DisturbanceWeight * candidate.readMs * load.requests;
+            candidate.readMs += absl::ToDoubleMilliseconds(speeds.inPlaceOverhead);
+        }
         candidate.costMs
             = candidate.waitMs + candidate.readMs + disturbanceMs + SpreadMs * spreadOf(request, i);
         const std::uint64_t copied = sharedTokens - std::min(sharedTokens, cached);
@@ -169,7 +171,7 @@
     }
     EnginePlan plan;
     plan.tokensToRead = best.tokensToRead;
-    plan.firstToken = absl::Milliseconds(best.waitMs + best.readMs) + speeds.firstStep;
+    plan.firstToken = absl::Milliseconds(best.waitMs + best.readMs);
     if (best.engine->readsForOthers) {
         plan.reader = best.engine->id;
         const WriterChoice writer = pickWriter(writers, view, *best.engine, speeds, request, now);
