--- a/src/zinniadoor/gateway/fleet_duty.cpp
+++ b/src/zinniadoor/gateway/fleet_duty.cpp
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -67,6 +68,7 @@
         const absl::Time now = parts_.serving.clock.now();
         if (!parts_.lease.lease().mayAct(now)) {
             ordered_.clear();
+            lacking_.clear();
             return;
         }
         if (busy_ || !parts_.serving.configuration)
@@ -77,29 +79,30 @@
         }
     }
 
-    std::map<std::string, serving::FleetCounts> countServing(const Service &service) const
+    std::map<std::string, serving::FleetState> statesOf(const Service &service) const
     {
-        std::map<std::string, serving::FleetCounts> counts;
+        std::map<std::string, serving::FleetState> states;
         for (const auto &[dataCentre, price] : service.scaling->priceOf)
-            counts[dataCentre];
+            states[dataCentre].lacksReclaimable
+                = lacking_.count(placeOf(service.name, dataCentre)) > 0;
         for (const EndpointRecord *endpoint : parts_.serving.directory.all()) {
             if (endpoint->service != service.name || endpoint->leaving)
                 continue;
-            serving::FleetCounts &here = counts[endpoint->dataCentre.str()];
+            serving::FleetCounts &here = states[endpoint->dataCentre.str()].serving;
             ++(endpoint->reclaimable ? here.reclaimable : here.regular);
         }
-        return counts;
+        return states;
     }
 
     /// Sends the first order that is due; returns whether there was one.
     bool orderFor(const Service &service, absl::Time now)
     {
-        const auto serving = countServing(service);
+        const auto states = statesOf(service);
         const auto plan = serving::planFleet(
-            serving, { service.scaling->minPerDataCentre, service.scaling->maxPerDataCentre },
+            states, { service.scaling->minPerDataCentre, service.scaling->maxPerDataCentre },
             policy_);
         for (const auto &[dataCentre, goal] : plan) {
-            const serving::FleetCounts &here = serving.at(dataCentre);
+            const serving::FleetCounts &here = states.at(dataCentre).serving;
             for (const bool reclaimable : { true, false }) {
                 FleetOrder order;
                 order.service = service.name;
@@ -116,9 +119,14 @@
         return false;
     }
 
+    static std::string placeOf(const std::string &service, const std::string &dataCentre)
+    {
+        return absl::StrCat(service, "/", dataCentre);
+    }
+
     static std::string keyOf(const FleetOrder &order)
     {
-        return absl::StrCat(order.service, "/", order.dataCentre, "/", order.reclaimable);
+        return absl::StrCat(placeOf(order.service, order.dataCentre), "/", order.reclaimable);
     }
 
     bool isDue(const FleetOrder &order, std::uint32_t serving, absl::Duration startTime,
@@ -162,6 +170,10 @@
             ordered_[keyOf(order)].accepted = true;
         // A refusal may mean that none is to be had, or that another instance took over; the
         // lease log tells the second.
+        if (order.reclaimable && accepted)
+            lacking_.erase(placeOf(order.service, order.dataCentre));
+        else if (order.reclaimable && answer)
+            lacking_.insert(placeOf(order.service, order.dataCentre));
         logEvent(accepted ? EventId::FleetOrdered : EventId::FleetOrderFailed,
                  { { "service", order.service },
                    { "data_centre", order.dataCentre },
@@ -178,6 +190,7 @@
     FleetDutyParts parts_;
     serving::FleetPolicy policy_;
     std::map<std::string, Ordered> ordered_;
+    std::set<std::string> lacking_; ///< Services and data centres without reclaimable endpoints.
     bool busy_ = false;
     bool closed_ = false;
 };
--- a/src/zinniadoor/serving/fleet_plan.cpp
+++ b/src/zinniadoor/serving/fleet_plan.cpp
@@ -12,13 +12,19 @@
     return static_cast<std::uint32_t>(std::lround(maximum * share));
 }
 
-FleetCounts planDataCentre(const FleetCounts &serving, const FleetLimits &limits,
+FleetCounts planDataCentre(const FleetState &state, const FleetLimits &limits,
                            const FleetPolicy &policy)
 {
+    const FleetCounts &serving = state.serving;
     FleetCounts plan;
-    const std::uint32_t regularGoal
-        = std::clamp(shareOf(limits.maximum, policy.regularShare), limits.minimum, limits.maximum);
     const std::uint32_t reclaimableGoal = shareOf(limits.maximum, policy.reclaimableShare);
+    std::uint32_t regularGoal = shareOf(limits.maximum, policy.regularShare);
+    if (state.lacksReclaimable) {
+        const std::uint32_t missing
+            = reclaimableGoal - std::min(reclaimableGoal, serving.reclaimable);
+        regularGoal += shareOf(missing, policy.standInShare);
+    }
+    regularGoal = std::clamp(regularGoal, limits.minimum, limits.maximum);
     // What a reclaimable endpoint already does, a regular one need not do any more.
     const std::uint32_t replaceable
         = serving.regular - std::min(serving.regular, serving.reclaimable);
@@ -35,12 +41,12 @@
 
 } // namespace
 
-std::map<std::string, FleetCounts> planFleet(const std::map<std::string, FleetCounts> &serving,
+std::map<std::string, FleetCounts> planFleet(const std::map<std::string, FleetState> &states,
                                              const FleetLimits &limits, const FleetPolicy &policy)
 {
     std::map<std::string, FleetCounts> plan;
-    for (const auto &[dataCentre, counts] : serving)
-        plan[dataCentre] = planDataCentre(counts, limits, policy);
+    for (const auto &[dataCentre, state] : states)
+        plan[dataCentre] = planDataCentre(state, limits, policy);
     return plan;
 }
 
