Stages: writers by the slots that engines have; what does its part is left alone

Cause: a quarter of the engines wrote, whatever they hold. With 16 slots that is 144 slots for 100 to 150 answers at a time, so short answers waited 300 to 500 ms for a slot at each burst. Regular engines wrote first, so each change of the fleet swapped stages of engines that did their part, 3 s each; and a crash of a few engines took all writers of a data centre.

Change: writers have 8 slots for each engine of the service (0.25 to 0.65 of the engines); writers stay writers.

A share that follows the mix over minutes is not tried.

--- a/include/zinniadoor/serving/stage_plan.hpp
+++ b/include/zinniadoor/serving/stage_plan.hpp
@@ -13,11 +13,16 @@
     base::DataCentreId dataCentre;
     bool reclaimable = false;
     bool readsForOthers = false;
+    std::uint32_t slots = 1;
 };
 
 struct StagePolicy
 {
-    double writerShare = 0.25; ///< Of all engines; the others read prompts.
+    double leastWriters = 0.25; ///< Share of all engines; the others read prompts.
+    double mostWriters = 0.65;
+
+    /// Slots that the writing engines should have, for each engine of the service.
+    double slotsPerEngine = 8;
     std::uint32_t writersPerDataCentre = 2; ///< At least, as far as there are engines.
 };
 
@@ -27,9 +32,11 @@
     bool readsForOthers = false; ///< What it is to do.
 };
 
-/// The changes that bring the number of writers to its goal. Regular engines write first: a
-/// stream that breaks off costs more than a prompt that is read again. Engines that do what they
-/// should are left alone, so that there are no more changes than needed.
+/// Divides the engines of each data centre between writing answers and reading prompts, so that the
+/// writers have enough slots for the load of short answers on engines with few slots. It depends on
+/// the engines alone: a change takes an engine out for seconds and its memory out of the common
+/// order, so that the division does not follow swings of the load. What does its part is left
+/// alone; among the others regular engines write first, as they stay for longer.
 std::vector<StageChange> planStages(const std::vector<StagedEngine> &engines,
                                     const StagePolicy &policy);
 
--- a/src/zinniadoor/gateway/stage_duty.cpp
+++ b/src/zinniadoor/gateway/stage_duty.cpp
@@ -77,9 +77,9 @@
                 continue;
             ++engines;
             changing += now < mayOrderAt(endpoint->id) ? 1 : 0;
-            byService[endpoint->service].push_back({ endpoint->id, endpoint->dataCentre,
-                                                     endpoint->reclaimable,
-                                                     endpoint->stage == Stage::Prefill });
+            byService[endpoint->service].push_back(
+                { endpoint->id, endpoint->dataCentre, endpoint->reclaimable,
+                  endpoint->stage == Stage::Prefill, endpoint->slots });
         }
         if (static_cast<double>(changing) >= ChangingShare * static_cast<double>(engines))
             return;
--- a/src/zinniadoor/serving/placement_test.cpp
+++ b/src/zinniadoor/serving/placement_test.cpp
@@ -90,6 +90,22 @@
     }
 }
 
+// Load pattern: long prompts fill the engines that read, short ones come beside them.
+BOOST_AUTO_TEST_CASE(placePrompt_readersAreSlowWithShortPrompts_theyAreReadInPlace)
+{
+    setEngines(4, 4);
+    speeds.inPlaceOverhead = absl::Milliseconds(50);
+    speeds.readOverhead = absl::Milliseconds(350);
+    for (int i = 0; i < 10; ++i)
+        BOOST_TEST(!place(prompt(absl::StrCat("part", i), 90, 300)).reader.has_value());
+    speeds.readOverhead = absl::Milliseconds(20);
+    for (const char *writer : { "w0", "w1", "w2", "w3" }) {
+        for (int i = 0; i < 30; ++i)
+            view.addLoad(base::EndpointId(writer), EngineLoad::ofRequest(0, 0));
+    }
+    BOOST_TEST(place(prompt("part", 90, 300)).reader.has_value());
+}
+
 // Load pattern: short prompts at many instances that have not heard of each other's choices.
 BOOST_AUTO_TEST_CASE(placePrompt_manyShortPromptsUnseenByEachOther_areSpread)
 {
@@ -218,12 +234,12 @@
 {
     const FleetLimits limits { 1, 12 };
     const FleetPolicy policy; // 2 and 10 of 12.
-    auto plan = planFleet({ { "a", { 6, 0 } } }, limits, policy);
+    auto plan = planFleet({ { "a", { { 6, 0 } } } }, limits, policy);
     BOOST_TEST((plan["a"] == FleetCounts { 6, 6 }));
-    plan = planFleet({ { "a", { 6, 6 } } }, limits, policy);
+    plan = planFleet({ { "a", { { 6, 6 } } } }, limits, policy);
     BOOST_TEST(plan["a"].regular == 2u);
     BOOST_TEST(plan["a"].reclaimable >= 6u);
-    plan = planFleet({ { "a", { 2, 6 } } }, limits, policy);
+    plan = planFleet({ { "a", { { 2, 6 } } } }, limits, policy);
     BOOST_TEST((plan["a"] == FleetCounts { 2, 10 }));
 }
 
@@ -233,21 +249,65 @@
     const FleetPolicy policy; // 2 and 10 of 12.
     for (std::uint32_t regular = 0; regular <= 12; ++regular) {
         for (std::uint32_t reclaimable = 0; reclaimable <= 12; ++reclaimable) {
-            const auto plan = planFleet({ { "a", { regular, reclaimable } } }, limits, policy);
-            const FleetCounts counts = plan.at("a");
-            BOOST_TEST(counts.regular + counts.reclaimable <= limits.maximum);
-            BOOST_TEST(counts.regular >= limits.minimum);
+            for (const bool lacks : { false, true }) {
+                const auto plan
+                    = planFleet({ { "a", { { regular, reclaimable }, lacks } } }, limits, policy);
+                const FleetCounts counts = plan.at("a");
+                BOOST_TEST(counts.regular + counts.reclaimable <= limits.maximum);
+                BOOST_TEST(counts.regular >= limits.minimum);
+            }
         }
     }
 }
 
+// Load pattern: the reclaimable engines of a data centre go and none are to be had for a while.
+BOOST_AUTO_TEST_CASE(planFleet_noReclaimableToBeHad_regularOnesStandInUntilTheyServe)
+{
+    const FleetLimits limits { 1, 12 };
+    const FleetPolicy policy; // 2 and 10 of 12; regular ones stand in for 4 of 10.
+    auto plan = planFleet({ { "a", { { 2, 0 }, true } } }, limits, policy);
+    BOOST_TEST((plan["a"] == FleetCounts { 6, 6 }));
+    plan = planFleet({ { "a", { { 6, 0 }, true } } }, limits, policy); // They serve.
+    BOOST_TEST((plan["a"] == FleetCounts { 6, 6 }));
+    plan = planFleet({ { "a", { { 6, 0 }, false } } }, limits, policy); // An order was accepted.
+    BOOST_TEST((plan["a"] == FleetCounts { 6, 6 }));
+    plan = planFleet({ { "a", { { 6, 6 }, false } } }, limits, policy);
+    BOOST_TEST(plan["a"].regular == 2u);
+}
+
+// Load pattern: short answers, of which each engine has few slots.
+BOOST_AUTO_TEST_CASE(planStages_enginesWithFewSlots_moreOfThemWrite)
+{
+    for (const auto &[slots, writers] :
+         std::map<std::uint32_t, std::size_t> { { 8, 8 }, { 16, 6 }, { 24, 4 }, { 128, 3 } }) {
+        std::vector<StagedEngine> engines;
+        for (int i = 0; i < 12; ++i)
+            engines.push_back({ base::EndpointId(absl::StrCat("e", i)), base::DataCentreId("a"),
+                                true, true, slots });
+        BOOST_TEST(planStages(engines, {}).size() == writers, slots << " slots");
+    }
+}
+
+BOOST_AUTO_TEST_CASE(planStages_enoughWriters_regularNewcomersChangeNothing)
+{
+    std::vector<StagedEngine> engines;
+    for (int i = 0; i < 6; ++i)
+        engines.push_back(
+            { base::EndpointId(absl::StrCat("w", i)), base::DataCentreId("a"), true, false, 16 });
+    for (int i = 0; i < 6; ++i)
+        engines.push_back(
+            { base::EndpointId(absl::StrCat("r", i)), base::DataCentreId("a"), false, true, 16 });
+    BOOST_TEST(planStages(engines, {}).empty());
+}
+
 BOOST_AUTO_TEST_CASE(planStages_mixedEngines_regularOnesWriteAndFewChange)
 {
+    const StagePolicy usual;
     std::vector<StagedEngine> engines;
     for (int i = 0; i < 12; ++i)
-        engines.push_back({ base::EndpointId(absl::StrCat("e", i)), base::DataCentreId("a"), i >= 2,
-                            i % 3 == 0 });
-    const auto changes = planStages(engines, { 0.25, 2 });
+        engines.push_back(
+            { base::EndpointId(absl::StrCat("e", i)), base::DataCentreId("a"), i >= 2, true, 128 });
+    const auto changes = planStages(engines, usual);
     for (const StageChange &change : changes) {
         for (StagedEngine &engine : engines) {
             if (engine.id == change.engine)
@@ -260,7 +320,7 @@
     BOOST_TEST(writers == 3u);
     BOOST_TEST(!engines[0].readsForOthers);
     BOOST_TEST(!engines[1].readsForOthers);
-    BOOST_TEST(planStages(engines, { 0.25, 2 }).empty());
+    BOOST_TEST(planStages(engines, usual).empty());
 }
 
 BOOST_AUTO_TEST_CASE(planStages_dataCentreWithOneEngine_itWrites)
--- a/src/zinniadoor/serving/stage_plan.cpp
+++ b/src/zinniadoor/serving/stage_plan.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <map>
+#include <numeric>
 #include <tuple>
 
 namespace zinniadoor::serving {
@@ -13,11 +14,23 @@
 void sortByAptitude(std::vector<const StagedEngine *> &engines)
 {
     std::sort(engines.begin(), engines.end(), [](const auto *a, const auto *b) {
-        return std::tie(a->reclaimable, a->readsForOthers, a->id)
-            < std::tie(b->reclaimable, b->readsForOthers, b->id);
+        return std::tie(a->readsForOthers, a->reclaimable, a->id)
+            < std::tie(b->readsForOthers, b->reclaimable, b->id);
     });
 }
 
+std::size_t writerGoal(const std::vector<const StagedEngine *> &engines, const StagePolicy &policy)
+{
+    const auto count = static_cast<double>(engines.size());
+    const double slots = std::accumulate(
+        engines.begin(), engines.end(), 0.0,
+        [](double sum, const StagedEngine *engine) { return sum + engine->slots; });
+    const double share = std::clamp(policy.slotsPerEngine * count / std::max(slots, 1.0),
+                                    policy.leastWriters, policy.mostWriters);
+    const auto writers = static_cast<std::size_t>(std::ceil(share * count));
+    return std::min(engines.size(), std::max<std::size_t>(writers, policy.writersPerDataCentre));
+}
+
 } // namespace
 
 std::vector<StageChange> planStages(const std::vector<StagedEngine> &engines,
@@ -29,10 +42,7 @@
     std::vector<StageChange> changes;
     for (auto &[dataCentre, local] : byDataCentre) {
         sortByAptitude(local);
-        const auto share = static_cast<std::size_t>(
-            std::ceil(policy.writerShare * static_cast<double>(local.size())));
-        const std::size_t goal
-            = std::min(local.size(), std::max<std::size_t>(share, policy.writersPerDataCentre));
+        const std::size_t goal = writerGoal(local, policy);
         for (std::size_t i = 0; i < local.size(); ++i) {
             const bool reads = i >= goal;
             if (local[i]->readsForOthers != reads)
