Placement: beginnings are copied from engines that hold them

Engines copy 760 tokens a millisecond from each other. News of prompts was filled by short beginnings (92 tokens), of which there are eight times as many.

Change: a prompt call names an engine that is known to hold the beginning, or else its first home (its second one at the first), from which the engine fetches what it has. Placement counts the copy's time in place of reading, and charges a copy less for the memory. Beginnings under 1,024 tokens are not told to peers.

--- a/include/zinniadoor/gateway/configuration.hpp
+++ b/include/zinniadoor/gateway/configuration.hpp
@@ -66,6 +66,7 @@
 {
     std::uint32_t slots = 1;
     std::uint64_t kvTokens = 0; ///< Memory for prompts and answers.
+    double copyTokensPerMs = 0; ///< Of memory from one engine to another; 0: not known.
     absl::Duration handleTime; ///< How long a read prompt is held for another engine.
     absl::Duration stageChangeTime;
 };
--- a/include/zinniadoor/gateway/dialects.hpp
+++ b/include/zinniadoor/gateway/dialects.hpp
@@ -64,6 +64,7 @@
     base::OrganisationId organisation; ///< Empty on public routes.
     std::optional<int> enginePriority; ///< 0 (first) to 9.
     std::optional<PromptHandle> prompt; ///< Where to fetch the read prompt.
+    std::string copyFrom; ///< Address of an engine that holds the prompt's beginning, or nothing.
     std::optional<std::uint64_t> resumeAfter; ///< Last event that the caller already has.
 };
 
--- a/include/zinniadoor/serving/engine_view.hpp
+++ b/include/zinniadoor/serving/engine_view.hpp
@@ -65,6 +65,7 @@
     bool readsForOthers = false; ///< Prefill stage; else it writes answers.
     std::uint32_t slots = 1;
     std::uint64_t kvTokens = 0;
+    double copyTokensPerMs = 0; ///< Of prompts' memory from another engine; 0: not to be had.
 };
 
 /// What is known of the engines: load brought by this instance and its peers, and prompt parts
--- a/include/zinniadoor/serving/placement.hpp
+++ b/include/zinniadoor/serving/placement.hpp
@@ -39,6 +39,7 @@
 {
     std::optional<base::EndpointId> reader; ///< Reads the prompt; nothing: read in place.
     base::EndpointId writer;
+    std::optional<base::EndpointId> source; ///< The engine that reads copies the beginning from it.
     std::uint64_t tokensToRead = 0; ///< At the engine that reads.
     absl::Duration firstToken; ///< Expected time to it.
 };
--- a/src/zinniadoor/gateway/endpoint_choice.cpp
+++ b/src/zinniadoor/gateway/endpoint_choice.cpp
@@ -79,7 +79,7 @@
         };
         const auto plan = serving::placePrompt(prompt, context.load, speeds, now, usable);
         if (plan)
-            return EndpointChoice { plan->reader, plan->writer, plan->tokensToRead,
+            return EndpointChoice { plan->reader, plan->writer, plan->source, plan->tokensToRead,
                                     plan->firstToken };
     }
     return std::nullopt;
--- a/src/zinniadoor/gateway/endpoint_choice.hpp
+++ b/src/zinniadoor/gateway/endpoint_choice.hpp
@@ -12,6 +12,7 @@
 {
     std::optional<base::EndpointId> reader; ///< Reads the prompt first.
     base::EndpointId endpoint; ///< Runs the request.
+    std::optional<base::EndpointId> source; ///< Holds the prompt's beginning, to be copied.
     std::uint64_t tokensToRead = 0;
     absl::Duration firstByte; ///< Expected time to the answer's first byte.
 };
--- a/src/zinniadoor/gateway/exchange.cpp
+++ b/src/zinniadoor/gateway/exchange.cpp
@@ -92,6 +92,7 @@
                { "route", route_.name },
                { "endpoint", writer_.id.str() },
                { "reader", reader ? reader_.id.str() : "" },
+               { "copied_from", choice.source ? choice.source->str() : "" },
                { "sending", std::to_string(sendings_) },
                { "tokens_to_read", std::to_string(choice.tokensToRead) },
                { "tokens_waiting", std::to_string(waitingTokens_) },
@@ -122,7 +123,9 @@
         context_.load, reader_.id,
         serving::EngineLoad::ofRequest(static_cast<std::uint32_t>(choice.tokensToRead), rank()));
     writerLoad_ = LoadShare(context_.load, writer_.id, serving::EngineLoad::ofRequest(0, rank()));
-    net::Request request = context_.endpoints.readPrompt(request_, dispatchTo(reader_));
+    Dispatch dispatch = dispatchTo(reader_);
+    dispatch.copyFrom = copySource();
+    net::Request request = context_.endpoints.readPrompt(request_, dispatch);
     call_ = context_.client.start({ reader_.address, reader_.id.str() }, std::move(request),
                                   callOptions(),
                                   makePromptHandler(shared_from_this(), context_.endpoints));
@@ -201,6 +204,8 @@
     mayHaveWaited_ = context_.load.load(writer_.id, runBegan_).requests >= writer_.slots;
     Dispatch dispatch = dispatchTo(writer_);
     dispatch.prompt = prompt_;
+    if (!prompt_)
+        dispatch.copyFrom = copySource();
     if (streamBegun_)
         dispatch.resumeAfter = lastEvent_;
     context_.crashes.begin(bodyDigest_, writer_.id);
@@ -496,6 +501,13 @@
     return dispatch;
 }
 
+std::string Exchange::copySource() const
+{
+    const EndpointRecord *source
+        = choice_.source ? context_.directory.find(*choice_.source) : nullptr;
+    return source ? source->address : "";
+}
+
 std::size_t Exchange::rank() const
 {
     return static_cast<std::size_t>(std::max(route_.priority, 0));
--- a/src/zinniadoor/gateway/exchange_state.hpp
+++ b/src/zinniadoor/gateway/exchange_state.hpp
@@ -124,6 +124,7 @@
     void armSilenceTimer(absl::Duration time);
     absl::Duration timeLeft() const;
     absl::Duration firstByteLimit() const;
+    std::string copySource() const; ///< Address, or nothing.
     Dispatch dispatchTo(const EndpointRecord &endpoint) const;
     net::CallOptions callOptions() const;
     std::size_t rank() const;
--- a/src/zinniadoor/gateway/gateway.cpp
+++ b/src/zinniadoor/gateway/gateway.cpp
@@ -454,6 +454,8 @@
             : nullptr;
         if (service && service->engine)
             engine.kvTokens = service->engine->kvTokens;
+        if (service && service->engine)
+            engine.copyTokensPerMs = service->engine->copyTokensPerMs;
         return engine;
     }
 
--- a/src/zinniadoor/gateway/peer_link.cpp
+++ b/src/zinniadoor/gateway/peer_link.cpp
@@ -40,6 +40,9 @@
 
 /// A message stays below one packet of an ordinary network.
 constexpr std::size_t MaxPromptsPerMessage = 16;
+
+/// Beginnings of fewer tokens are read anew sooner than they are told of.
+constexpr std::uint64_t MinTokensTold = 1024;
 constexpr std::size_t MaxPromptsPerSums = 24;
 constexpr std::size_t MaxCrashesPerMessage = 8;
 
@@ -139,7 +142,10 @@
         // The last part is the request's own; nobody else will ask for it.
         for (std::size_t i = 0; i + 1 < parts.size(); ++i)
             news.parts.emplace_back(parts[i].key, parts[i].tokens);
-        if (!news.parts.empty())
+        std::uint64_t tokens = 0;
+        for (const auto &[key, length] : news.parts)
+            tokens += length;
+        if (tokens >= MinTokensTold)
             prompts_.push_back(std::move(news));
     }
 
--- a/src/zinniadoor/serving/placement.cpp
+++ b/src/zinniadoor/serving/placement.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 #include "absl/strings/str_cat.h"
 
@@ -15,6 +16,15 @@
 /// takes memory from other prompts.
 constexpr double CopyWeight = 1.0;
 
+/// The same of copying them from an engine that holds them.
+constexpr double FetchedCopyWeight = 0.3;
+
+/// Copies of less are not worth their call.
+constexpr std::uint64_t MinFetchTokens = 1024;
+
+/// Copies between data centres take longer by this factor.
+constexpr double OtherDataCentreCopy = 2;
+
 /// Cost of a further request at a writing engine, as time of the new one's first token.
 constexpr double StepPerRequestMs = 0.05;
 
@@ -50,23 +60,34 @@
     const EngineInfo *engine = nullptr;
     double waitMs = 0;
     double readMs = 0;
+    const EngineInfo *source = nullptr; ///< Of a copy of the beginning.
     std::uint64_t tokensToRead = 0;
     double costMs = std::numeric_limits<double>::infinity();
 };
 
-/// The engine of the list that all instances name first for a prompt's beginning.
-base::EndpointId homeOf(const std::vector<const EngineInfo *> &engines, PartKey key)
+/// The engines of the list that all instances name first and second for a prompt's beginning.
+struct Homes
+{
+    const EngineInfo *first = nullptr;
+    const EngineInfo *second = nullptr;
+};
+
+Homes homesOf(const std::vector<const EngineInfo *> &engines, PartKey key)
 {
-    const EngineInfo *best = nullptr;
-    std::uint64_t bestRank = 0;
+    Homes homes;
+    std::uint64_t firstRank = 0;
+    std::uint64_t secondRank = 0;
     for (const EngineInfo *engine : engines) {
         const std::uint64_t rank = detail::mixedDigest(absl::StrCat(engine->id.str(), "#", key));
-        if (!best || rank > bestRank) {
-            best = engine;
-            bestRank = rank;
+        if (!homes.first || rank > firstRank) {
+            homes.second = std::exchange(homes.first, engine);
+            secondRank = std::exchange(firstRank, rank);
+        } else if (!homes.second || rank > secondRank) {
+            homes.second = engine;
+            secondRank = rank;
         }
     }
-    return best ? best->id : base::EndpointId();
+    return homes;
 }
 
 /// The key by which a prompt is placed: that of its longest shared beginning.
@@ -77,6 +98,31 @@
     return parts.size() == 1 ? parts.front().key : parts[parts.size() - 2].key;
 }
 
+/// The engine that holds most of a prompt's beginning.
+struct Holder
+{
+    const EngineInfo *engine = nullptr;
+    std::uint64_t tokens = 0;
+};
+
+Holder findHolder(const std::vector<const EngineInfo *> &engines, const EngineView &view,
+                  const std::vector<KeyedPart> &parts)
+{
+    Holder best;
+    for (const EngineInfo *engine : engines) {
+        const std::uint64_t tokens = view.cachedTokens(engine->id, parts);
+        if (tokens > best.tokens)
+            best = { engine, tokens };
+    }
+    return best;
+}
+
+double fetchMs(const EngineInfo &to, const EngineInfo &from, std::uint64_t tokens)
+{
+    const double ms = static_cast<double>(tokens) / to.copyTokensPerMs;
+    return to.dataCentre == from.dataCentre ? ms : ms * OtherDataCentreCopy;
+}
+
 /// Time until a slot is free for a further answer, as answers end one after the other.
 double slotWaitMs(const EngineInfo &engine, const EngineLoad &load, const EngineSpeeds &speeds)
 {
@@ -133,11 +179,11 @@
     }
     if (writers.empty())
         return std::nullopt;
-    const base::EndpointId home
-        = homeOf(readers.empty() ? writers : readers, sharedKey(facts.parts));
+    const Homes homes = homesOf(readers.empty() ? writers : readers, sharedKey(facts.parts));
     std::uint64_t sharedTokens = 0;
     for (std::size_t i = 0; i + 1 < facts.parts.size(); ++i)
         sharedTokens += facts.parts[i].tokens;
+    const Holder holder = findHolder(engines, view, facts.parts);
     const PartKey request = facts.parts.empty() ? 0 : facts.parts.back().key;
     Candidate best;
     for (std::size_t i = 0; i < engines.size(); ++i) {
@@ -150,9 +196,26 @@
             view.cachedTokens(engine->id, facts.parts), facts.promptTokens);
         candidate.tokensToRead = facts.promptTokens - cached;
         const EngineLoad load = view.load(engine->id, now);
-        candidate.waitMs = static_cast<double>(load.tokensAhead(facts.rank)) / speed;
+        candidate.waitMs += static_cast<double>(load.tokensAhead(facts.rank)) / speed;
         if (!engine->readsForOthers)
             candidate.waitMs += slotWaitMs(*engine, load, speeds);
+        double copiedMs = 0; // Weighed cost of further copies of the beginning.
+        if (engine != homes.first)
+            copiedMs = CopyWeight
+                * static_cast<double>(sharedTokens - std::min(sharedTokens, cached)) / speed;
+        const std::uint64_t fetched = holder.tokens - std::min(holder.tokens, cached);
+        if (fetched >= MinFetchTokens && engine->copyTokensPerMs > 0) {
+            const double ms = fetchMs(*engine, *holder.engine, fetched);
+            if (ms < static_cast<double>(fetched) / speed) {
+                candidate.source = holder.engine;
+                candidate.tokensToRead -= std::min(fetched, candidate.tokensToRead);
+                candidate.waitMs += ms;
+                copiedMs *= FetchedCopyWeight;
+            }
+        } else if (cached == 0 && sharedTokens >= MinFetchTokens && engine->copyTokensPerMs > 0) {
+            // Nobody is known to hold it; others may have read it where they would look first.
+            candidate.source = engine == homes.first ? homes.second : homes.first;
+        }
         candidate.readMs = static_cast<double>(candidate.tokensToRead) / speed;
         double disturbanceMs = 0;
         if (engine->readsForOthers) {
@@ -161,16 +224,15 @@
             disturbanceMs = DisturbanceWeight * candidate.readMs * load.requests;
             candidate.readMs += absl::ToDoubleMilliseconds(speeds.inPlaceOverhead);
         }
-        candidate.costMs
-            = candidate.waitMs + candidate.readMs + disturbanceMs + SpreadMs * spreadOf(request, i);
-        const std::uint64_t copied = sharedTokens - std::min(sharedTokens, cached);
-        if (engine->id != home)
-            candidate.costMs += CopyWeight * static_cast<double>(copied) / speed;
+        candidate.costMs = candidate.waitMs + candidate.readMs + disturbanceMs + copiedMs
+            + SpreadMs * spreadOf(request, i);
         if (candidate.costMs < best.costMs)
             best = candidate;
     }
     EnginePlan plan;
     plan.tokensToRead = best.tokensToRead;
+    if (best.source)
+        plan.source = best.source->id;
     plan.firstToken = absl::Milliseconds(best.waitMs + best.readMs);
     if (best.engine->readsForOthers) {
         plan.reader = best.engine->id;
--- a/src/zinniadoor/serving/placement_test.cpp
+++ b/src/zinniadoor/serving/placement_test.cpp
@@ -37,6 +37,15 @@
         view.setEngines(engines);
     }
 
+    void setEnginesThatCopy(std::size_t readers, std::size_t writers)
+    {
+        setEngines(readers, writers);
+        std::vector<EngineInfo> engines = view.engines();
+        for (EngineInfo &info : engines)
+            info.copyTokensPerMs = 760;
+        view.setEngines(engines);
+    }
+
     PromptFacts prompt(const std::string &shared, std::uint32_t sharedTokens,
                        std::uint32_t ownTokens)
     {
@@ -106,6 +115,44 @@
     BOOST_TEST(place(prompt("part", 90, 300)).reader.has_value());
 }
 
+// Load pattern: more prompts of one beginning at a time than one engine reads.
+BOOST_AUTO_TEST_CASE(placePrompt_holderIsBusy_anotherReaderCopiesTheBeginning)
+{
+    setEnginesThatCopy(6, 6);
+    const PromptFacts first = prompt("a", 13000, 3700);
+    const base::EndpointId holder = place(first).reader.value();
+    view.noteParts(holder, first.parts);
+    BOOST_TEST(!place(prompt("a", 13000, 3700)).source.has_value());
+    view.addLoad(holder, EngineLoad::ofRequest(60000, 0));
+    const EnginePlan plan = place(prompt("a", 13000, 3700));
+    BOOST_TEST(plan.reader.value().str() != holder.str());
+    BOOST_REQUIRE(plan.source.has_value());
+    BOOST_TEST(plan.source->str() == holder.str());
+    BOOST_TEST(plan.tokensToRead == 3700u);
+}
+
+// Load pattern: instances that have not heard what others had read, and a home that is busy.
+BOOST_AUTO_TEST_CASE(placePrompt_nobodyKnownToHoldTheBeginning_firstHomeIsAskedForIt)
+{
+    setEnginesThatCopy(6, 6);
+    const PromptFacts facts = prompt("a", 13000, 3700);
+    const base::EndpointId home = place(facts).reader.value();
+    view.addLoad(home, EngineLoad::ofRequest(100000, 0));
+    const EnginePlan plan = place(facts);
+    BOOST_TEST(plan.reader.value().str() != home.str());
+    BOOST_TEST(plan.source.value().str() == home.str());
+    BOOST_TEST(plan.tokensToRead == 16700u); // Not counted on.
+}
+
+BOOST_AUTO_TEST_CASE(placePrompt_enginesThatCannotCopy_haveNoSource)
+{
+    setEngines(6, 6);
+    const PromptFacts facts = prompt("a", 13000, 3700);
+    BOOST_TEST(!place(facts).source.has_value());
+    view.noteParts(base::EndpointId("w0"), facts.parts);
+    BOOST_TEST(!place(prompt("a", 13000, 3700)).source.has_value());
+}
+
 // Load pattern: short prompts at many instances that have not heard of each other's choices.
 BOOST_AUTO_TEST_CASE(placePrompt_manyShortPromptsUnseenByEachOther_areSpread)
 {
