Placement at many instances: fresher loads, plain endpoints spread, silent engines last

Change: leaders and members pace their messages by bytes (256 KB/s, 128 KB/s), never slower than before; endpoints of a plain service that differ by less than 0.3 of their slots are taken in an order of each request's own; engines that turned requests away come before those that do not answer.

--- a/include/zinniadoor/gateway/endpoint_directory.hpp
+++ b/include/zinniadoor/gateway/endpoint_directory.hpp
@@ -43,6 +43,9 @@
     std::vector<const EndpointRecord *> usable(const std::string &service, absl::Time now) const;
     bool isUsable(const base::EndpointId &id, absl::Time now) const;
 
+    /// Whether calls to the endpoint failed lately, unlike one that only turned requests away.
+    bool isSuspected(const base::EndpointId &id, absl::Time now) const;
+
     /// Whether anything may be sent to the endpoint: it is not about to end, nor has it asked for
     /// a rest. Suspicions and pauses do not count.
     bool mayCall(const base::EndpointId &id, absl::Time now) const;
--- a/src/zinniadoor/gateway/endpoint_choice.cpp
+++ b/src/zinniadoor/gateway/endpoint_choice.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "absl/strings/str_cat.h"
+
 #include "zinniadoor/serving/placement.hpp"
 
 namespace zinniadoor::gateway {
@@ -16,6 +18,18 @@
 /// Cost of an endpoint in another data centre, as a part of one busy slot.
 constexpr double OtherDataCentreCost = 0.05;
 
+/// Endpoints that differ by less, as a part of all their slots, are taken in an order of each
+/// request's own: other instances choose by the same news.
+constexpr double PlainSpread = 0.3;
+
+/// A number of 0 to 1 that differs from endpoint to endpoint and from request to request.
+double spreadOf(const std::string &request, const base::EndpointId &endpoint)
+{
+    constexpr double Range = 18446744073709551616.0;
+    const std::uint64_t digest = serving::stableDigest(absl::StrCat(request, "#", endpoint.str()));
+    return static_cast<double>(digest) / Range;
+}
+
 std::optional<EndpointChoice> choosePlain(const ServingContext &context, const ChoiceFacts &facts,
                                           absl::Time now)
 {
@@ -28,14 +42,12 @@
                 continue;
             const double busy = static_cast<double>(context.load.load(endpoint->id, now).requests)
                 / std::max<std::uint32_t>(endpoint->slots, 1);
-            double cost = busy;
+            double cost = busy + PlainSpread * spreadOf(facts.request, endpoint->id);
             if (endpoint->dataCentre != context.dataCentre)
                 cost += OtherDataCentreCost;
             if (context.health.weight(endpoint->id, now) <= 0)
                 cost += 1000; // Only if there is no other.
-            const bool better
-                = !best || cost < bestCost || (cost == bestCost && endpoint->id < best->id);
-            if (better) {
+            if (!best || cost < bestCost) {
                 best = endpoint;
                 bestCost = cost;
                 bestBusy = busy;
@@ -62,8 +74,9 @@
     prompt.dataCentre = context.dataCentre;
     prompt.rank = facts.rank;
     const serving::EngineSpeeds speeds = context.speeds.engine(facts.service);
-    enum class Trust : std::uint8_t { Full, Usable, Any };
-    for (const Trust trust : { Trust::Full, Trust::Usable, Trust::Any }) {
+    // Where all others are full or paused, these come before those that do not answer.
+    enum class Trust : std::uint8_t { Full, Usable, Answering, Any };
+    for (const Trust trust : { Trust::Full, Trust::Usable, Trust::Answering, Trust::Any }) {
         const auto usable = [&](const serving::EngineInfo &engine) {
             if (facts.readInPlace && engine.readsForOthers)
                 return false;
@@ -71,6 +84,8 @@
                 return false;
             if (trust == Trust::Any)
                 return true;
+            if (trust == Trust::Answering)
+                return !context.directory.isSuspected(engine.id, now);
             if (!context.directory.isUsable(engine.id, now))
                 return false;
             return trust == Trust::Usable
--- a/src/zinniadoor/gateway/endpoint_choice.hpp
+++ b/src/zinniadoor/gateway/endpoint_choice.hpp
@@ -20,6 +20,7 @@
 struct ChoiceFacts
 {
     std::string service;
+    std::string request; ///< Its id.
     const std::vector<serving::KeyedPart> *parts = nullptr;
     std::uint32_t promptTokens = 0;
     bool carriesPrompt = false;
--- a/src/zinniadoor/gateway/endpoint_directory.cpp
+++ b/src/zinniadoor/gateway/endpoint_directory.cpp
@@ -100,6 +100,12 @@
     return found != entries_.end() && mayCall(found->second, now) && !isResting(found->second, now);
 }
 
+bool EndpointDirectory::isSuspected(const base::EndpointId &id, absl::Time now) const
+{
+    const auto found = entries_.find(id);
+    return found != entries_.end() && now < found->second.suspectedUntil;
+}
+
 bool EndpointDirectory::mayCall(const base::EndpointId &id, absl::Time now) const
 {
     const auto found = entries_.find(id);
--- a/src/zinniadoor/gateway/exchange.cpp
+++ b/src/zinniadoor/gateway/exchange.cpp
@@ -36,6 +36,7 @@
     phase_ = Phase::Deciding;
     ChoiceFacts facts;
     facts.service = service_;
+    facts.request = facts_.id;
     facts.parts = &parts_;
     facts.promptTokens = facts_.promptTokens;
     facts.carriesPrompt = route_.carriesPrompt;
--- a/src/zinniadoor/gateway/peer_link.cpp
+++ b/src/zinniadoor/gateway/peer_link.cpp
@@ -57,12 +57,18 @@
 constexpr absl::Duration MinCountsPause = absl::Milliseconds(250);
 constexpr int MessagesPerCounts = 3;
 
-/// Where news takes two hops: between messages to a leader, and between those of a leader; some of
-/// these also tell loads, which are longer.
+/// Where news takes two hops: longest pauses between messages to a leader, and between those of a
+/// leader; some of these also tell loads, which are longer.
 constexpr absl::Duration ReportPause = absl::Milliseconds(250);
 constexpr absl::Duration LeaderPause = absl::Milliseconds(250);
 constexpr absl::Duration LoadsPause = absl::Milliseconds(480);
 
+/// Shortest pause of a leader, and bytes a second that it sends to all and gets from its members:
+/// pauses are as short as these allow, since choices by old loads crowd the same engines.
+constexpr absl::Duration MinLeaderPause = absl::Milliseconds(80);
+constexpr double LeaderBytesPerSecond = 256 * 1024;
+constexpr double MembersBytesPerSecond = 128 * 1024;
+
 /// Between messages that tell all counts, in case that one that told a change was lost.
 constexpr absl::Duration AllCountsPause = absl::Seconds(1);
 
@@ -226,7 +232,7 @@
 
     void tickLeader()
     {
-        leaderTimer_.expires_after(absl::ToChronoMilliseconds(LeaderPause));
+        leaderTimer_.expires_after(absl::ToChronoMilliseconds(leaderPause_));
         leaderTimer_.async_wait([this](boost::system::error_code error) {
             if (error)
                 return;
@@ -267,7 +273,12 @@
         if (group_.hasLeaders() && !leader_)
             return; // The sums tell what this instance has, too.
         const std::size_t sent = sendToHearers(base::encode(nextMessage()));
-        if (!leader_) {
+        if (leader_) {
+            const std::size_t members = peers_.addressesIn(serving_.dataCentre).size();
+            pause_ = std::clamp(
+                absl::Seconds(static_cast<double>(sent * members) / MembersBytesPerSecond),
+                MinPause, ReportPause);
+        } else {
             pause_ = std::clamp(absl::Seconds(static_cast<double>(sent) / BytesPerSecond), MinPause,
                                 MaxPause);
         }
@@ -307,7 +318,7 @@
         message.estimateMs = absl::ToUnixMillis(serving_.trueTime.at(time));
         message.leader = leader_ ? leader_->instance : self_.instance;
         message.known = peers_.directMembership(time).known;
-        message.hasLoads = time - loadsToldAt_ >= LoadsPause;
+        message.hasLoads = time - loadsToldAt_ >= loadsPause_;
         if (message.hasLoads)
             loadsToldAt_ = time;
         message.hasAllCounts = time - allToldAt_ >= AllCountsPause;
@@ -317,8 +328,14 @@
         takeFirst(crashes_, MaxCrashesPerMessage, message.crashes);
         message.paused = pausedNow(time);
         const std::vector<base::EndpointId> engines = loadedEngines(time);
+        leaderBytes_ = 0;
         tellLeaders(message, engines, time);
         tellMembers(message, engines, time);
+        const absl::Duration pace
+            = absl::Seconds(static_cast<double>(leaderBytes_) / LeaderBytesPerSecond);
+        leaderPause_ = std::clamp(pace, MinLeaderPause, LeaderPause);
+        if (message.hasLoads)
+            loadsPause_ = std::clamp(pace, MinLeaderPause, LoadsPause);
         for (const auto &[organisation, sum] : sums_.total())
             toldSums_[organisation] = sum;
         for (const auto &[organisation, sum] : otherSums_.total())
@@ -359,7 +376,7 @@
         const std::string wholeBytes = base::encode(whole);
         const std::string bytes = message.hasAllCounts ? wholeBytes : base::encode(message);
         for (const std::string &address : group_.leaderAddresses(time))
-            socket_->send(address, noteTold(address, time) ? bytes : wholeBytes);
+            tellSums(address, noteTold(address, time) ? bytes : wholeBytes);
     }
 
     /// Returns whether sums were told there lately.
@@ -422,10 +439,16 @@
                                            sum.taken
                                                - sums_.contribution(instance, sum.organisation));
             }
-            socket_->send(address, base::encode(message));
+            tellSums(address, base::encode(message));
         }
     }
 
+    void tellSums(const std::string &address, const std::string &bytes)
+    {
+        socket_->send(address, bytes);
+        leaderBytes_ += bytes.size();
+    }
+
     static double sumOf(const TakenSums &sums, const std::string &organisation)
     {
         const auto found = sums.total().find(organisation);
@@ -854,6 +877,9 @@
     TakenCounts toldSums_;
     TakenCounts toldOtherSums_;
     absl::flat_hash_map<std::string, absl::Time> toldAt_; ///< Sums, by address.
+    absl::Duration leaderPause_ = LeaderPause;
+    absl::Duration loadsPause_ = LoadsPause;
+    std::size_t leaderBytes_ = 0; ///< Of the last sums told.
     absl::Time loadsToldAt_ = absl::InfinitePast();
     absl::Time allToldAt_ = absl::InfinitePast();
     std::vector<PromptNews> otherPrompts_; ///< Told by other leaders, for the members.
