Operations: zinniadoorctl losses, a table of what became of requests

Change: a report by route, outcome and slowest part, read as a stream.

Ruled out: a counter for each cause in the metrics; the log has the request ids that an operator goes on with.

--- a/src/zinniadoor/ctl/commands.cpp
+++ b/src/zinniadoor/ctl/commands.cpp
@@ -2,6 +2,7 @@
 
 #include "bundle_commands.hpp"
 #include "key_commands.hpp"
+#include "losses_command.hpp"
 #include "organisation_commands.hpp"
 #include "status_commands.hpp"
 #include "zinniadoor/ctl/command.hpp"
@@ -18,6 +19,7 @@
     addAll(organisationCommands());
     addAll(keyCommands());
     addAll(statusCommands());
+    all.push_back(lossesCommand());
     return all;
 }
 
--- /dev/null
+++ b/src/zinniadoor/ctl/losses_command.hpp
@@ -0,0 +1,12 @@
+#pragma once
+
+#include <memory>
+
+#include "zinniadoor/ctl/command.hpp"
+
+namespace zinniadoor::ctl {
+
+/// "losses".
+std::unique_ptr<Command> lossesCommand();
+
+} // namespace zinniadoor::ctl
