--- a/src/zinniadoor/serving/placement.cpp
+++ b/src/zinniadoor/serving/placement.cpp
@@ -162,6 +162,87 @@
     return best;
 }
 
+/// What all candidates for one prompt are judged by.
+struct Placement
+{
+    const PromptFacts &facts;
+    const EngineView &view;
+    const EngineSpeeds &speeds;
+    absl::Time now;
+    Homes homes;
+    Holder holder;
+    std::uint64_t sharedTokens = 0;
+    PartKey request = 0; ///< Key of the prompt's own part.
+};
+
+std::uint64_t sharedTokensOf(const std::vector<KeyedPart> &parts)
+{
+    std::uint64_t tokens = 0;
+    for (std::size_t i = 0; i + 1 < parts.size(); ++i)
+        tokens += parts[i].tokens;
+    return tokens;
+}
+
+/// Chooses where the candidate copies the beginning from. Returns the weighed cost of one more
+/// copy of it, in milliseconds.
+double planCopy(Candidate &candidate, std::uint64_t cached, double speed,
+                const Placement &placement)
+{
+    const EngineInfo &engine = *candidate.engine;
+    const Homes &homes = placement.homes;
+    const std::uint64_t sharedTokens = placement.sharedTokens;
+    double copyMs = 0;
+    if (&engine != homes.first) {
+        copyMs = CopyWeight * static_cast<double>(sharedTokens - std::min(sharedTokens, cached))
+            / speed;
+    }
+    if (engine.copyTokensPerMs <= 0)
+        return copyMs;
+    const Holder &holder = placement.holder;
+    const std::uint64_t fetched = holder.tokens - std::min(holder.tokens, cached);
+    if (holder.engine != &engine && fetched >= MinFetchTokens) {
+        const double ms = fetchMs(engine, *holder.engine, fetched);
+        if (ms >= static_cast<double>(fetched) / speed)
+            return copyMs;
+        candidate.source = holder.engine;
+        candidate.tokensToRead -= std::min(fetched, candidate.tokensToRead);
+        candidate.waitMs += ms;
+        return copyMs * FetchedCopyWeight;
+    }
+    // Nobody is known to hold it; others may have read it where they would look first.
+    if (cached == 0 && sharedTokens >= MinFetchTokens)
+        candidate.source = &engine == homes.first ? homes.second : homes.first;
+    return copyMs;
+}
+
+Candidate judge(const EngineInfo &engine, std::size_t index, const Placement &placement)
+{
+    const PromptFacts &facts = placement.facts;
+    const EngineSpeeds &speeds = placement.speeds;
+    Candidate candidate;
+    candidate.engine = &engine;
+    const double speed = speeds.readTokensPerMs * (engine.readsForOthers ? 1 : speeds.inPlaceShare);
+    const std::uint64_t cached = std::min<std::uint64_t>(
+        placement.view.cachedTokens(engine.id, facts.parts), facts.promptTokens);
+    candidate.tokensToRead = facts.promptTokens - cached;
+    const EngineLoad load = placement.view.load(engine.id, placement.now);
+    candidate.waitMs = static_cast<double>(load.tokensAhead(facts.rank)) / speed;
+    if (!engine.readsForOthers)
+        candidate.waitMs += slotWaitMs(engine, load, speeds);
+    const double copyMs = planCopy(candidate, cached, speed, placement);
+    candidate.readMs = static_cast<double>(candidate.tokensToRead) / speed;
+    double disturbanceMs = 0;
+    if (engine.readsForOthers) {
+        candidate.readMs += absl::ToDoubleMilliseconds(speeds.readOverhead + speeds.firstStep);
+    } else {
+        disturbanceMs = DisturbanceWeight * candidate.readMs * load.requests;
+        candidate.readMs += absl::ToDoubleMilliseconds(speeds.inPlaceOverhead);
+    }
+    candidate.costMs = candidate.waitMs + candidate.readMs + disturbanceMs + copyMs
+        + SpreadMs * spreadOf(placement.request, index);
+    return candidate;
+}
+
 } // namespace
 
 std::optional<EnginePlan> placePrompt(const PromptFacts &facts, const EngineView &view,
@@ -179,53 +260,18 @@
     }
     if (writers.empty())
         return std::nullopt;
-    const Homes homes = homesOf(readers.empty() ? writers : readers, sharedKey(facts.parts));
-    std::uint64_t sharedTokens = 0;
-    for (std::size_t i = 0; i + 1 < facts.parts.size(); ++i)
-        sharedTokens += facts.parts[i].tokens;
-    const Holder holder = findHolder(engines, view, facts.parts);
-    const PartKey request = facts.parts.empty() ? 0 : facts.parts.back().key;
+    const Placement placement { facts,
+                                view,
+                                speeds,
+                                now,
+                                homesOf(readers.empty() ? writers : readers,
+                                        sharedKey(facts.parts)),
+                                findHolder(engines, view, facts.parts),
+                                sharedTokensOf(facts.parts),
+                                facts.parts.empty() ? 0 : facts.parts.back().key };
     Candidate best;
     for (std::size_t i = 0; i < engines.size(); ++i) {
-        const EngineInfo *engine = engines[i];
-        Candidate candidate;
-        candidate.engine = engine;
-        const double speed
-            = speeds.readTokensPerMs * (engine->readsForOthers ? 1 : speeds.inPlaceShare);
-        const std::uint64_t cached = std::min<std::uint64_t>(
-            view.cachedTokens(engine->id, facts.parts), facts.promptTokens);
-        candidate.tokensToRead = facts.promptTokens - cached;
-        const EngineLoad load = view.load(engine->id, now);
-        candidate.waitMs += static_cast<double>(load.tokensAhead(facts.rank)) / speed;
-        if (!engine->readsForOthers)
-            candidate.waitMs += slotWaitMs(*engine, load, speeds);
-        double copiedMs = 0; // Weighed cost of further copies of the beginning.
-        if (engine != homes.first)
-            copiedMs = CopyWeight
-                * static_cast<double>(sharedTokens - std::min(sharedTokens, cached)) / speed;
-        const std::uint64_t fetched = holder.tokens - std::min(holder.tokens, cached);
-        if (fetched >= MinFetchTokens && engine->copyTokensPerMs > 0) {
-            const double ms = fetchMs(*engine, *holder.engine, fetched);
-            if (ms < static_cast<double>(fetched) / speed) {
-                candidate.source = holder.engine;
-                candidate.tokensToRead -= std::min(fetched, candidate.tokensToRead);
-                candidate.waitMs += ms;
-                copiedMs *= FetchedCopyWeight;
-            }
-        } else if (cached == 0 && sharedTokens >= MinFetchTokens && engine->copyTokensPerMs > 0) {
-            // Nobody is known to hold it; others may have read it where they would look first.
-            candidate.source = engine == homes.first ? homes.second : homes.first;
-        }
-        candidate.readMs = static_cast<double>(candidate.tokensToRead) / speed;
-        double disturbanceMs = 0;
-        if (engine->readsForOthers) {
-            candidate.readMs += absl::ToDoubleMilliseconds(speeds.readOverhead + speeds.firstStep);
-        } else {
-            disturbanceMs = DisturbanceWeight * candidate.readMs * load.requests;
-            candidate.readMs += absl::ToDoubleMilliseconds(speeds.inPlaceOverhead);
-        }
-        candidate.costMs = candidate.waitMs + candidate.readMs + disturbanceMs + copiedMs
-            + SpreadMs * spreadOf(request, i);
+        const Candidate candidate = judge(*engines[i], i, placement);
         if (candidate.costMs < best.costMs)
             best = candidate;
     }
@@ -236,7 +282,8 @@
     plan.firstToken = absl::Milliseconds(best.waitMs + best.readMs);
     if (best.engine->readsForOthers) {
         plan.reader = best.engine->id;
-        const WriterChoice writer = pickWriter(writers, view, *best.engine, speeds, request, now);
+        const WriterChoice writer
+            = pickWriter(writers, view, *best.engine, speeds, placement.request, now);
         plan.writer = writer.engine->id;
         plan.firstToken += absl::Milliseconds(writer.slotWaitMs);
     } else {
