Log how long parts of logs wait and why an instance reads a log

New: log_parts_delayed (755), log_records_read (756), the histogram zinniadoor_log_part_wait_seconds. The queue of parts became a class of its own, first in, first out as before; no decision changes.

--- a/include/zinniadoor/base/events.hpp
+++ b/include/zinniadoor/base/events.hpp
@@ -61,6 +61,8 @@
     PeerMessageRejected = 752,
     LogReaderChanged = 753,
     PeerLeaderChanged = 754,
+    LogPartsDelayed = 755,
+    LogRecordsRead = 756,
 };
 
 /// One row of the event table.
--- a/include/zinniadoor/gateway/gateway_metrics.hpp
+++ b/include/zinniadoor/gateway/gateway_metrics.hpp
@@ -23,6 +23,7 @@
     void countStoreFailure(const char *call);
     void observeFirstByte(absl::Duration time);
     void observeDuration(absl::Duration time);
+    void observeLogPartWait(absl::Duration time);
     void setReady(bool ready);
     void setConfigurationVersion(std::uint64_t version);
     void setEndpoints(std::size_t count);
--- a/include/zinniadoor/gateway/log_follower.hpp
+++ b/include/zinniadoor/gateway/log_follower.hpp
@@ -25,6 +25,9 @@
     bool relaysRecords = true; ///< False: too large to relay; others read from the store.
 };
 
+/// Name of a log in events and metrics.
+const char *nameOf(LogName log);
+
 /// Receives the records of a log that keeps the newest record of each key.
 class FollowerHandler
 {
--- /dev/null
+++ b/include/zinniadoor/gateway/paced_queue.hpp
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <cstddef>
+#include <deque>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "absl/time/time.h"
+
+#include "zinniadoor/gateway/log_part.hpp"
+
+namespace zinniadoor::gateway {
+
+/// Datagrams with parts of logs that wait to be sent at a bounded rate. Not thread-safe.
+class PacedQueue
+{
+public:
+    struct Datagram
+    {
+        std::string address;
+        std::shared_ptr<const std::string> bytes;
+        LogName log = LogName::Configuration;
+        absl::Duration waited; ///< Time in the queue.
+    };
+
+    /// Adds one datagram for each address.
+    void push(const std::vector<std::string> &addresses, const LogPart &part, absl::Time now);
+
+    /// Removes the datagram to send next; empty if there is none.
+    std::optional<Datagram> pop(absl::Time now);
+
+    /// Encoded size of all datagrams.
+    std::size_t bytes() const { return bytes_; }
+
+private:
+    struct Entry
+    {
+        std::string address;
+        std::shared_ptr<const std::string> bytes;
+        LogName log = LogName::Configuration;
+        absl::Time queuedAt;
+    };
+    std::deque<Entry> entries_;
+    std::size_t bytes_ = 0;
+};
+
+} // namespace zinniadoor::gateway
--- a/src/zinniadoor/base/events.cpp
+++ b/src/zinniadoor/base/events.cpp
@@ -258,6 +258,10 @@
           "The instance that reads a log for this data centre changed." },
         { EventId::PeerLeaderChanged, EventLevel::Info, "peer_leader_changed",
           "The instance that aggregates the updates of this data centre changed." },
+        { EventId::LogPartsDelayed, EventLevel::Warning, "log_parts_delayed",
+          "Parts of a log for other instances wait long to be sent." },
+        { EventId::LogRecordsRead, EventLevel::Info, "log_records_read",
+          "This instance read records of a log, and why it did." },
     };
     return table;
 }
--- a/src/zinniadoor/gateway/gateway_metrics.cpp
+++ b/src/zinniadoor/gateway/gateway_metrics.cpp
@@ -53,6 +53,12 @@
                                           .Help("Time to the end of requests.")
                                           .Register(registry)
                                           .Add({}, LatencyBounds);
+    prometheus::Histogram &logPartWait
+        = prometheus::BuildHistogram()
+              .Name("zinniadoor_log_part_wait_seconds")
+              .Help("Time that datagrams with parts of logs waited to be sent.")
+              .Register(registry)
+              .Add({}, LatencyBounds);
     prometheus::Gauge &ready = gauge("zinniadoor_ready", "1 while new callers are welcome.");
     prometheus::Gauge &version
         = gauge("zinniadoor_configuration_version", "Version of the configuration in force.");
@@ -107,6 +113,11 @@
     impl_->duration.Observe(absl::ToDoubleSeconds(time));
 }
 
+void GatewayMetrics::observeLogPartWait(absl::Duration time)
+{
+    impl_->logPartWait.Observe(absl::ToDoubleSeconds(time));
+}
+
 void GatewayMetrics::setReady(bool ready)
 {
     impl_->ready.Set(ready ? 1 : 0);
--- a/src/zinniadoor/gateway/log_follower.cpp
+++ b/src/zinniadoor/gateway/log_follower.cpp
@@ -34,9 +34,27 @@
 /// Encoded size of a record in addition to its key and value.
 constexpr std::size_t RecordOverhead = 32;
 
-const char *nameOf(LogName log)
+/// Why the log is read.
+enum class ReadCause {
+    Poll, ///< This instance is the reader, or has just read.
+    Gap, ///< A part showed records that this instance does not have.
+    Silence, ///< No parts for the relay timeout.
+    Retry, ///< The last read failed.
+};
+
+const char *nameOf(ReadCause cause)
 {
-    return log == LogName::Configuration ? "configuration" : "endpoints";
+    switch (cause) {
+    case ReadCause::Poll:
+        return "poll";
+    case ReadCause::Gap:
+        return "gap";
+    case ReadCause::Silence:
+        return "silence";
+    case ReadCause::Retry:
+        return "retry";
+    }
+    return "unknown";
 }
 
 std::size_t sizeOf(const LogPartRecord &record)
@@ -72,6 +90,7 @@
                 return;
             if (!newest) {
                 self->handler_->onFailure(newest.lastReason());
+                self->cause_ = ReadCause::Retry;
                 self->scheduleRead(self->nextRetry());
                 return;
             }
@@ -91,8 +110,10 @@
             return;
         const bool hasGap = part.from > nextOffset_; // An earlier part was lost.
         if (hasGap || (!part.includesRecords && part.to > nextOffset_)) {
-            if (!reading_)
+            if (!reading_) {
+                cause_ = ReadCause::Gap;
                 readTail();
+            }
             return;
         }
         for (const LogPartRecord &record : part.records) {
@@ -106,8 +127,10 @@
             return; // The sender will receive parts of this instance and stop reading.
         lastReceived_ = clock_.now();
         noteReader(false);
-        if (!reading_)
+        if (!reading_) {
+            cause_ = ReadCause::Silence;
             scheduleRead(relayTimeout_);
+        }
     }
 
     void stop()
@@ -138,9 +161,10 @@
         });
     }
 
-    absl::Duration nextDelay() const
+    absl::Duration nextDelay()
     {
         const absl::Duration silent = clock_.now() - lastReceived_;
+        cause_ = silent < relayTimeout_ ? ReadCause::Silence : ReadCause::Poll;
         return silent < relayTimeout_ ? relayTimeout_ - silent : options_.readInterval;
     }
 
@@ -165,7 +189,10 @@
                             return;
                         if (!read) {
                             self->handler_->onFailure(read.lastReason());
-                            self->scheduleRead(std::max(self->nextRetry(), self->nextDelay()));
+                            const absl::Duration delay
+                                = std::max(self->nextRetry(), self->nextDelay());
+                            self->cause_ = ReadCause::Retry;
+                            self->scheduleRead(delay);
                             return;
                         }
                         self->retries_ = 0;
@@ -175,6 +202,7 @@
                             self->readNewest();
                             return;
                         }
+                        self->logRead(from, *read, requestedAt);
                         self->apply(from, *read);
                         self->relayUpdates(from, requestedAt);
                         self->scheduleRead(self->nextOffset_ < read->end ? absl::ZeroDuration()
@@ -182,6 +210,24 @@
                     });
     }
 
+    void logRead(LogOffset from, const LogRecords &read, absl::Time requestedAt) const
+    {
+        // Endpoints write all the time; their reader would log each of its reads.
+        if (read.records.empty() || (options_.relaysRecords && cause_ == ReadCause::Poll))
+            return;
+        const absl::Time now = clock_.now();
+        const std::string silent = lastReceived_ == absl::InfinitePast()
+            ? ""
+            : std::to_string(absl::ToInt64Milliseconds(now - lastReceived_));
+        logEvent(EventId::LogRecordsRead,
+                 { { "log", nameOf(options_.log) },
+                   { "cause", nameOf(cause_) },
+                   { "from", std::to_string(from) },
+                   { "records", std::to_string(read.records.size()) },
+                   { "took_ms", std::to_string(absl::ToInt64Milliseconds(now - requestedAt)) },
+                   { "silent_ms", silent } });
+    }
+
     // Skips records that were received in relayed parts during the read.
     void apply(LogOffset from, const LogRecords &read)
     {
@@ -289,6 +335,7 @@
     LogOffset updatesFrom_ = 0;
     absl::Time lastReceived_ = absl::InfinitePast(); ///< Last part from a smaller rank.
     int retries_ = 0; ///< Consecutive failed reads, up to `MaxDoublings`.
+    ReadCause cause_ = ReadCause::Poll; ///< Of the read under way, or of the next one.
     bool tailing_ = false;
     bool reading_ = false;
     bool isReader_ = false;
@@ -311,6 +358,21 @@
 
 } // namespace
 
+const char *nameOf(LogName log)
+{
+    switch (log) {
+    case LogName::Configuration:
+        return "configuration";
+    case LogName::Endpoints:
+        return "endpoints";
+    case LogName::Lease:
+        return "lease";
+    case LogName::Journal:
+        return "journal";
+    }
+    return "unknown";
+}
+
 std::unique_ptr<LogFollower> makeLogFollower(boost::asio::io_context &context,
                                              const FollowerParts &parts,
                                              const FollowerOptions &options)
--- a/src/zinniadoor/gateway/peer_link.cpp
+++ b/src/zinniadoor/gateway/peer_link.cpp
@@ -1,7 +1,6 @@
 #include "zinniadoor/gateway/peer_link.hpp"
 
 #include <algorithm>
-#include <deque>
 #include <limits>
 
 #include <boost/asio/steady_timer.hpp>
@@ -12,6 +11,7 @@
 #include "zinniadoor/base/codec.hpp"
 #include "zinniadoor/base/events.hpp"
 #include "zinniadoor/gateway/consumption_totals.hpp"
+#include "zinniadoor/gateway/paced_queue.hpp"
 #include "zinniadoor/gateway/peer_group.hpp"
 #include "zinniadoor/net/datagram_socket.hpp"
 
@@ -81,6 +81,9 @@
 constexpr absl::Duration PaceStep = absl::Milliseconds(10);
 constexpr std::size_t BytesPerStep = std::size_t { 4 } * 1024;
 
+/// Parts that wait longer are logged: their receivers act on an old state of the log.
+constexpr absl::Duration LongPartWait = absl::Milliseconds(250);
+
 /// If the journal has not been read by this time after start, the membership is taken from received
 /// messages alone.
 constexpr absl::Duration JournalTimeout = absl::Seconds(3);
@@ -172,22 +175,19 @@
 
     void publish(const LogPart &part) override
     {
-        const std::string bytes = base::encode(part);
         if (!group_.hasLeaders()) {
-            sendPaced(peers_.addresses(), bytes);
+            sendPaced(peers_.addresses(), part);
             return;
         }
         if (!leader_) // Other leaders first, since they forward it.
-            sendPaced(group_.leaderAddresses(now()), bytes);
-        sendPaced(peers_.addressesIn(serving_.dataCentre), bytes);
+            sendPaced(group_.leaderAddresses(now()), part);
+        sendPaced(peers_.addressesIn(serving_.dataCentre), part);
     }
 
 private:
-    void sendPaced(const std::vector<std::string> &addresses, const std::string &bytes)
+    void sendPaced(const std::vector<std::string> &addresses, const LogPart &part)
     {
-        const auto shared = std::make_shared<const std::string>(bytes);
-        for (const std::string &address : addresses)
-            paced_.emplace_back(address, shared);
+        paced_.push(addresses, part, now());
         if (!pacing_)
             sendStep();
     }
@@ -195,10 +195,14 @@
     void sendStep()
     {
         std::size_t sent = 0;
-        while (!paced_.empty() && sent < BytesPerStep) {
-            socket_->send(paced_.front().first, *paced_.front().second);
-            sent += paced_.front().second->size();
-            paced_.pop_front();
+        while (sent < BytesPerStep) {
+            const auto datagram = paced_.pop(now());
+            if (!datagram)
+                break;
+            socket_->send(datagram->address, *datagram->bytes);
+            sent += datagram->bytes->size();
+            serving_.metrics.observeLogPartWait(datagram->waited);
+            noteWait(*datagram);
         }
         pacing_ = sent > 0;
         if (!pacing_)
@@ -210,6 +214,19 @@
         });
     }
 
+    /// Logs the first datagram of each period in which they wait too long.
+    void noteWait(const PacedQueue::Datagram &datagram)
+    {
+        const bool late = datagram.waited >= LongPartWait;
+        if (late && !partsLate_) {
+            logEvent(EventId::LogPartsDelayed,
+                     { { "log", nameOf(datagram.log) },
+                       { "waited_ms", std::to_string(absl::ToInt64Milliseconds(datagram.waited)) },
+                       { "queued_bytes", std::to_string(paced_.bytes()) } });
+        }
+        partsLate_ = late;
+    }
+
     void tick()
     {
         timer_.expires_after(absl::ToChronoMilliseconds(interval_));
@@ -584,7 +601,7 @@
         const bool fromElsewhere
             = peers_.dataCentreOf(part->sender.instance) != serving_.dataCentre;
         if (group_.hasLeaders() && !leader_ && fromElsewhere)
-            sendPaced(peers_.addressesIn(serving_.dataCentre), bytes);
+            sendPaced(peers_.addressesIn(serving_.dataCentre), *part);
         onPart_(*part);
     }
 
@@ -873,7 +890,8 @@
     boost::asio::steady_timer paceTimer_;
     bool pacing_ = false;
     bool stopping_ = false;
-    std::deque<std::pair<std::string, std::shared_ptr<const std::string>>> paced_; ///< By address.
+    PacedQueue paced_;
+    bool partsLate_ = false;
     ProcessName self_;
     PeerGroup group_;
     std::optional<GroupCandidate> leader_; ///< Empty: this instance leads, or full mesh.
