Send configuration notices before other parts of logs

Cause: notices of the configuration log waited in one first-in-first-out queue of 400 KB/s behind records of the endpoints' log, which one instance sends to 60 to 70 receivers.

They cannot hold up the other parts: each change of the configuration is one notice a receiver.

--- a/include/zinniadoor/gateway/paced_queue.hpp
+++ b/include/zinniadoor/gateway/paced_queue.hpp
@@ -13,7 +13,8 @@
 
 namespace zinniadoor::gateway {
 
-/// Datagrams with parts of logs that wait to be sent at a bounded rate. Not thread-safe.
+/// Datagrams with parts of logs that wait to be sent at a bounded rate. Parts of the configuration
+/// log go first: they are small, rare and due earliest. Not thread-safe.
 class PacedQueue
 {
 public:
@@ -42,7 +43,8 @@
         LogName log = LogName::Configuration;
         absl::Time queuedAt;
     };
-    std::deque<Entry> entries_;
+    std::deque<Entry> configuration_;
+    std::deque<Entry> others_;
     std::size_t bytes_ = 0;
 };
 
