Relay records of a log only as its reader

Cause: each instance that reads the store because a notice told it so relayed what it had read to all instances of its data centre, though the sender of the notice had done that. With 59 members an update of 8 KB made 59 x 58 x 8 KB, 27 MB, through links of 20 Mbit/s. Evidence: log_parts_delayed at 113 different instances within 2 s before traffic, most of them neither reader nor leader.

Why this works: a read that a part of another instance caused is relayed by that instance. Should it fail now, the records are still relayed: they stay among the updates that the next read of this instance repeats.

Test: follower_readsAfterPartWithoutRecords_relaysNothing, which failed on the code before (check listener.published.empty() has failed).

--- a/src/zinniadoor/gateway/log_follower.cpp
+++ b/src/zinniadoor/gateway/log_follower.cpp
@@ -204,7 +204,9 @@
                         }
                         self->logRead(from, *read, requestedAt);
                         self->apply(from, *read);
-                        self->relayUpdates(from, requestedAt);
+                        if (self->cause_ != ReadCause::Gap) // Otherwise others have relayed it.
+                            self->relayUpdates(requestedAt);
+                        self->discardUpdatesBefore(from);
                         self->scheduleRead(self->nextOffset_ < read->end ? absl::ZeroDuration()
                                                                          : self->nextDelay());
                     });
@@ -257,7 +259,7 @@
 
     // Repeats the records of the previous part, so that a single lost part is recovered by the
     // next.
-    void relayUpdates(LogOffset from, absl::Time requestedAt)
+    void relayUpdates(absl::Time requestedAt)
     {
         if (clock_.now() - lastReceived_ >= relayTimeout_)
             noteReader(true);
@@ -271,7 +273,6 @@
             relay_.publish(newPart(updatesFrom_, false));
         else if (current)
             relayRecords();
-        discardUpdatesBefore(from);
     }
 
     void relayRecords()
--- a/src/zinniadoor/gateway/log_follower_test.cpp
+++ b/src/zinniadoor/gateway/log_follower_test.cpp
@@ -273,6 +273,21 @@
     BOOST_TEST(until([&] { return listener.values.count("e1") == 1; }));
 }
 
+BOOST_AUTO_TEST_CASE(follower_readsAfterPartWithoutRecords_relaysNothing)
+{
+    const auto passive = follower(store, listener, nameWhich(true));
+    BOOST_REQUIRE(until([&] { return listener.current > 0; }));
+    passive->onPart(partOf(0, 0));
+    test::runBriefly(io);
+    listener.published.clear();
+    store.log.push_back("e1=1");
+    LogPart part = partOf(0, 1);
+    part.includesRecords = false;
+    passive->onPart(part);
+    BOOST_REQUIRE(until([&] { return listener.values.count("e1") == 1; }));
+    BOOST_TEST(listener.published.empty());
+}
+
 BOOST_AUTO_TEST_CASE(reader_relaysNoRecords_publishesRangeOnly)
 {
     const auto reader = follower(store, listener, "a", absl::Hours(1), false);
