Repeat a failed read at once while records are known to be missing

What callers saw: nothing proved; found by reading after the incident. An instance whose read failed waited for the retry delay and for a silence of the reader, whichever was longer: up to 0.52 of the configuration notice, although a part had told it that it is behind. Together with the timeout of the read (1.8 s at a notice of 4 s) and the parts that each second restart the silence, the notice could pass.

Why this works: the end of the log that parts have shown is kept; while the instance is behind it, only the retry delay counts, which doubles up to 0.2 of the notice. The read keeps its cause, so that a read repeated for a notice is not relayed.

Test: follower_readAfterGapFails_isRepeatedWithoutWaitingForSilence, which failed on the code before (the record was never read).

--- a/src/zinniadoor/gateway/log_follower.cpp
+++ b/src/zinniadoor/gateway/log_follower.cpp
@@ -39,7 +39,6 @@
     Poll, ///< This instance is the reader, or has just read.
     Gap, ///< A part showed records that this instance does not have.
     Silence, ///< No parts for the relay timeout.
-    Retry, ///< The last read failed.
 };
 
 const char *nameOf(ReadCause cause)
@@ -51,8 +50,6 @@
         return "gap";
     case ReadCause::Silence:
         return "silence";
-    case ReadCause::Retry:
-        return "retry";
     }
     return "unknown";
 }
@@ -90,12 +87,12 @@
                 return;
             if (!newest) {
                 self->handler_->onFailure(newest.lastReason());
-                self->cause_ = ReadCause::Retry;
                 self->scheduleRead(self->nextRetry());
                 return;
             }
             self->retries_ = 0;
             self->nextOffset_ = newest->end;
+            self->knownEnd_ = newest->end;
             self->discardUpdatesBefore(newest->end);
             self->tailing_ = true;
             self->handler_->onNewest(newest->records);
@@ -108,6 +105,7 @@
     {
         if (!handler_ || !tailing_ || part.to < nextOffset_)
             return;
+        knownEnd_ = std::max(knownEnd_, part.to);
         const bool hasGap = part.from > nextOffset_; // An earlier part was lost.
         if (hasGap || (!part.includesRecords && part.to > nextOffset_)) {
             if (!reading_) {
@@ -189,10 +187,9 @@
                             return;
                         if (!read) {
                             self->handler_->onFailure(read.lastReason());
-                            const absl::Duration delay
-                                = std::max(self->nextRetry(), self->nextDelay());
-                            self->cause_ = ReadCause::Retry;
-                            self->scheduleRead(delay);
+                            const absl::Duration retry = self->nextRetry();
+                            self->scheduleRead(
+                                self->isBehind() ? retry : std::max(retry, self->nextDelay()));
                             return;
                         }
                         self->retries_ = 0;
@@ -212,6 +209,8 @@
                     });
     }
 
+    bool isBehind() const { return nextOffset_ < knownEnd_; }
+
     void logRead(LogOffset from, const LogRecords &read, absl::Time requestedAt) const
     {
         // Endpoints write all the time; their reader would log each of its reads.
@@ -331,6 +330,7 @@
     std::uint64_t ownRank_;
     absl::Duration relayTimeout_;
     LogOffset nextOffset_ = 0;
+    LogOffset knownEnd_ = 0; ///< Largest end of a part.
     std::deque<LogPartRecord>
         updates_; ///< From `updatesFrom_` to `nextOffset_`, without heartbeats.
     LogOffset updatesFrom_ = 0;
--- a/src/zinniadoor/gateway/log_follower_test.cpp
+++ b/src/zinniadoor/gateway/log_follower_test.cpp
@@ -273,6 +273,22 @@
     BOOST_TEST(until([&] { return listener.values.count("e1") == 1; }));
 }
 
+BOOST_AUTO_TEST_CASE(follower_readAfterGapFails_isRepeatedWithoutWaitingForSilence)
+{
+    const auto passive = follower(store, listener, nameWhich(true));
+    BOOST_REQUIRE(until([&] { return listener.current > 0; }));
+    passive->onPart(partOf(0, 0));
+    test::runBriefly(io);
+    store.log.push_back("e1=1");
+    store.down = true;
+    LogPart part = partOf(0, 1);
+    part.includesRecords = false;
+    passive->onPart(part);
+    BOOST_REQUIRE(until([&] { return listener.failures > 0; }));
+    store.down = false;
+    BOOST_TEST(until([&] { return listener.values.count("e1") == 1; }));
+}
+
 BOOST_AUTO_TEST_CASE(follower_readsAfterPartWithoutRecords_relaysNothing)
 {
     const auto passive = follower(store, listener, nameWhich(true));
