Judge a relayed part by the time of its read, not of its arrival

What callers saw: no member of koforidua-e read the configuration log itself for 4.9 s, though its relay timeout is 1.6 to 2.1 s.

Cause: each part that arrived from the reader restarted the timeout, also one that had waited for seconds in queues and showed the log as it was before the change. The reads took 141 ms at most, so neither failed nor slow reads explain the delay.

Why this works: a part names its age when it is sent, summed over the hops of its way; the timeout runs from the time of the read. Wherever parts wait, members fall back to the store in bounded time. The format number of parts changes, so that instances of the two versions ignore each other's parts and read for themselves during a rolling upgrade.

Tests: follower_partsDelayedBeyondTimeout_readsStore, which failed on the code before with the age sent but ignored (the record was never read); delayedPart_sent_hasAgeOfBothHops.

--- a/include/zinniadoor/gateway/log_part.hpp
+++ b/include/zinniadoor/gateway/log_part.hpp
@@ -31,11 +31,12 @@
 /// A range of a log, sent to the other instances by the one that has just read it.
 struct LogPart
 {
-    static constexpr std::uint8_t CurrentFormat = 4; ///< Distinct from that of every other message.
+    static constexpr std::uint8_t CurrentFormat = 9; ///< Distinct from that of every other message.
 
     std::uint8_t format = CurrentFormat;
     ProcessName sender;
     LogName log = LogName::Endpoints;
+    std::uint32_t ageMs = 0; ///< Time since the store was read, when the part is sent.
     LogOffset from = 0;
     LogOffset to = 0; ///< Offset after the range.
     bool includesRecords = true; ///< False: read the range from the store.
@@ -44,7 +45,7 @@
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(format, sender, log, from, to, includesRecords, records);
+        archive(format, sender, log, ageMs, from, to, includesRecords, records);
     }
 };
 
--- a/include/zinniadoor/gateway/paced_queue.hpp
+++ b/include/zinniadoor/gateway/paced_queue.hpp
@@ -21,7 +21,7 @@
     struct Datagram
     {
         std::string address;
-        std::shared_ptr<const std::string> bytes;
+        std::string bytes;
         LogName log = LogName::Configuration;
         absl::Duration waited; ///< Time in the queue.
     };
@@ -29,7 +29,8 @@
     /// Adds one datagram for each address.
     void push(const std::vector<std::string> &addresses, const LogPart &part, absl::Time now);
 
-    /// Removes the datagram to send next; empty if there is none.
+    /// Removes the datagram to send next, with the age of its part at `now`; empty if there is
+    /// none.
     std::optional<Datagram> pop(absl::Time now);
 
     /// Encoded size of all datagrams.
@@ -39,8 +40,8 @@
     struct Entry
     {
         std::string address;
-        std::shared_ptr<const std::string> bytes;
-        LogName log = LogName::Configuration;
+        std::shared_ptr<const LogPart> part;
+        std::size_t bytes = 0; ///< Encoded size.
         absl::Time queuedAt;
     };
     std::deque<Entry> configuration_;
--- a/src/zinniadoor/gateway/configuration_delivery_test.cpp
+++ b/src/zinniadoor/gateway/configuration_delivery_test.cpp
@@ -2,6 +2,7 @@
 
 #include "absl/strings/str_cat.h"
 
+#include "zinniadoor/base/codec.hpp"
 #include "zinniadoor/gateway/paced_queue.hpp"
 
 namespace {
@@ -44,7 +45,7 @@
             const auto datagram = queue.pop(now);
             if (!datagram)
                 break;
-            sent += datagram->bytes->size();
+            sent += datagram->bytes.size();
             notices += datagram->log == LogName::Configuration ? 1 : 0;
             longestWait = std::max(longestWait, datagram->waited);
         }
@@ -79,6 +80,18 @@
     BOOST_TEST(notices == Receivers);
 }
 
+BOOST_AUTO_TEST_CASE(delayedPart_sent_hasAgeOfBothHops)
+{
+    LogPart part = notice();
+    part.ageMs = 300; // At an earlier hop.
+    queue.push(receivers(), part, now);
+    const auto datagram = queue.pop(now + absl::Milliseconds(250));
+    BOOST_REQUIRE(datagram.has_value());
+    const auto sent = base::decode<LogPart>(datagram->bytes);
+    BOOST_REQUIRE(static_cast<bool>(sent));
+    BOOST_TEST(sent->ageMs == 550u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
--- a/src/zinniadoor/gateway/log_follower.cpp
+++ b/src/zinniadoor/gateway/log_follower.cpp
@@ -123,12 +123,14 @@
         handler_->onCurrent();
         if (rankOf(part.sender) >= ownRank_)
             return; // The sender will receive parts of this instance and stop reading.
-        lastReceived_ = clock_.now();
+        // A part that was delayed on its way does not show what the log holds now.
+        const absl::Time shownAt = clock_.now() - absl::Milliseconds(part.ageMs);
+        if (shownAt <= lastShown_ || clock_.now() - shownAt >= relayTimeout_)
+            return;
+        lastShown_ = shownAt;
         noteReader(false);
-        if (!reading_) {
-            cause_ = ReadCause::Silence;
-            scheduleRead(relayTimeout_);
-        }
+        if (!reading_)
+            scheduleRead(nextDelay());
     }
 
     void stop()
@@ -161,7 +163,7 @@
 
     absl::Duration nextDelay()
     {
-        const absl::Duration silent = clock_.now() - lastReceived_;
+        const absl::Duration silent = clock_.now() - lastShown_;
         cause_ = silent < relayTimeout_ ? ReadCause::Silence : ReadCause::Poll;
         return silent < relayTimeout_ ? relayTimeout_ - silent : options_.readInterval;
     }
@@ -217,9 +219,9 @@
         if (read.records.empty() || (options_.relaysRecords && cause_ == ReadCause::Poll))
             return;
         const absl::Time now = clock_.now();
-        const std::string silent = lastReceived_ == absl::InfinitePast()
+        const std::string silent = lastShown_ == absl::InfinitePast()
             ? ""
-            : std::to_string(absl::ToInt64Milliseconds(now - lastReceived_));
+            : std::to_string(absl::ToInt64Milliseconds(now - lastShown_));
         logEvent(EventId::LogRecordsRead,
                  { { "log", nameOf(options_.log) },
                    { "cause", nameOf(cause_) },
@@ -260,7 +262,7 @@
     // next.
     void relayUpdates(absl::Time requestedAt)
     {
-        if (clock_.now() - lastReceived_ >= relayTimeout_)
+        if (clock_.now() - lastShown_ >= relayTimeout_)
             noteReader(true);
         std::size_t bytes = 0;
         for (const LogPartRecord &record : updates_)
@@ -334,7 +336,9 @@
     std::deque<LogPartRecord>
         updates_; ///< From `updatesFrom_` to `nextOffset_`, without heartbeats.
     LogOffset updatesFrom_ = 0;
-    absl::Time lastReceived_ = absl::InfinitePast(); ///< Last part from a smaller rank.
+
+    /// The latest time as of which a part from a smaller rank showed all records.
+    absl::Time lastShown_ = absl::InfinitePast();
     int retries_ = 0; ///< Consecutive failed reads, up to `MaxDoublings`.
     ReadCause cause_ = ReadCause::Poll; ///< Of the read under way, or of the next one.
     bool tailing_ = false;
--- a/src/zinniadoor/gateway/log_follower_test.cpp
+++ b/src/zinniadoor/gateway/log_follower_test.cpp
@@ -234,6 +234,20 @@
     BOOST_TEST(until([&] { return listener.values.count("e1") == 1; }));
 }
 
+BOOST_AUTO_TEST_CASE(follower_partsDelayedBeyondTimeout_readsStore)
+{
+    const auto passive = follower(store, listener, nameWhich(true), absl::Seconds(30));
+    BOOST_REQUIRE(until([&] { return listener.current > 0; }));
+    LogPart late = partOf(0, 0);
+    late.ageMs = 60000;
+    passive->onPart(late);
+    store.log.push_back("e1=1");
+    BOOST_TEST(until([&] {
+        passive->onPart(late);
+        return listener.values.count("e1") == 1;
+    }));
+}
+
 BOOST_AUTO_TEST_CASE(follower_partAfterGap_readsAtOnce)
 {
     store.log = { "e1=1" };
--- a/src/zinniadoor/gateway/paced_queue.cpp
+++ b/src/zinniadoor/gateway/paced_queue.cpp
@@ -8,11 +8,11 @@
                       absl::Time now)
 {
     std::deque<Entry> &entries = part.log == LogName::Configuration ? configuration_ : others_;
-    const auto bytes = std::make_shared<const std::string>(base::encode(part));
-    for (const std::string &address : addresses) {
-        entries.push_back({ address, bytes, part.log, now });
-        bytes_ += bytes->size();
-    }
+    const auto shared = std::make_shared<const LogPart>(part);
+    const std::size_t bytes = base::encode(part).size();
+    for (const std::string &address : addresses)
+        entries.push_back({ address, shared, bytes, now });
+    bytes_ += bytes * addresses.size();
 }
 
 std::optional<PacedQueue::Datagram> PacedQueue::pop(absl::Time now)
@@ -22,8 +22,11 @@
         return std::nullopt;
     const Entry entry = std::move(entries.front());
     entries.pop_front();
-    bytes_ -= entry.bytes->size();
-    return Datagram { entry.address, entry.bytes, entry.log, now - entry.queuedAt };
+    bytes_ -= entry.bytes;
+    const absl::Duration waited = now - entry.queuedAt;
+    LogPart part = *entry.part;
+    part.ageMs += static_cast<std::uint32_t>(absl::ToInt64Milliseconds(waited));
+    return Datagram { entry.address, base::encode(part), part.log, waited };
 }
 
 } // namespace zinniadoor::gateway
--- a/src/zinniadoor/gateway/peer_link.cpp
+++ b/src/zinniadoor/gateway/peer_link.cpp
@@ -199,8 +199,8 @@
             const auto datagram = paced_.pop(now());
             if (!datagram)
                 break;
-            socket_->send(datagram->address, *datagram->bytes);
-            sent += datagram->bytes->size();
+            socket_->send(datagram->address, datagram->bytes);
+            sent += datagram->bytes.size();
             serving_.metrics.observeLogPartWait(datagram->waited);
             noteWait(*datagram);
         }
