Bound the wait of parts of logs

Endpoints that leave are announced through the same queue, so a leaving one could be sent requests long after its notice.

Cause: nothing bounded the queue. The reader relays up to 8 KB each second, each record twice, to 60 to 80 receivers: 640 KB/s into a queue of 400 KB/s, and a leader forwards whatever it receives. Evidence: 390 to 766 KB queued before traffic.

Change: a part that would wait over 0.5 s is sent without its records, and its receivers read them from the store, as they do for updates over 8 KB. The reader asks for the capacity first: the repetition of the previous records is left out before the records themselves.

Why this works: each hop adds at most 0.5 s, whatever the number of receivers.

--- a/include/zinniadoor/gateway/log_follower.hpp
+++ b/include/zinniadoor/gateway/log_follower.hpp
@@ -53,6 +53,9 @@
 public:
     virtual ~LogRelay() = default;
     virtual void publish(const LogPart &part) = 0;
+
+    /// Number of bytes of records that can be published now without long waits.
+    virtual std::size_t capacity() const = 0;
 };
 
 /// Follows a keyed log, starting with its newest records; starts over if the store has trimmed
--- a/include/zinniadoor/gateway/paced_queue.hpp
+++ b/include/zinniadoor/gateway/paced_queue.hpp
@@ -18,6 +18,16 @@
 class PacedQueue
 {
 public:
+    /// Send rate. Sending in small steps keeps socket buffers and slow links from overflowing.
+    static constexpr int StepMs = 10;
+    static constexpr absl::Duration Step = absl::Milliseconds(StepMs);
+    static constexpr std::size_t BytesPerStep = std::size_t { 4 } * 1024;
+
+    /// Longest time in the queue. Two hops and the interval between reads take less than the
+    /// relay timeout of a follower.
+    static constexpr int MaxSteps = 50;
+    static constexpr absl::Duration MaxWait = absl::Milliseconds(MaxSteps * StepMs);
+
     struct Datagram
     {
         std::string address;
@@ -26,7 +36,12 @@
         absl::Duration waited; ///< Time in the queue.
     };
 
-    /// Adds one datagram for each address.
+    /// Number of bytes of a part, or of an update of several parts, that can be sent to this number
+    /// of receivers within `MaxWait`.
+    std::size_t capacityFor(std::size_t receivers) const;
+
+    /// Adds one datagram for each address. A part that would wait too long is sent without its
+    /// records; its receivers read them from the store.
     void push(const std::vector<std::string> &addresses, const LogPart &part, absl::Time now);
 
     /// Removes the datagram to send next, with the age of its part at `now`; empty if there is
@@ -44,6 +59,9 @@
         std::size_t bytes = 0; ///< Encoded size.
         absl::Time queuedAt;
     };
+
+    static constexpr std::size_t MaxBytes = BytesPerStep * MaxSteps;
+
     std::deque<Entry> configuration_;
     std::deque<Entry> others_;
     std::size_t bytes_ = 0;
--- a/src/zinniadoor/gateway/configuration_delivery_test.cpp
+++ b/src/zinniadoor/gateway/configuration_delivery_test.cpp
@@ -11,8 +11,6 @@
 using namespace zinniadoor::gateway;
 
 constexpr std::size_t Receivers = 70;
-constexpr absl::Duration Step = absl::Milliseconds(10);
-constexpr std::size_t BytesPerStep = std::size_t { 4 } * 1024;
 
 /// The relaying instance of a data centre: sends at a bounded rate, on a virtual clock.
 struct ConfigurationDeliveryFixture
@@ -41,7 +39,7 @@
     {
         std::size_t sent = 0;
         std::size_t notices = 0;
-        while (sent < BytesPerStep) {
+        while (sent < PacedQueue::BytesPerStep) {
             const auto datagram = queue.pop(now);
             if (!datagram)
                 break;
@@ -49,7 +47,7 @@
             notices += datagram->log == LogName::Configuration ? 1 : 0;
             longestWait = std::max(longestWait, datagram->waited);
         }
-        now += Step;
+        now += PacedQueue::Step;
         return notices;
     }
 
@@ -80,6 +78,24 @@
     BOOST_TEST(notices == Receivers);
 }
 
+BOOST_AUTO_TEST_CASE(endpointUpdates_fasterThanLink_doNotPileUp)
+{
+    constexpr int StepsPerUpdate = 100;
+    for (std::size_t updateBytes : { 500u, 1000u, 3000u, 8000u }) {
+        queue = PacedQueue();
+        longestWait = absl::ZeroDuration();
+        for (int step = 0; step < 60 * StepsPerUpdate; ++step) {
+            if (step % StepsPerUpdate == 0) {
+                for (std::size_t sent = 0; sent < updateBytes; sent += 1000)
+                    queue.push(receivers(), endpointPart(std::min<std::size_t>(updateBytes, 1000)),
+                               now);
+            }
+            sendStep();
+        }
+        BOOST_TEST(longestWait <= PacedQueue::MaxWait, updateBytes << " bytes an update");
+    }
+}
+
 BOOST_AUTO_TEST_CASE(delayedPart_sent_hasAgeOfBothHops)
 {
     LogPart part = notice();
--- a/src/zinniadoor/gateway/log_follower.cpp
+++ b/src/zinniadoor/gateway/log_follower.cpp
@@ -204,7 +204,7 @@
                         self->logRead(from, *read, requestedAt);
                         self->apply(from, *read);
                         if (self->cause_ != ReadCause::Gap) // Otherwise others have relayed it.
-                            self->relayUpdates(requestedAt);
+                            self->relayUpdates(from, requestedAt);
                         self->discardUpdatesBefore(from);
                         self->scheduleRead(self->nextOffset_ < read->end ? absl::ZeroDuration()
                                                                          : self->nextDelay());
@@ -260,20 +260,28 @@
 
     // Repeats the records of the previous part, so that a single lost part is recovered by the
     // next.
-    void relayUpdates(absl::Time requestedAt)
+    void relayUpdates(LogOffset from, absl::Time requestedAt)
     {
         if (clock_.now() - lastShown_ >= relayTimeout_)
             noteReader(true);
+        // If this process was suspended during the read, the result may be stale.
+        if (clock_.now() - requestedAt > options_.readWait + options_.relayTimeout / 2)
+            return;
+        const std::size_t capacity = std::min(MaxRelayedBytes, relay_.capacity());
+        if (options_.relaysRecords && bytesOfUpdates() > capacity)
+            discardUpdatesBefore(from); // Without the repetition, they may fit.
+        if (updates_.empty() || (options_.relaysRecords && bytesOfUpdates() <= capacity))
+            relayRecords();
+        else
+            relay_.publish(newPart(updatesFrom_, false));
+    }
+
+    std::size_t bytesOfUpdates() const
+    {
         std::size_t bytes = 0;
         for (const LogPartRecord &record : updates_)
             bytes += sizeOf(record);
-        // If this process was suspended during the read, the result may be stale.
-        const bool current
-            = clock_.now() - requestedAt <= options_.readWait + options_.relayTimeout / 2;
-        if (current && !updates_.empty() && (!options_.relaysRecords || bytes > MaxRelayedBytes))
-            relay_.publish(newPart(updatesFrom_, false));
-        else if (current)
-            relayRecords();
+        return bytes;
     }
 
     void relayRecords()
--- a/src/zinniadoor/gateway/log_follower_test.cpp
+++ b/src/zinniadoor/gateway/log_follower_test.cpp
@@ -115,10 +115,12 @@
         if (publishHook)
             publishHook(part);
     }
+    std::size_t capacity() const override { return relayCapacity; }
 
     std::map<std::string, std::string> values;
     std::vector<LogPart> published;
     std::function<void(const LogPart &)> publishHook;
+    std::size_t relayCapacity = 100000; ///< Bytes.
     int current = 0;
     int failures = 0;
 };
@@ -329,6 +331,35 @@
     BOOST_TEST(listener.published.back().records.empty());
 }
 
+BOOST_AUTO_TEST_CASE(reader_updateExceedsCapacity_publishesRangeOnly)
+{
+    const auto reader = follower(store, listener, "a");
+    BOOST_REQUIRE(until([&] { return listener.current > 0; }));
+    listener.relayCapacity = 100;
+    store.log.push_back("e1=" + std::string(500, 'x'));
+    BOOST_REQUIRE(
+        until([&] { return !listener.published.empty() && listener.published.back().to == 1u; }));
+    BOOST_TEST(!listener.published.back().includesRecords);
+}
+
+BOOST_AUTO_TEST_CASE(reader_repetitionExceedsCapacity_isOmitted)
+{
+    const auto reader = follower(store, listener, "a");
+    BOOST_REQUIRE(until([&] { return listener.current > 0; }));
+    listener.relayCapacity = 700;
+    store.log.push_back("e1=" + std::string(500, 'x'));
+    BOOST_REQUIRE(
+        until([&] { return !listener.published.empty() && listener.published.back().to == 1u; }));
+    listener.published.clear();
+    store.log.push_back("e2=" + std::string(500, 'x'));
+    BOOST_REQUIRE(
+        until([&] { return !listener.published.empty() && listener.published.back().to == 2u; }));
+    const auto part = std::find_if(listener.published.begin(), listener.published.end(),
+                                   [](const LogPart &each) { return each.to == 2u; });
+    BOOST_TEST(part->from == 1u);
+    BOOST_TEST(part->includesRecords);
+}
+
 BOOST_AUTO_TEST_CASE(twoFollowers_bothReading_oneYields)
 {
     Listener other;
--- a/src/zinniadoor/gateway/peer_link.cpp
+++ b/src/zinniadoor/gateway/peer_link.cpp
@@ -76,10 +76,8 @@
 /// changes.
 constexpr absl::Duration FullCountsThreshold = absl::Milliseconds(900);
 
-/// Parts of logs go to many instances at once; sending is paced to a number of bytes per step, so
-/// that socket buffers and slow links do not overflow.
-constexpr absl::Duration PaceStep = absl::Milliseconds(10);
-constexpr std::size_t BytesPerStep = std::size_t { 4 } * 1024;
+/// Estimate of the number of leaders and candidates that a leader sends to.
+constexpr std::size_t MaxLeaderTargets = 16;
 
 /// Parts that wait longer are logged: their receivers act on an old state of the log.
 constexpr absl::Duration LongPartWait = absl::Milliseconds(250);
@@ -184,6 +182,14 @@
         sendPaced(peers_.addressesIn(serving_.dataCentre), part);
     }
 
+    std::size_t capacity() const override
+    {
+        const std::size_t receivers = group_.hasLeaders()
+            ? peers_.addressesIn(serving_.dataCentre).size() + (leader_ ? 0 : MaxLeaderTargets)
+            : peers_.addresses().size();
+        return paced_.capacityFor(receivers);
+    }
+
 private:
     void sendPaced(const std::vector<std::string> &addresses, const LogPart &part)
     {
@@ -195,7 +201,7 @@
     void sendStep()
     {
         std::size_t sent = 0;
-        while (sent < BytesPerStep) {
+        while (sent < PacedQueue::BytesPerStep) {
             const auto datagram = paced_.pop(now());
             if (!datagram)
                 break;
@@ -207,7 +213,7 @@
         pacing_ = sent > 0;
         if (!pacing_)
             return;
-        paceTimer_.expires_after(absl::ToChronoMilliseconds(PaceStep));
+        paceTimer_.expires_after(absl::ToChronoMilliseconds(PacedQueue::Step));
         paceTimer_.async_wait([this](boost::system::error_code error) {
             if (!error)
                 sendStep();
