Read without waiting when a notice or a silence causes the read

An instance that knows of records or has heard nothing asked the store to hold its read for up to a quarter of the notice, although the records were there. The timeout of a read includes that time, so a lost response was noticed after 1.8 s of the 4 s, and after 1.3 s of 2 s.

Why this works: only the reader holds its reads, as it is the one that waits for news; all others get their answer at once and notice a lost one after 0.8 s.

Test: follower_readsAfterGap_doesNotWaitAtStore, which failed before (2s != 0).

--- a/src/zinniadoor/gateway/log_follower.cpp
+++ b/src/zinniadoor/gateway/log_follower.cpp
@@ -182,7 +182,10 @@
         reading_ = true;
         const absl::Time requestedAt = clock_.now();
         const LogOffset from = nextOffset_;
-        store_.read(options_.log, from, options_.readWait,
+        // Only the reader waits for records: the others would notice a lost response later.
+        const absl::Duration wait
+            = cause_ == ReadCause::Poll ? options_.readWait : absl::ZeroDuration();
+        store_.read(options_.log, from, wait,
                     [self, requestedAt, from](const base::Outcome<LogRecords> &read) {
                         self->reading_ = false;
                         if (!self->handler_)
--- a/src/zinniadoor/gateway/log_follower_test.cpp
+++ b/src/zinniadoor/gateway/log_follower_test.cpp
@@ -29,10 +29,11 @@
                 std::function<void(base::Outcome<AppendResult>)>) override
     { }
 
-    void read(LogName, LogOffset from, absl::Duration,
+    void read(LogName, LogOffset from, absl::Duration wait,
               std::function<void(base::Outcome<LogRecords>)> done) override
     {
         ++reads;
+        lastWait = wait;
         if (down) {
             boost::asio::post(io_, [done] {
                 done(base::Reason { base::ReasonCode::Unavailable, "down" });
@@ -81,6 +82,7 @@
 
     std::vector<std::string> log;
     int reads = 0;
+    absl::Duration lastWait;
     bool down = false;
 
 private:
@@ -127,6 +129,8 @@
 
 struct LogFollowerFixture
 {
+    static constexpr absl::Duration ReadWait = absl::Seconds(2);
+
     /// `name` determines the rank, which decides which of two followers reads.
     std::unique_ptr<LogFollower> follower(MemoryStore &from, Listener &handler,
                                           const std::string &name,
@@ -136,6 +140,7 @@
         FollowerOptions options;
         options.log = LogName::Endpoints;
         options.self = { name, 1 };
+        options.readWait = ReadWait;
         options.readInterval = absl::Milliseconds(2);
         options.retryDelay = absl::Milliseconds(2);
         options.relayTimeout = relayTimeout;
@@ -305,6 +310,21 @@
     BOOST_TEST(until([&] { return listener.values.count("e1") == 1; }));
 }
 
+BOOST_AUTO_TEST_CASE(follower_readsAfterGap_doesNotWaitAtStore)
+{
+    const auto passive = follower(store, listener, nameWhich(true));
+    BOOST_REQUIRE(until([&] { return store.reads > 0; }));
+    BOOST_TEST(store.lastWait == ReadWait);
+    passive->onPart(partOf(0, 0));
+    test::runBriefly(io);
+    store.log.push_back("e1=1");
+    LogPart part = partOf(0, 1);
+    part.includesRecords = false;
+    passive->onPart(part);
+    BOOST_REQUIRE(until([&] { return listener.values.count("e1") == 1; }));
+    BOOST_TEST(store.lastWait == absl::ZeroDuration());
+}
+
 BOOST_AUTO_TEST_CASE(follower_readsAfterPartWithoutRecords_relaysNothing)
 {
     const auto passive = follower(store, listener, nameWhich(true));
