Note that a queue became empty by removal

What callers saw: after callers had left and emptied a queue of the stand-alone daemon, the idle time until the next request counted as draining time, so the drain rate fell and later callers were refused as too late. Found by reading.

Cause: FairQueue::remove and FifoQueue::remove did not tell the drain rate. They take the time now, as push, pop and expire do.

Test: queue_emptiedByRemoval_idleTimeDoesNotLowerDrainRate, which failed on the code before (315.9 != 1050.8 tokens per second, for both queues).

--- a/include/zinniadoor/serving/admission_queue.hpp
+++ b/include/zinniadoor/serving/admission_queue.hpp
@@ -68,7 +68,7 @@
     virtual std::vector<ExpiredRequest> expire(absl::Time now) = 0;
 
     /// Removes a request whose client disconnected. Returns false if it is not queued.
-    virtual bool remove(const base::RequestId &id) = 0;
+    virtual bool remove(const base::RequestId &id, absl::Time now) = 0;
 
     /// Sets the fair-share weight of an organisation; the default is 1.
     virtual void setWeight(const base::OrganisationId &organisation, double weight) = 0;
--- a/src/zinniadoor/daemon/request_loop.cpp
+++ b/src/zinniadoor/daemon/request_loop.cpp
@@ -307,7 +307,7 @@
         request->second->onCallerProgress();
         return;
     }
-    queue_.remove(request->first);
+    queue_.remove(request->first, services_.clock.now());
     request->second->onCallerDisconnected();
 }
 
@@ -329,7 +329,7 @@
         const bool open = request->caller().key.empty();
         if (open || containsKey(bundle, request->caller()))
             continue;
-        queue_.remove(id);
+        queue_.remove(id, services_.clock.now());
         request->abort(withdrawn);
     }
     eraseDone();
--- a/src/zinniadoor/serving/admission_queue_test.cpp
+++ b/src/zinniadoor/serving/admission_queue_test.cpp
@@ -147,11 +147,28 @@
 {
     const RequestFacts facts = request("a");
     BOOST_TEST(!queue->push(facts, now));
-    BOOST_TEST(queue->remove(facts.id));
-    BOOST_TEST(!queue->remove(facts.id));
+    BOOST_TEST(queue->remove(facts.id, now));
+    BOOST_TEST(!queue->remove(facts.id, now));
     BOOST_TEST(!pop().has_value());
 }
 
+BOOST_AUTO_TEST_CASE(queue_emptiedByRemoval_idleTimeDoesNotLowerDrainRate)
+{
+    for (const auto make : { fairQueue, fifoQueue }) {
+        queue = make({});
+        BOOST_TEST(!queue->push(request("a"), now));
+        now += absl::Seconds(1);
+        BOOST_REQUIRE(pop().has_value());
+        const double before = *queue->drainRate(now);
+        const RequestFacts leaving = request("a");
+        BOOST_TEST(!queue->push(leaving, now));
+        BOOST_TEST(queue->remove(leaving.id, now));
+        now += absl::Seconds(2);
+        BOOST_TEST(!queue->push(request("a"), now));
+        BOOST_TEST(*queue->drainRate(now) == before, boost::test_tools::tolerance(0.01));
+    }
+}
+
 // Each admitted request leaves the queue at most once, popped or expired, and none is lost.
 BOOST_AUTO_TEST_CASE(queue_anyOperations_returnEachRequestOnce)
 {
--- a/src/zinniadoor/serving/fair_queue.cpp
+++ b/src/zinniadoor/serving/fair_queue.cpp
@@ -57,9 +57,11 @@
         return expired;
     }
 
-    bool remove(const base::RequestId &id) override
+    bool remove(const base::RequestId &id, absl::Time now) override
     {
-        return urgent_.remove(id) || deferable_.remove(id);
+        const bool removed = urgent_.remove(id) || deferable_.remove(id);
+        rate_.setBusy(size() > 0, now);
+        return removed;
     }
 
     void setWeight(const base::OrganisationId &organisation, double weight) override
--- a/src/zinniadoor/serving/fifo_queue.cpp
+++ b/src/zinniadoor/serving/fifo_queue.cpp
@@ -62,13 +62,14 @@
         return expired;
     }
 
-    bool remove(const base::RequestId &id) override
+    bool remove(const base::RequestId &id, absl::Time now) override
     {
         for (auto entry = queue_.begin(); entry != queue_.end(); ++entry) {
             if (entry->request.id != id)
                 continue;
             tokens_ -= tokenCost(entry->request);
             queue_.erase(entry);
+            rate_.setBusy(!queue_.empty(), now);
             return true;
         }
         return false;
