--- a/include/zinniadoor/control/attestation.hpp
+++ b/include/zinniadoor/control/attestation.hpp
@@ -62,10 +62,6 @@
     /// Monotonic time until which the own shares may be used.
     absl::Time mayUseUntil() const;
 
-    /// Number of attestors with a valid attestation; below AttestorsPerInstance, others should be
-    /// named.
-    std::size_t respondingAttestors(absl::Time now) const;
-
     void onResponse(const base::InstanceId &from, const AttestationResponse &response,
                     absl::Time now);
 
--- a/include/zinniadoor/daemon/metrics.hpp
+++ b/include/zinniadoor/daemon/metrics.hpp
@@ -15,7 +15,6 @@
     base::OrganisationId organisation;
     std::string route;
     absl::Duration firstToken; ///< Time from arrival to the first token.
-    absl::Duration total;
     std::uint64_t promptTokens = 0;
     std::uint64_t outputTokens = 0;
     bool inTime = false; ///< First token within the deadline.
--- a/src/zinniadoor/control/attestation.cpp
+++ b/src/zinniadoor/control/attestation.cpp
@@ -114,13 +114,6 @@
     return std::max(leased, std::min(lastAttested, limit));
 }
 
-std::size_t AttestationController::respondingAttestors(absl::Time now) const
-{
-    return static_cast<std::size_t>(
-        std::count_if(attestedUntil_.begin(), attestedUntil_.end(),
-                      [now](const auto &one) { return now < one.second; }));
-}
-
 void AttestationController::onResponse(const base::InstanceId &from,
                                        const AttestationResponse &response, absl::Time now)
 {
--- a/src/zinniadoor/daemon/model_request.cpp
+++ b/src/zinniadoor/daemon/model_request.cpp
@@ -347,12 +347,10 @@
     if (state_ != State::RecordingUsage)
         return;
     state_ = State::Ended;
-    const absl::Time now = services().clock.now();
     AnswerStats stats;
     stats.organisation = caller().organisation;
     stats.route = routeNameOf(call_.kind);
     stats.firstToken = firstTokenAt_ - arrivedAt();
-    stats.total = now - arrivedAt();
     stats.promptTokens = check_.usage() ? check_.usage()->promptTokens : 0;
     stats.outputTokens = check_.nextOffset();
     stats.inTime = firstTokenAt_ <= facts_.deadline;
