--- a/src/zinniadoor/gateway/log_follower.cpp
+++ b/src/zinniadoor/gateway/log_follower.cpp
@@ -97,7 +97,7 @@
             self->tailing_ = true;
             self->handler_->onNewest(newest->records);
             self->handler_->onCurrent();
-            self->scheduleRead(self->nextDelay());
+            self->scheduleNextRead();
         });
     }
 
@@ -130,7 +130,7 @@
         lastShown_ = shownAt;
         noteReader(false);
         if (!reading_)
-            scheduleRead(nextDelay());
+            scheduleNextRead();
     }
 
     void stop()
@@ -161,11 +161,14 @@
         });
     }
 
-    absl::Duration nextDelay()
+    /// Schedules the read that takes place unless a part arrives before it.
+    void scheduleNextRead(absl::Duration minDelay = absl::ZeroDuration())
     {
         const absl::Duration silent = clock_.now() - lastShown_;
-        cause_ = silent < relayTimeout_ ? ReadCause::Silence : ReadCause::Poll;
-        return silent < relayTimeout_ ? relayTimeout_ - silent : options_.readInterval;
+        const bool hasReader = silent < relayTimeout_;
+        cause_ = hasReader ? ReadCause::Silence : ReadCause::Poll;
+        scheduleRead(
+            std::max(minDelay, hasReader ? relayTimeout_ - silent : options_.readInterval));
     }
 
     absl::Duration nextRetry()
@@ -193,8 +196,10 @@
                         if (!read) {
                             self->handler_->onFailure(read.lastReason());
                             const absl::Duration retry = self->nextRetry();
-                            self->scheduleRead(
-                                self->isBehind() ? retry : std::max(retry, self->nextDelay()));
+                            if (self->isBehind())
+                                self->scheduleRead(retry);
+                            else
+                                self->scheduleNextRead(retry);
                             return;
                         }
                         self->retries_ = 0;
@@ -209,8 +214,10 @@
                         if (self->cause_ != ReadCause::Gap) // Otherwise others have relayed it.
                             self->relayUpdates(from, requestedAt);
                         self->discardUpdatesBefore(from);
-                        self->scheduleRead(self->nextOffset_ < read->end ? absl::ZeroDuration()
-                                                                         : self->nextDelay());
+                        if (self->nextOffset_ < read->end)
+                            self->scheduleRead(absl::ZeroDuration());
+                        else
+                            self->scheduleNextRead();
                     });
     }
 
