A notice without records shows that the log has a reader

Cause: a part that only names records, or that follows a lost one, did not restart the timeout of its receiver. When each update was too large to be relayed, no part did, and after 1.6 to 2.1 s every instance took itself for the reader.

Why this works: such a part says that its sender reads. Its receiver reads at once, and again while it is behind, so nothing depends on the timeout.

Test: follower_onlyPartsWithoutRecords_leavesReadingToReader, which failed on the code before (121 reads != 5).

--- a/src/zinniadoor/gateway/log_follower.cpp
+++ b/src/zinniadoor/gateway/log_follower.cpp
@@ -106,6 +106,7 @@
         if (!handler_ || !tailing_ || part.to < nextOffset_)
             return;
         knownEnd_ = std::max(knownEnd_, part.to);
+        const bool hasReader = noteOtherReader(part);
         const bool hasGap = part.from > nextOffset_; // An earlier part was lost.
         if (hasGap || (!part.includesRecords && part.to > nextOffset_)) {
             if (!reading_) {
@@ -121,15 +122,7 @@
         nextOffset_ = part.to;
         discardUpdatesBefore(part.from);
         handler_->onCurrent();
-        if (rankOf(part.sender) >= ownRank_)
-            return; // The sender will receive parts of this instance and stop reading.
-        // A part that was delayed on its way does not show what the log holds now.
-        const absl::Time shownAt = clock_.now() - absl::Milliseconds(part.ageMs);
-        if (shownAt <= lastShown_ || clock_.now() - shownAt >= relayTimeout_)
-            return;
-        lastShown_ = shownAt;
-        noteReader(false);
-        if (!reading_)
+        if (hasReader && !reading_)
             scheduleNextRead();
     }
 
@@ -147,6 +140,21 @@
         return serving::stableDigest(process.instance);
     }
 
+    /// Returns whether the part shows that another instance reads the log, so that this one need
+    /// not. A part that only names records counts too: they are read at once.
+    bool noteOtherReader(const LogPart &part)
+    {
+        if (rankOf(part.sender) >= ownRank_)
+            return false; // The sender will receive parts of this instance and stop reading.
+        // A part that was delayed on its way does not show what the log holds now.
+        const absl::Time shownAt = clock_.now() - absl::Milliseconds(part.ageMs);
+        if (shownAt <= lastShown_ || clock_.now() - shownAt >= relayTimeout_)
+            return false;
+        lastShown_ = shownAt;
+        noteReader(false);
+        return true;
+    }
+
     void scheduleRead(absl::Duration delay)
     {
         auto self = shared_from_this();
@@ -355,7 +363,7 @@
         updates_; ///< From `updatesFrom_` to `nextOffset_`, without heartbeats.
     LogOffset updatesFrom_ = 0;
 
-    /// The latest time as of which a part from a smaller rank showed all records.
+    /// The latest time as of which a part from a smaller rank showed the end of the log.
     absl::Time lastShown_ = absl::InfinitePast();
     int retries_ = 0; ///< Consecutive failed reads, up to `MaxDoublings`.
     ReadCause cause_ = ReadCause::Poll; ///< Of the read under way, or of the next one.
--- a/src/zinniadoor/gateway/log_follower_test.cpp
+++ b/src/zinniadoor/gateway/log_follower_test.cpp
@@ -127,6 +127,19 @@
     int failures = 0;
 };
 
+/// The system's clock, moved ahead by a test.
+class OffsetClock : public base::Clock
+{
+public:
+    absl::Time now() const override { return system_->now() + offset; }
+    absl::Time wallTime() const override { return system_->wallTime() + offset; }
+
+    absl::Duration offset;
+
+private:
+    std::unique_ptr<base::Clock> system_ = base::systemClock();
+};
+
 struct LogFollowerFixture
 {
     static constexpr absl::Duration ReadWait = absl::Seconds(2);
@@ -325,6 +338,28 @@
     BOOST_TEST(store.lastWait == absl::ZeroDuration());
 }
 
+BOOST_AUTO_TEST_CASE(follower_onlyPartsWithoutRecords_leavesReadingToReader)
+{
+    auto advancing = std::make_unique<OffsetClock>();
+    OffsetClock &offset = *advancing;
+    clock = std::move(advancing);
+    const auto passive = follower(store, listener, nameWhich(true), absl::Hours(1));
+    BOOST_REQUIRE(until([&] { return listener.current > 0; }));
+    passive->onPart(partOf(0, 0));
+    test::runBriefly(io); // Completes a read in progress.
+    const int before = store.reads;
+    for (LogOffset end = 1; end <= 5; ++end) {
+        offset.offset += absl::Minutes(40);
+        store.log.push_back(absl::StrCat("e1=", end));
+        LogPart part = partOf(end - 1, end);
+        part.includesRecords = false;
+        passive->onPart(part);
+        BOOST_REQUIRE(until([&] { return listener.values["e1"] == std::to_string(end); }));
+        test::runBriefly(io);
+    }
+    BOOST_TEST(store.reads == before + 5);
+}
+
 BOOST_AUTO_TEST_CASE(follower_readsAfterPartWithoutRecords_relaysNothing)
 {
     const auto passive = follower(store, listener, nameWhich(true));
