Log how long an endpoint was silent and whether it went on

The events told a stream that was given up as silent from one that its endpoint broke off, but not how long the endpoint had been silent, nor that a silent call receives data again. No decision changes.

--- a/include/zinniadoor/base/events.hpp
+++ b/include/zinniadoor/base/events.hpp
@@ -48,6 +48,8 @@
     PromptReadFailed = 731,
     CallFailed = 732,
     RequestEnded = 733,
+    EndpointSilent = 734,
+    EndpointSilenceEnded = 735,
     DutyLeaseGained = 740,
     DutyLeaseLost = 741,
     UsageReported = 742,
--- a/src/zinniadoor/gateway/exchange.cpp
+++ b/src/zinniadoor/gateway/exchange.cpp
@@ -82,6 +82,8 @@
     if (prefillEngine)
         prefillEngine_ = *prefillEngine;
     callStartedAt_ = now;
+    lastSignAt_ = now;
+    silent_ = false;
     if (attempts_ == 0)
         context_.budget.noteRequest(service_, now);
     ++attempts_;
@@ -204,6 +206,7 @@
 {
     phase_ = Phase::Running;
     runStartedAt_ = context_.clock.now();
+    lastSignAt_ = runStartedAt_;
     mayHaveQueued_
         = context_.load.load(servingEndpoint_.id, runStartedAt_).requests >= servingEndpoint_.slots;
     Dispatch dispatch = dispatchTo(servingEndpoint_);
@@ -224,6 +227,7 @@
     if (phase_ != Phase::Running)
         return false;
     const AnswerFacts facts = context_.endpointDialect.decode(head);
+    noteSignOfLife();
     noteEndpointStatus(context_, servingEndpoint_.id, facts);
     if (!facts.notRun)
         noteBodyAccepted();
@@ -341,8 +345,10 @@
         }
         responder_->send(event.bytes);
     }
-    if (!events->empty())
-        armSilenceTimer(std::max(MinSilenceTimeout, route_.targetEventGap * SilenceTimeoutGaps));
+    if (events->empty())
+        return;
+    noteSignOfLife();
+    armSilenceTimer(std::max(MinSilenceTimeout, route_.targetEventGap * SilenceTimeoutGaps));
 }
 
 void Exchange::noteFirstEvent(absl::Duration time)
--- a/src/zinniadoor/gateway/exchange_end.cpp
+++ b/src/zinniadoor/gateway/exchange_end.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <utility>
 
 #include "exchange_state.hpp"
 #include "zinniadoor/base/events.hpp"
@@ -140,6 +141,7 @@
 {
     if (phase_ == Phase::Ended || route_.repeatability == Repeatability::AtMostOnce)
         return;
+    noteSilence();
     CallOutcome outcome;
     outcome.reason = "silent";
     if (phase_ == Phase::Prefilling) {
@@ -151,6 +153,30 @@
     }
 }
 
+void Exchange::noteSilence()
+{
+    silent_ = true;
+    logEvent(EventId::EndpointSilent,
+             { { "request", facts_.id },
+               { "endpoint",
+                 (phase_ == Phase::Prefilling ? prefillEngine_ : servingEndpoint_).id.str() },
+               { "last_event", lastEventId_ ? std::to_string(*lastEventId_) : "" },
+               { "silent_ms", wholeMs(context_.clock.now() - lastSignAt_) },
+               { "left_ms", wholeMs(timeLeft()) } });
+}
+
+void Exchange::noteSignOfLife()
+{
+    const absl::Time now = context_.clock.now();
+    if (std::exchange(silent_, false)) {
+        logEvent(EventId::EndpointSilenceEnded,
+                 { { "request", facts_.id },
+                   { "endpoint", servingEndpoint_.id.str() },
+                   { "silent_ms", wholeMs(now - lastSignAt_) } });
+    }
+    lastSignAt_ = now;
+}
+
 void Exchange::armDeadlineTimer()
 {
     const std::weak_ptr<Exchange> weak = weak_from_this();
--- a/src/zinniadoor/gateway/exchange_state.hpp
+++ b/src/zinniadoor/gateway/exchange_state.hpp
@@ -122,6 +122,8 @@
     void onCallerLeft();
     void onDeadline();
     void onSilenceTimeout();
+    void noteSilence();
+    void noteSignOfLife(); ///< The current call has received a head or an event.
     void armDeadlineTimer();
     void armSilenceTimer(absl::Duration time);
     absl::Duration timeLeft() const;
@@ -152,6 +154,8 @@
     absl::Time deadline_;
     absl::Time callStartedAt_;
     absl::Time runStartedAt_;
+    absl::Time lastSignAt_; ///< Start of the call, or its last head or event.
+    bool silent_ = false; ///< Since `lastSignAt_`, for at least the silence timeout.
     std::optional<absl::Duration> prefillTime_; ///< Duration of the last remote prefill.
     bool mayHaveQueued_ = false; ///< All slots of the serving endpoint were in use.
     EndpointChoice choice_;
