Keep the call of a silent endpoint until another has taken the request

Callers saw the connection of a stream closed after a second without an event, with seconds left, while the endpoint still worked on it.

Cause: the silence timeout was treated as a failure. It cancelled the call first and looked for another endpoint afterwards; without one (retry budget spent, endpoints used up, all others rejecting) the stream was aborted. Now the silent call stays open: a standby run is started on another endpoint where retries allow it, and the endpoint that answers first is kept. Rejected or failed standby runs leave the first call alone, and one that breaks off is replaced by its standby.

Ruled out: waiting without a standby loses the streams of endpoints that are down (callers leave after two seconds); a later timeout only moves the fault.

--- a/src/zinniadoor/gateway/exchange.cpp
+++ b/src/zinniadoor/gateway/exchange.cpp
@@ -19,9 +19,6 @@
 /// The first byte must be expected within this share of the remaining time.
 constexpr double MaxExpectedShare = 0.9;
 
-/// Timeout of a silent stream, in multiples of its target event gap.
-constexpr int SilenceTimeoutGaps = 4;
-
 /// Size limit of buffered answers; streams are forwarded event by event.
 constexpr std::size_t MaxAnswerBytes = std::size_t { 8 } * 1024 * 1024;
 
@@ -34,16 +31,7 @@
 {
     const absl::Time now = context_.clock.now();
     phase_ = Phase::Deciding;
-    ChoiceFacts facts;
-    facts.service = service_;
-    facts.request = facts_.id;
-    facts.parts = &parts_;
-    facts.promptTokens = facts_.promptTokens;
-    facts.carriesPrompt = route_.carriesPrompt;
-    facts.rank = rank();
-    facts.localPrefill = remotePrefillFailed_ || lastEventId_.has_value();
-    facts.tried = &tried_;
-    const auto choice = chooseEndpoint(context_, facts, now);
+    const auto choice = chooseEndpoint(context_, choiceFacts(), now);
     const bool first = attempts_ == 0;
     if (!choice) {
         refuseWithoutEndpoint();
@@ -57,6 +45,20 @@
     send(*choice);
 }
 
+ChoiceFacts Exchange::choiceFacts() const
+{
+    ChoiceFacts facts;
+    facts.service = service_;
+    facts.request = facts_.id;
+    facts.parts = &parts_;
+    facts.promptTokens = facts_.promptTokens;
+    facts.carriesPrompt = route_.carriesPrompt;
+    facts.rank = rank();
+    facts.localPrefill = remotePrefillFailed_ || lastEventId_.has_value();
+    facts.tried = &tried_;
+    return facts;
+}
+
 void Exchange::refuseWithoutEndpoint()
 {
     const absl::Time now = context_.clock.now();
@@ -88,17 +90,32 @@
         context_.budget.noteRequest(service_, now);
     ++attempts_;
     const base::EndpointId &executor = prefillEngine ? prefillEngine_.id : servingEndpoint_.id;
-    const serving::EngineLoad before = context_.load.load(executor, now);
-    queuedTokens_ = before.tokensAhead(rank());
+    queuedTokens_ = context_.load.load(executor, now).tokensAhead(rank());
+    noteDispatched(choice, servingEndpoint_, executor);
+    armSilenceTimer(firstByteTimeout());
+    if (prefillEngine) {
+        startPrefill(choice);
+        return;
+    }
+    servingLoad_ = LoadReservation(
+        context_.load, servingEndpoint_.id,
+        serving::EngineLoad::ofRequest(static_cast<std::uint32_t>(choice.tokensToPrefill), rank()));
+    run();
+}
+
+void Exchange::noteDispatched(const EndpointChoice &choice, const EndpointRecord &endpoint,
+                              const base::EndpointId &executor)
+{
+    const serving::EngineLoad before = context_.load.load(executor, context_.clock.now());
     logEvent(EventId::RequestDispatched,
              { { "request", facts_.id },
                { "route", route_.name },
-               { "endpoint", servingEndpoint_.id.str() },
-               { "reader", prefillEngine ? prefillEngine_.id.str() : "" },
+               { "endpoint", endpoint.id.str() },
+               { "reader", choice.prefillEngine ? executor.str() : "" },
                { "copied_from", choice.prefixSource ? choice.prefixSource->str() : "" },
                { "sending", std::to_string(attempts_) },
                { "tokens_to_read", std::to_string(choice.tokensToPrefill) },
-               { "tokens_waiting", std::to_string(queuedTokens_) },
+               { "tokens_waiting", std::to_string(before.tokensAhead(rank())) },
                { "requests_there", std::to_string(before.requests) },
                { "expected_ms", wholeMs(choice.firstByte) },
                { "left_ms", wholeMs(timeLeft()) },
@@ -108,15 +125,6 @@
         context_.load.recordSegments(executor, parts_);
         context_.updates.announceParts(executor, parts_, held);
     }
-    armSilenceTimer(firstByteTimeout());
-    if (prefillEngine) {
-        startPrefill(choice);
-        return;
-    }
-    servingLoad_ = LoadReservation(
-        context_.load, servingEndpoint_.id,
-        serving::EngineLoad::ofRequest(static_cast<std::uint32_t>(choice.tokensToPrefill), rank()));
-    run();
 }
 
 void Exchange::startPrefill(const EndpointChoice &choice)
@@ -232,15 +240,9 @@
     if (!facts.notRun)
         noteBodyAccepted();
     const bool success = facts.status / 100 == 2;
-    const bool encoded = head.find(net::http::field::content_encoding) != head.end();
-    if (facts.notRun || !facts.isSigned || encoded) {
-        CallOutcome outcome;
-        outcome.mayHaveRun = !facts.notRun;
-        outcome.endpointAtFault = !facts.notRun;
-        outcome.rejected = facts.notRun;
-        outcome.reason = notRunReason(facts);
+    if (!isServed(head, facts)) {
         noteMisdirected(servingEndpoint_.id, facts);
-        onRunFailed(outcome);
+        onRunFailed(rejectionOf(facts));
         return false;
     }
     const bool mayRepeat = route_.repeatability != Repeatability::AtMostOnce;
@@ -261,6 +263,7 @@
         }
     }
     promptTransferred_ = true;
+    discardStandby(true);
     noteExecutionStarted();
     if (executionStartedAt_ && phase_ == Phase::Running && success && route_.streaming) {
         startStream(head);
@@ -288,6 +291,22 @@
     return facts.notRun ? "shed" : "unsigned_answer";
 }
 
+bool isServed(const net::ResponseHead &head, const AnswerFacts &facts)
+{
+    const bool encoded = head.find(net::http::field::content_encoding) != head.end();
+    return facts.isSigned && !facts.notRun && !encoded;
+}
+
+CallOutcome rejectionOf(const AnswerFacts &facts)
+{
+    CallOutcome outcome;
+    outcome.mayHaveRun = !facts.notRun;
+    outcome.endpointAtFault = !facts.notRun;
+    outcome.rejected = facts.notRun;
+    outcome.reason = notRunReason(facts);
+    return outcome;
+}
+
 void Exchange::startStream(const net::ResponseHead &head)
 {
     phase_ = Phase::Streaming;
@@ -348,7 +367,8 @@
     if (events->empty())
         return;
     noteSignOfLife();
-    armSilenceTimer(std::max(MinSilenceTimeout, route_.targetEventGap * SilenceTimeoutGaps));
+    discardStandby(true);
+    armSilenceTimer(silenceTimeout());
 }
 
 void Exchange::noteFirstEvent(absl::Duration time)
@@ -413,6 +433,11 @@
     tried_.push_back(servingEndpoint_.id);
     if (prefilledBefore_)
         remotePrefillFailed_ = true;
+    if (standby_) {
+        logCallFailed(servingEndpoint_.id, outcome, "standby");
+        activateStandby();
+        return;
+    }
     retryOrFail(outcome);
 }
 
--- a/src/zinniadoor/gateway/exchange_calls.cpp
+++ b/src/zinniadoor/gateway/exchange_calls.cpp
@@ -104,6 +104,39 @@
     std::shared_ptr<Exchange> exchange_;
 };
 
+/// Passes events on like `RunHandler` once the call has replaced the silent one.
+class StandbyHandler : public net::CallHandler
+{
+public:
+    StandbyHandler(std::shared_ptr<Exchange> exchange, std::uint32_t attempt)
+        : exchange_(exchange)
+        , run_(std::move(exchange))
+        , attempt_(attempt)
+    { }
+
+    void onHead(const net::ResponseHead &head) override
+    {
+        const auto exchange = exchange_;
+        if (!exchange->isStandby(attempt_) || exchange->onStandbyHead(head))
+            run_.onHead(head);
+    }
+    void onBody(std::string bytes) override { run_.onBody(std::move(bytes)); }
+    void onEnd() override { run_.onEnd(); }
+    void onFailure(const net::CallFailure &failure) override
+    {
+        const auto exchange = exchange_;
+        if (exchange->isStandby(attempt_))
+            exchange->onStandbyFailed(outcomeOf(failure));
+        else
+            run_.onFailure(failure);
+    }
+
+private:
+    std::shared_ptr<Exchange> exchange_;
+    RunHandler run_;
+    std::uint32_t attempt_;
+};
+
 } // namespace
 
 LoadReservation::LoadReservation(serving::EngineView &view, base::EndpointId endpoint,
@@ -162,6 +195,12 @@
     return std::make_shared<RunHandler>(std::move(exchange));
 }
 
+std::shared_ptr<net::CallHandler> makeStandbyHandler(std::shared_ptr<Exchange> exchange,
+                                                     std::uint32_t attempt)
+{
+    return std::make_shared<StandbyHandler>(std::move(exchange), attempt);
+}
+
 const char *nameOf(RefusalKind kind)
 {
     switch (kind) {
--- a/src/zinniadoor/gateway/exchange_end.cpp
+++ b/src/zinniadoor/gateway/exchange_end.cpp
@@ -18,6 +18,9 @@
 /// A shorter Retry-After would only cause repeated rejections.
 constexpr absl::Duration MinRetryAfter = absl::Milliseconds(50);
 
+/// Timeout of a silent stream, in multiples of its target event gap.
+constexpr int SilenceTimeoutGaps = 4;
+
 /// Callers abandon a stream without a first event after the longest of these times.
 constexpr absl::Duration FirstEventMinTimeout = absl::Seconds(2);
 constexpr double FirstEventTimeoutPerObjective = 4;
@@ -95,6 +98,7 @@
     if (const auto call = std::move(call_))
         call->cancel();
     call_.reset();
+    discardStandby(false);
     prefillLoad_.release();
     servingLoad_.release();
     endCrashTracking();
@@ -135,25 +139,28 @@
     refuse(mayHaveRun ? RefusalKind::TimedOut : RefusalKind::NotRun, "time_over");
 }
 
-// A silent stream or connection is treated as broken. Requests that must not be executed twice keep
-// waiting until their deadline.
+// Silence is not evidence of a failure: a run is only given up once another endpoint has taken the
+// request. Requests that must not be executed twice keep waiting until their deadline.
 void Exchange::onSilenceTimeout()
 {
     if (phase_ == Phase::Ended || route_.repeatability == Repeatability::AtMostOnce)
         return;
-    noteSilence();
     CallOutcome outcome;
     outcome.reason = "silent";
     if (phase_ == Phase::Prefilling) {
+        noteSilence("give_up"); // Nothing was executed yet.
         if (const auto call = std::move(call_))
             call->cancel();
         onPrefillFailed(outcome);
     } else if (phase_ == Phase::Running || phase_ == Phase::Streaming) {
-        onRunFailed(outcome);
+        if (!silent_)
+            noteCallFailed(servingEndpoint_.id, outcome);
+        noteSilence(standby_ ? "wait" : startStandby().value_or("standby"));
+        armSilenceTimer(silenceTimeout());
     }
 }
 
-void Exchange::noteSilence()
+void Exchange::noteSilence(const std::string &decision)
 {
     silent_ = true;
     logEvent(EventId::EndpointSilent,
@@ -162,6 +169,7 @@
                  (phase_ == Phase::Prefilling ? prefillEngine_ : servingEndpoint_).id.str() },
                { "last_event", lastEventId_ ? std::to_string(*lastEventId_) : "" },
                { "silent_ms", wholeMs(context_.clock.now() - lastSignAt_) },
+               { "decision", decision },
                { "left_ms", wholeMs(timeLeft()) } });
 }
 
@@ -204,6 +212,11 @@
     return std::max(absl::ZeroDuration(), deadline_ - context_.clock.now());
 }
 
+absl::Duration Exchange::silenceTimeout() const
+{
+    return std::max(MinSilenceTimeout, route_.targetEventGap * SilenceTimeoutGaps);
+}
+
 absl::Duration Exchange::firstByteTimeout() const
 {
     if (!route_.streaming)
--- a/src/zinniadoor/gateway/exchange_retry.cpp
+++ b/src/zinniadoor/gateway/exchange_retry.cpp
@@ -27,15 +27,20 @@
     }
 }
 
-std::optional<std::string> Exchange::reasonNotToRetry(const CallOutcome &outcome)
+std::optional<std::string> Exchange::reasonNotToRetry(const CallOutcome &outcome) const
 {
-    // With less time, another attempt is unlikely to succeed.
-    constexpr absl::Duration MinTimeLeft = absl::Milliseconds(30);
     if (outcome.mayHaveRun && route_.repeatability == Repeatability::AtMostOnce)
         return "may_have_run";
+    return reasonNotToRepeat(mayHaveRunCount_);
+}
+
+std::optional<std::string> Exchange::reasonNotToRepeat(std::uint32_t runs) const
+{
+    // With less time, another attempt is unlikely to succeed.
+    constexpr absl::Duration MinTimeLeft = absl::Milliseconds(30);
     if (streamStarted_ && !lastEventId_)
         return "no_event_to_resume_after";
-    if (mayHaveRunCount_ >= route_.maxEndpoints)
+    if (runs >= route_.maxEndpoints)
         return "endpoints_used_up";
     if (timeLeft() < MinTimeLeft)
         return "no_time_left";
@@ -45,19 +50,26 @@
     return std::nullopt;
 }
 
-void Exchange::retryOrFail(const CallOutcome &outcome)
+void Exchange::logCallFailed(const base::EndpointId &endpoint, const CallOutcome &outcome,
+                             const std::string &decision) const
 {
-    auto reason = reasonNotToRetry(outcome);
-    if (!reason && !context_.budget.take(service_, context_.clock.now()))
-        reason = "retry_budget";
     logEvent(EventId::CallFailed,
              { { "request", facts_.id },
-               { "endpoint", tried_.empty() ? "" : tried_.back().str() },
+               { "endpoint", endpoint.str() },
                { "reason", outcome.reason },
                { "may_have_run", outcome.mayHaveRun ? "yes" : "no" },
                { "last_event", lastEventId_ ? std::to_string(*lastEventId_) : "" },
-               { "decision", reason ? *reason : "retry" },
+               { "decision", decision },
                { "left_ms", wholeMs(timeLeft()) } });
+}
+
+void Exchange::retryOrFail(const CallOutcome &outcome)
+{
+    auto reason = reasonNotToRetry(outcome);
+    if (!reason && !context_.budget.take(service_, context_.clock.now()))
+        reason = "retry_budget";
+    logCallFailed(tried_.empty() ? base::EndpointId() : tried_.back(), outcome,
+                  reason ? *reason : "retry");
     if (!reason) {
         context_.metrics.countRetry();
         dispatch();
--- /dev/null
+++ b/src/zinniadoor/gateway/exchange_standby.cpp
@@ -0,0 +1,122 @@
+#include <utility>
+
+#include "endpoint_status.hpp"
+#include "exchange_state.hpp"
+#include "zinniadoor/base/events.hpp"
+
+namespace zinniadoor::gateway {
+
+namespace {
+
+using base::EventId;
+using base::logEvent;
+
+} // namespace
+
+// A silent endpoint may be down or merely slow. Cancelling its call first would lose the request if
+// no other endpoint takes it.
+std::optional<std::string> Exchange::startStandby()
+{
+    const absl::Time now = context_.clock.now();
+    // The silent endpoint may have executed the request.
+    if (auto reason = reasonNotToRepeat(mayHaveRunCount_ + 1))
+        return reason;
+    std::vector<base::EndpointId> avoided = tried_;
+    avoided.push_back(servingEndpoint_.id);
+    ChoiceFacts facts = choiceFacts();
+    facts.localPrefill = true;
+    facts.tried = &avoided;
+    const auto choice = chooseEndpoint(context_, facts, now);
+    const EndpointRecord *endpoint = choice ? context_.directory.find(choice->endpoint) : nullptr;
+    if (!endpoint || endpoint->id == servingEndpoint_.id)
+        return "no_endpoint";
+    if (!context_.budget.take(service_, now))
+        return "retry_budget";
+    context_.metrics.countRetry();
+    ++attempts_;
+    noteDispatched(*choice, *endpoint, endpoint->id);
+    Standby &standby = standby_.emplace();
+    standby.attempt = attempts_;
+    standby.choice = *choice;
+    standby.endpoint = *endpoint;
+    standby.startedAt = now;
+    standby.load
+        = LoadReservation(context_.load, endpoint->id,
+                          serving::EngineLoad::ofRequest(
+                              static_cast<std::uint32_t>(choice->tokensToPrefill), rank()));
+    Dispatch dispatch = dispatchTo(standby.endpoint);
+    if (streamStarted_)
+        dispatch.resumeAfter = lastEventId_;
+    context_.crashes.begin(bodyDigest_, standby.endpoint.id);
+    standby.call
+        = context_.client.start({ standby.endpoint.address, standby.endpoint.id.str() },
+                                context_.endpointDialect.run(request_, dispatch), callOptions(),
+                                makeStandbyHandler(shared_from_this(), standby.attempt));
+    return std::nullopt;
+}
+
+bool Exchange::isStandby(std::uint32_t attempt) const
+{
+    return standby_ && standby_->attempt == attempt;
+}
+
+bool Exchange::onStandbyHead(const net::ResponseHead &head)
+{
+    const AnswerFacts facts = context_.endpointDialect.decode(head);
+    noteEndpointStatus(context_, standby_->endpoint.id, facts);
+    if (!isServed(head, facts) || facts.status / 100 != 2) {
+        noteMisdirected(standby_->endpoint.id, facts);
+        onStandbyFailed(rejectionOf(facts));
+        return false;
+    }
+    CallOutcome replaced;
+    replaced.endpointAtFault = false; // Its silence has been counted.
+    replaced.reason = "replaced";
+    onRunFailed(replaced);
+    return true;
+}
+
+void Exchange::activateStandby()
+{
+    Standby standby = std::move(*standby_);
+    standby_.reset();
+    choice_ = standby.choice;
+    servingEndpoint_ = standby.endpoint;
+    servingLoad_ = std::move(standby.load);
+    call_ = std::move(standby.call);
+    callStartedAt_ = standby.startedAt;
+    runStartedAt_ = standby.startedAt;
+    lastSignAt_ = standby.startedAt;
+    silent_ = false;
+    mayHaveQueued_ = true; // The time until the switch says nothing about the engine's speed.
+    phase_ = Phase::Running;
+    armSilenceTimer(silenceTimeout());
+}
+
+void Exchange::onStandbyFailed(const CallOutcome &outcome)
+{
+    const base::EndpointId endpoint = standby_->endpoint.id;
+    if (outcome.crashed) {
+        context_.crashes.noteAccepted(bodyDigest_, endpoint);
+        context_.updates.announceCrashes(
+            context_.crashes.endpointCrashed(endpoint, context_.clock.now()));
+    }
+    noteCallFailed(endpoint, outcome);
+    logCallFailed(endpoint, outcome, "wait");
+    discardStandby(outcome.mayHaveRun);
+}
+
+void Exchange::discardStandby(bool mayHaveRun)
+{
+    if (!standby_)
+        return;
+    const Standby standby = std::move(*standby_);
+    standby_.reset();
+    standby.call->cancel();
+    context_.crashes.end(bodyDigest_, standby.endpoint.id, false);
+    if (mayHaveRun)
+        ++mayHaveRunCount_;
+    tried_.push_back(standby.endpoint.id);
+}
+
+} // namespace zinniadoor::gateway
--- a/src/zinniadoor/gateway/exchange_state.hpp
+++ b/src/zinniadoor/gateway/exchange_state.hpp
@@ -62,6 +62,23 @@
 /// Stable identifier, for logs and metrics, of why an answer does not serve the request.
 const char *notRunReason(const AnswerFacts &facts);
 
+/// Whether an answer with this head is the endpoint's own, complete answer to a request.
+bool isServed(const net::ResponseHead &head, const AnswerFacts &facts);
+
+/// Outcome of an answer that does not serve the request.
+CallOutcome rejectionOf(const AnswerFacts &facts);
+
+/// Second run of a request whose endpoint is silent. The endpoint that answers first is kept.
+struct Standby
+{
+    std::uint32_t attempt = 0; ///< Number of this attempt within the exchange.
+    EndpointChoice choice;
+    EndpointRecord endpoint;
+    absl::Time startedAt;
+    LoadReservation load;
+    std::shared_ptr<net::Call> call;
+};
+
 /// State machine of one HTTP exchange: admission, endpoint choice, prefill, run and retries.
 class Exchange : public std::enable_shared_from_this<Exchange>
 {
@@ -87,6 +104,11 @@
     void onRunEnd();
     void onRunFailed(const CallOutcome &outcome);
 
+    /// Events of a standby call, until it replaces the silent one.
+    bool isStandby(std::uint32_t attempt) const;
+    bool onStandbyHead(const net::ResponseHead &head); ///< Returns whether it takes over.
+    void onStandbyFailed(const CallOutcome &outcome);
+
 private:
     enum class Phase : std::uint8_t { Deciding, Prefilling, Running, Streaming, Ended };
 
@@ -99,7 +121,18 @@
     void startPrefill(const EndpointChoice &choice);
     void run();
     void retryOrFail(const CallOutcome &outcome);
-    std::optional<std::string> reasonNotToRetry(const CallOutcome &outcome);
+    std::optional<std::string> reasonNotToRetry(const CallOutcome &outcome) const;
+    /// `runs`: endpoints that may have executed the request by then.
+    std::optional<std::string> reasonNotToRepeat(std::uint32_t runs) const;
+    /// Returns the reason if there is no standby.
+    std::optional<std::string> startStandby();
+    void activateStandby(); ///< The silent call is over.
+    void discardStandby(bool mayHaveRun);
+    void logCallFailed(const base::EndpointId &endpoint, const CallOutcome &outcome,
+                       const std::string &decision) const;
+    ChoiceFacts choiceFacts() const;
+    void noteDispatched(const EndpointChoice &choice, const EndpointRecord &endpoint,
+                        const base::EndpointId &executor);
     void noteCallFailed(const base::EndpointId &endpoint, const CallOutcome &outcome);
     void noteMisdirected(const base::EndpointId &endpoint, const AnswerFacts &facts);
     void noteExecutionStarted();
@@ -122,12 +155,13 @@
     void onCallerLeft();
     void onDeadline();
     void onSilenceTimeout();
-    void noteSilence();
+    void noteSilence(const std::string &decision);
     void noteSignOfLife(); ///< The current call has received a head or an event.
     void armDeadlineTimer();
     void armSilenceTimer(absl::Duration time);
     absl::Duration timeLeft() const;
     absl::Duration firstByteTimeout() const;
+    absl::Duration silenceTimeout() const; ///< Between two events of a stream.
     std::string prefixSourceAddress() const; ///< Empty if there is no prefix source.
     Dispatch dispatchTo(const EndpointRecord &endpoint) const;
     net::CallOptions callOptions() const;
@@ -168,6 +202,7 @@
     bool bodyAccepted_ = false; ///< The serving endpoint has, or may have, started the request.
     bool promptTransferred_ = false; ///< The answer has started, so the prompt was fetched.
     std::shared_ptr<net::Call> call_;
+    std::optional<Standby> standby_;
     std::vector<base::EndpointId> tried_;
     std::uint32_t mayHaveRunCount_ = 0; ///< Endpoints that may have executed the request.
     std::uint32_t attempts_ = 0;
@@ -189,5 +224,7 @@
                                                      const EndpointDialect &dialect);
 std::shared_ptr<net::CallHandler> makeRunHandler(std::shared_ptr<Exchange> exchange,
                                                  const EndpointDialect &dialect);
+std::shared_ptr<net::CallHandler> makeStandbyHandler(std::shared_ptr<Exchange> exchange,
+                                                     std::uint32_t attempt);
 
 } // namespace zinniadoor::gateway
