--- a/include/zinniadoor/base/events.hpp
+++ b/include/zinniadoor/base/events.hpp
@@ -50,6 +50,7 @@
     RequestEnded = 733,
     EndpointSilent = 734,
     EndpointSilenceEnded = 735,
+    EndpointCrashed = 736,
     DutyLeaseGained = 740,
     DutyLeaseLost = 741,
     UsageReported = 742,
--- a/src/zinniadoor/base/events.cpp
+++ b/src/zinniadoor/base/events.cpp
@@ -237,6 +237,8 @@
           "A call has received nothing for the silence timeout." },
         { EventId::EndpointSilenceEnded, EventLevel::Info, "endpoint_silence_ended",
           "A silent call has received data again." },
+        { EventId::EndpointCrashed, EventLevel::Warning, "endpoint_crashed",
+          "An endpoint broke the connection while it worked on a request." },
         { EventId::DutyLeaseGained, EventLevel::Info, "duty_lease_gained",
           "This instance now holds the lease for platform duties." },
         { EventId::DutyLeaseLost, EventLevel::Warning, "duty_lease_lost",
--- a/src/zinniadoor/gateway/exchange.cpp
+++ b/src/zinniadoor/gateway/exchange.cpp
@@ -423,8 +423,7 @@
     releasePrompt();
     if (outcome.crashed) {
         noteBodyAccepted();
-        context_.updates.announceCrashes(
-            context_.crashes.endpointCrashed(servingEndpoint_.id, context_.clock.now()));
+        noteCrash(servingEndpoint_.id);
     }
     endCrashTracking();
     if (outcome.mayHaveRun)
--- a/src/zinniadoor/gateway/exchange_retry.cpp
+++ b/src/zinniadoor/gateway/exchange_retry.cpp
@@ -1,5 +1,7 @@
 #include <utility>
 
+#include "absl/strings/str_join.h"
+
 #include "exchange_state.hpp"
 #include "zinniadoor/base/events.hpp"
 
@@ -103,6 +105,19 @@
         context_.crashes.noteAccepted(bodyDigest_, servingEndpoint_.id);
 }
 
+void Exchange::noteCrash(const base::EndpointId &endpoint)
+{
+    std::vector<std::string> sharedParts;
+    for (std::size_t i = 0; i + 1 < facts_.promptParts.size(); ++i)
+        sharedParts.push_back(facts_.promptParts[i].id);
+    logEvent(EventId::EndpointCrashed,
+             { { "request", facts_.id },
+               { "endpoint", endpoint.str() },
+               { "parts", absl::StrJoin(sharedParts, ",") } });
+    context_.updates.announceCrashes(
+        context_.crashes.endpointCrashed(endpoint, context_.clock.now()));
+}
+
 void Exchange::endCrashTracking()
 {
     context_.crashes.end(bodyDigest_, servingEndpoint_.id, std::exchange(bodyAccepted_, false));
--- a/src/zinniadoor/gateway/exchange_standby.cpp
+++ b/src/zinniadoor/gateway/exchange_standby.cpp
@@ -98,8 +98,7 @@
     const base::EndpointId endpoint = standby_->endpoint.id;
     if (outcome.crashed) {
         context_.crashes.noteAccepted(bodyDigest_, endpoint);
-        context_.updates.announceCrashes(
-            context_.crashes.endpointCrashed(endpoint, context_.clock.now()));
+        noteCrash(endpoint);
     }
     noteCallFailed(endpoint, outcome);
     logCallFailed(endpoint, outcome, "wait");
--- a/src/zinniadoor/gateway/exchange_state.hpp
+++ b/src/zinniadoor/gateway/exchange_state.hpp
@@ -137,6 +137,7 @@
     void noteMisdirected(const base::EndpointId &endpoint, const AnswerFacts &facts);
     void noteExecutionStarted();
     void noteBodyAccepted();
+    void noteCrash(const base::EndpointId &endpoint);
     void endCrashTracking(); ///< The serving endpoint no longer works on the body.
     void deliverEvents(absl::string_view bytes);
     /// `time`: from the start of the run call to the first event.
