Add a list of prompt parts that crash endpoints

A part is known by its id alone. A crash counts only if no request with the part was answered after it, or within 5 s before it; three crashes of two requests refuse a part, six if it has been answered within 10 minutes. Crashes of several endpoints within 300 ms count as one, since an outage ends them together. A part that was answered is not blamed for crashes around those of a refused part that never was. An instance that has answered a part tells this to a peer that reports a crash of it. Nothing uses the list yet.

--- /dev/null
+++ b/src/zinniadoor/serving/part_crash_list_test.cpp
@@ -0,0 +1,608 @@
+#include "zinniadoor/serving/part_crash_list.hpp"
+
+#include <algorithm>
+#include <functional>
+#include <random>
+#include <set>
+
+#include <boost/test/unit_test.hpp>
+
+#include "absl/strings/str_cat.h"
+
+#include "zinniadoor/serving/engine_view.hpp"
+
+namespace {
+
+using namespace zinniadoor;
+using namespace zinniadoor::serving;
+
+constexpr absl::Duration Step = absl::Milliseconds(10);
+
+struct FleetOptions
+{
+    std::size_t instances = 8;
+    std::size_t endpoints = 200;
+    double lossRate = 0.2;
+    absl::Duration delay = absl::Milliseconds(250);
+    int copies = 1; ///< Number of times that each report is sent.
+    bool sendsEntries = true; ///< Each instance sends its entries each second.
+    std::function<std::vector<PartKey>(const std::vector<PromptSegment> &)> keysOf = sharedPartKeys;
+};
+
+/// Simulates instances that exchange reports by datagrams and serve requests on common endpoints,
+/// under a virtual clock. An endpoint ends when it begins to answer a request with a crashing part,
+/// with all requests in flight on it. Each instance sends a lost request to another endpoint once.
+class Fleet
+{
+public:
+    Fleet(std::uint32_t seed, const FleetOptions &options)
+        : options_(options)
+        , random_(seed)
+        , lists_(options.instances, PartCrashList(PartCrashOptions {}))
+        , usableAt_(options.endpoints, absl::InfinitePast())
+    { }
+
+    absl::Time now() const { return now_; }
+    std::uint32_t draw(std::uint32_t below) { return random_() % below; }
+    bool chance(double share) { return std::uniform_real_distribution<>()(random_) < share; }
+    PartCrashList &list(std::size_t instance) { return lists_[instance]; }
+
+    /// Returns false if the request is refused.
+    bool request(std::size_t instance, const std::vector<PromptSegment> &parts, bool crashes)
+    {
+        return send({ instance, options_.keysOf(parts), ++requests_, crashes, 0, 0, now_ });
+    }
+
+    /// All requests in flight on an endpoint are lost.
+    void endEndpoint(std::size_t endpoint)
+    {
+        if (now_ < usableAt_[endpoint])
+            return;
+        usableAt_[endpoint] = now_ + absl::Seconds(30);
+        const auto isLost = [&](const Request &request) { return request.endpoint == endpoint; };
+        const auto lost = std::stable_partition(inFlight_.begin(), inFlight_.end(),
+                                                [&](const Request &r) { return !isLost(r); });
+        std::vector<Request> retried(lost, inFlight_.end());
+        inFlight_.erase(lost, inFlight_.end());
+        for (const Request &request : retried) {
+            const base::EndpointId id(absl::StrCat("e", endpoint));
+            announce(request.instance,
+                     lists_[request.instance].noteCrash(request.keys, request.id, id, now_));
+        }
+        for (Request &request : retried) {
+            if (++request.tries < 2 && !send(request) && !request.crashes)
+                ++soundRefused_;
+        }
+    }
+
+    /// A request is answered at once, or its endpoint ends.
+    void serve(std::size_t instance, const std::vector<PartKey> &keys, std::uint64_t id, bool lost)
+    {
+        const base::EndpointId endpoint(absl::StrCat("e", id));
+        announce(instance,
+                 lost ? lists_[instance].noteCrash(keys, id, endpoint, now_)
+                      : lists_[instance].noteSuccess(keys, now_));
+    }
+
+    void restart(std::size_t instance)
+    {
+        lists_[instance] = PartCrashList(PartCrashOptions {});
+        const auto isGone = [&](const Request &request) { return request.instance == instance; };
+        inFlight_.erase(std::remove_if(inFlight_.begin(), inFlight_.end(), isGone),
+                        inFlight_.end());
+    }
+
+    void step()
+    {
+        now_ += Step;
+        for (std::size_t i = 0; i < messages_.size(); ++i) {
+            if (messages_[i].at > now_)
+                continue;
+            const Message message = messages_[i];
+            messages_.erase(messages_.begin() + static_cast<std::ptrdiff_t>(i--));
+            announce(message.to, lists_[message.to].merge(message.reports, now_));
+        }
+        for (std::size_t i = 0; i < inFlight_.size(); ++i) {
+            if (inFlight_[i].due > now_)
+                continue;
+            const Request request = inFlight_[i];
+            if (request.crashes) {
+                crashedAt_.push_back(now_);
+                endEndpoint(request.endpoint);
+                i = 0;
+                continue;
+            }
+            inFlight_.erase(inFlight_.begin() + static_cast<std::ptrdiff_t>(i--));
+            announce(request.instance, lists_[request.instance].noteSuccess(request.keys, now_));
+        }
+        if (options_.sendsEntries && (now_ - absl::UnixEpoch()) % absl::Seconds(1) < Step) {
+            for (std::size_t i = 0; i < lists_.size(); ++i)
+                announce(i, lists_[i].entries(now_, 8));
+        }
+    }
+
+    void run(
+        absl::Duration time, const std::function<void()> &atStep = [] {})
+    {
+        for (const absl::Time end = now_ + time; now_ < end;) {
+            step();
+            atStep();
+        }
+    }
+
+    bool isRefusedOnAll(const std::vector<PromptSegment> &parts) const
+    {
+        return std::all_of(lists_.begin(), lists_.end(), [&](const PartCrashList &list) {
+            return list.refusedPart(options_.keysOf(parts), now_).has_value();
+        });
+    }
+
+    std::size_t crashes() const { return crashedAt_.size(); }
+    std::size_t soundRefused() const { return soundRefused_; }
+
+    /// Crashing requests that were sent to endpoints later than 3 s after the fifth crash.
+    std::size_t lateCrashing() const
+    {
+        if (crashedAt_.size() < 5)
+            return 0;
+        const absl::Time limit = crashedAt_[4] + absl::Seconds(3);
+        return static_cast<std::size_t>(
+            std::count_if(crashingSentAt_.begin(), crashingSentAt_.end(),
+                          [&](absl::Time sent) { return sent > limit; }));
+    }
+
+private:
+    struct Request
+    {
+        std::size_t instance = 0;
+        std::vector<PartKey> keys;
+        std::uint64_t id = 0;
+        bool crashes = false;
+        std::size_t endpoint = 0;
+        int tries = 0;
+        absl::Time due;
+    };
+    struct Message
+    {
+        std::size_t to = 0;
+        PartReports reports;
+        absl::Time at;
+    };
+
+    bool send(Request request)
+    {
+        if (lists_[request.instance].refusedPart(request.keys, now_))
+            return false;
+        do {
+            request.endpoint = draw(static_cast<std::uint32_t>(usableAt_.size()));
+        } while (now_ < usableAt_[request.endpoint]);
+        if (request.crashes)
+            crashingSentAt_.push_back(now_);
+        request.due
+            = now_ + absl::Milliseconds(request.crashes ? 50 + draw(200) : 300 + draw(2000));
+        inFlight_.push_back(request);
+        return true;
+    }
+
+    void announce(std::size_t from, const PartReports &reports)
+    {
+        if (reports.empty())
+            return;
+        for (std::size_t to = 0; to < lists_.size(); ++to) {
+            for (int copy = 0; to != from && copy < options_.copies; ++copy) {
+                const absl::Duration wait = options_.delay + copy * absl::Milliseconds(100);
+                PartReports sent = reports;
+                for (PartCrash &crash : sent.crashes)
+                    crash.age += copy * absl::Milliseconds(100);
+                for (PartSuccess &success : sent.successes)
+                    success.age += copy * absl::Milliseconds(100);
+                if (!chance(options_.lossRate))
+                    messages_.push_back({ to, std::move(sent), now_ + wait });
+            }
+        }
+    }
+
+    FleetOptions options_;
+    std::mt19937 random_;
+    std::vector<PartCrashList> lists_;
+    std::vector<absl::Time> usableAt_;
+    absl::Time now_ = absl::UnixEpoch() + absl::Seconds(1000);
+    std::uint64_t requests_ = 0;
+    std::vector<Request> inFlight_;
+    std::vector<Message> messages_;
+    std::vector<absl::Time> crashedAt_;
+    std::vector<absl::Time> crashingSentAt_;
+    std::size_t soundRefused_ = 0;
+};
+
+/// One organisation's requests: all begin with the same part, two more are of a common set.
+std::vector<PromptSegment> promptOf(Fleet &fleet, const std::string &first, int own)
+{
+    return { { first, 4000 },
+             { absl::StrCat("common", fleet.draw(10)), 500 },
+             { absl::StrCat("common", fleet.draw(10)), 500 },
+             { absl::StrCat("own", own), 100 } };
+}
+
+/// Sound requests at 40/s and, while `crashing`, others with the part "crash" at 2/s, at any
+/// instance and behind any of the shared parts.
+struct Incident
+{
+    explicit Incident(std::uint32_t seed, const FleetOptions &options = {})
+        : fleet(seed, options)
+    { }
+
+    std::size_t anyInstance() { return fleet.draw(8); }
+    bool isDue(double perSecond) { return fleet.chance(perSecond * absl::ToDoubleSeconds(Step)); }
+    void sendSound(const std::string &first)
+    {
+        if (!fleet.request(anyInstance(), promptOf(fleet, first, ++own), false))
+            ++refused;
+    }
+
+    void run(absl::Duration time)
+    {
+        fleet.run(time, [this] {
+            if (isDue(40 - soundPerSecond))
+                sendSound("other");
+            if (isDue(soundPerSecond))
+                sendSound("first");
+            if (!crashing || !isDue(2))
+                return;
+            std::vector<PromptSegment> prompt = promptOf(fleet, "first", ++own);
+            prompt.insert(prompt.begin() + 1 + fleet.draw(3), PromptSegment { "crash", 300 });
+            fleet.request(anyInstance(), prompt, true);
+        });
+    }
+
+    std::size_t soundRefused() const { return refused + fleet.soundRefused(); }
+
+    Fleet fleet;
+    bool crashing = false;
+    double soundPerSecond = 40; ///< Of requests with the same first part as the crashing ones.
+    std::size_t refused = 0;
+    int own = 0;
+};
+
+struct PartCrashFixture
+{
+    std::vector<PartKey> part { 7 };
+    PartCrashList list { PartCrashOptions {} };
+    absl::Time now = absl::FromUnixSeconds(1000);
+
+    /// Each crash is of another request and endpoint, half a second after the one before.
+    void crash(PartCrashList &to, const std::vector<PartKey> &parts, int times)
+    {
+        for (int i = 0; i < times; ++i) {
+            now += absl::Milliseconds(500);
+            ++crashes;
+            to.noteCrash(parts, crashes, base::EndpointId(absl::StrCat("e", crashes)), now);
+        }
+    }
+    bool isRefused(const PartCrashList &in) const { return in.refusedPart(part, now).has_value(); }
+
+    std::uint64_t crashes = 0;
+};
+
+BOOST_FIXTURE_TEST_SUITE(PartCrashListTest, PartCrashFixture)
+
+BOOST_AUTO_TEST_CASE(sharedPartKeys_sameIdBehindOtherParts_hasSameKeyWithoutLastPart)
+{
+    const auto keys = sharedPartKeys({ { "a", 1 }, { "b", 2 }, { "a", 1 }, { "own", 3 } });
+    BOOST_TEST(keys.size() == 2u);
+    const auto moved = sharedPartKeys({ { "c", 9 }, { "b", 4 }, { "b", 1 } });
+    BOOST_TEST(moved.size() == 2u);
+    BOOST_TEST(moved[1] == keys[1]);
+    BOOST_TEST(keys[0] == stableDigest("a"));
+    BOOST_TEST(sharedPartKeys({ { "own", 1 } }).empty());
+    BOOST_TEST(sharedPartKeys({}).empty());
+}
+
+BOOST_AUTO_TEST_CASE(part_crashedThreeEndpoints_isRefused)
+{
+    crash(list, part, 2);
+    BOOST_TEST(!isRefused(list));
+    crash(list, part, 1);
+    BOOST_TEST(isRefused(list));
+    BOOST_TEST((list.refusedPart({ 1, 7, 9 }, now) == std::optional<PartKey>(7)));
+    BOOST_TEST(!list.refusedPart({ 1, 9 }, now).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(crash_reportedByTwoPeersAndHere_countsOnce)
+{
+    const base::EndpointId endpoint("e");
+    list.noteCrash(part, 1, endpoint, now);
+    for (int i = 0; i < 3; ++i) {
+        now += absl::Milliseconds(700);
+        list.merge({ { { 7, 2 + std::uint64_t(i), endpoint, absl::Milliseconds(100) } }, {} }, now);
+    }
+    crash(list, part, 1);
+    BOOST_TEST(!isRefused(list));
+    crash(list, part, 1);
+    BOOST_TEST(isRefused(list));
+}
+
+BOOST_AUTO_TEST_CASE(endpoint_crashedAgainLater_countsAgain)
+{
+    for (std::uint64_t request = 1; request <= 3; ++request) {
+        BOOST_TEST(!isRefused(list));
+        now += absl::Seconds(4);
+        list.noteCrash(part, request, base::EndpointId("e"), now);
+    }
+    BOOST_TEST(isRefused(list));
+}
+
+BOOST_AUTO_TEST_CASE(request_retriedAlone_doesNotConvictItsParts)
+{
+    for (int i = 0; i < 40; ++i) {
+        now += absl::Seconds(1);
+        list.noteCrash(part, 5, base::EndpointId(absl::StrCat("e", i)), now);
+        BOOST_TEST(!isRefused(list));
+    }
+    now += absl::Seconds(1);
+    list.noteCrash(part, 6, base::EndpointId("other"), now);
+    BOOST_TEST(isRefused(list));
+}
+
+BOOST_AUTO_TEST_CASE(part_answeredBeforeOrAfterCrashes_isNotRefused)
+{
+    list.noteSuccess(part, now);
+    crash(list, part, 9); // Within 5 s after the answer.
+    BOOST_TEST(!isRefused(list));
+    BOOST_TEST(list.size() == 0u);
+    now += absl::Seconds(1);
+    crash(list, part, 3);
+    BOOST_TEST(list.size() == 1u);
+    BOOST_TEST(list.noteSuccess(part, now).successes.size() == 1u);
+    BOOST_TEST(list.size() == 0u);
+}
+
+BOOST_AUTO_TEST_CASE(part_answeredMinutesAgo_isRefusedAfterMoreCrashes)
+{
+    list.noteSuccess(part, now);
+    now += absl::Minutes(2);
+    crash(list, part, 5);
+    BOOST_TEST(!isRefused(list));
+    crash(list, part, 1);
+    BOOST_TEST(isRefused(list));
+}
+
+BOOST_AUTO_TEST_CASE(answeredPart_crashesBesideRefusedPart_isNotRefused)
+{
+    list.noteSuccess(part, now);
+    now += absl::Minutes(2);
+    crash(list, { 7, 8 }, 6);
+    BOOST_TEST(!isRefused(list));
+    BOOST_TEST(list.refusedPart({ 8 }, now).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(success_ofPartWithoutCrashes_isNotAnnounced)
+{
+    for (int i = 0; i < 20; ++i) {
+        now += absl::Seconds(1);
+        BOOST_TEST(list.noteSuccess({ 1, 2, 3 }, now).empty());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(success_afterCrash_isAnnouncedAgainWithinShortTimeOnly)
+{
+    crash(list, part, 1);
+    std::size_t announced = 0;
+    for (int i = 0; i < 6000; ++i) {
+        now += absl::Milliseconds(10);
+        announced += list.noteSuccess(part, now).successes.size();
+    }
+    BOOST_TEST(announced >= 2u);
+    BOOST_TEST(announced <= 20u);
+}
+
+BOOST_AUTO_TEST_CASE(crash_ofTrustedPart_isNotReported)
+{
+    list.noteSuccess({ 1 }, now);
+    now += absl::Seconds(1);
+    const PartReports reports = list.noteCrash({ 1, 7 }, 3, base::EndpointId("e"), now);
+    BOOST_REQUIRE(reports.crashes.size() == 1u);
+    BOOST_TEST(reports.crashes[0].part == 7u);
+    BOOST_TEST(reports.crashes[0].request == 3u);
+    BOOST_TEST(reports.successes.empty());
+}
+
+BOOST_AUTO_TEST_CASE(instance_neverSawSuccess_isCorrectedByPeer)
+{
+    PartCrashList peer { PartCrashOptions {} };
+    peer.noteSuccess(part, now);
+    crash(list, part, 3);
+    BOOST_TEST(isRefused(list));
+    const PartReports reply = peer.merge(list.entries(now, 8), now);
+    BOOST_REQUIRE(reply.successes.size() == 1u);
+    BOOST_TEST(peer.merge(list.entries(now, 8), now).empty()); // At most once in a short time.
+    BOOST_TEST(list.merge(reply, now).empty());
+    BOOST_TEST(!isRefused(list));
+    BOOST_TEST(list.size() == 0u);
+}
+
+BOOST_AUTO_TEST_CASE(restartedInstance_receivedEntries_refuses)
+{
+    crash(list, part, 3);
+    crash(list, { 8 }, 2);
+    crash(list, { 9 }, 1);
+    PartCrashList restarted { PartCrashOptions {} };
+    now += absl::Minutes(1);
+    const PartReports reports = list.entries(now, 4);
+    BOOST_REQUIRE(reports.crashes.size() == 4u);
+    for (std::size_t i = 0; i < 3; ++i)
+        BOOST_TEST(reports.crashes[i].part == 7u); // The refused part first.
+    BOOST_TEST(reports.crashes[3].part == 9u); // Then the newest.
+    BOOST_TEST(restarted.merge(reports, now).empty());
+    BOOST_TEST(isRefused(restarted));
+    BOOST_TEST(!restarted.refusedPart({ 8, 9 }, now).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(entries_ofPartAnsweredEarlier_includeItsSuccess)
+{
+    list.noteSuccess(part, now);
+    now += absl::Minutes(1);
+    crash(list, part, 3);
+    PartCrashList restarted { PartCrashOptions {} };
+    restarted.merge(list.entries(now, 8), now);
+    BOOST_TEST(!isRefused(list));
+    BOOST_TEST(!isRefused(restarted));
+}
+
+BOOST_AUTO_TEST_CASE(conviction_afterRetention_ends)
+{
+    crash(list, part, 3);
+    now += absl::Minutes(10) - absl::Seconds(2);
+    BOOST_TEST(isRefused(list));
+    now += absl::Seconds(2);
+    BOOST_TEST(!isRefused(list));
+    BOOST_TEST(list.entries(now, 8).crashes.empty());
+    list.expire(now);
+    BOOST_TEST(list.size() == 0u);
+}
+
+// Without a margin, two instances that report to each other would never forget a crash: each
+// receives it with the delay of a message added.
+BOOST_AUTO_TEST_CASE(instances_reportToEachOther_forgetAfterRetention)
+{
+    Fleet fleet(1, {});
+    for (std::uint64_t i = 0; i < 3; ++i) {
+        fleet.list(0).noteCrash(part, i, base::EndpointId(absl::StrCat("e", i)), fleet.now());
+        fleet.run(absl::Seconds(1));
+    }
+    fleet.run(absl::Seconds(5));
+    for (std::size_t i = 0; i < 8; ++i)
+        BOOST_TEST(fleet.list(i).refusedPart(part, fleet.now()).has_value());
+    fleet.run(absl::Minutes(10), [&] {
+        for (std::size_t i = 0; i < 8; ++i)
+            fleet.list(i).expire(fleet.now());
+    });
+    for (std::size_t i = 0; i < 8; ++i)
+        BOOST_TEST(fleet.list(i).size() == 0u);
+}
+
+BOOST_AUTO_TEST_CASE(list_full_evictsUnrefusedPartsFirst)
+{
+    PartCrashOptions options;
+    options.capacity = 3;
+    list = PartCrashList(options);
+    crash(list, part, 3);
+    for (PartKey other = 100; other < 150; ++other) {
+        crash(list, { other }, 2);
+        BOOST_TEST(list.size() <= 3u);
+        BOOST_TEST(isRefused(list));
+    }
+    BOOST_TEST(list.entries(now, 100).crashes.size() == 7u);
+}
+
+BOOST_AUTO_TEST_CASE(answeredParts_moreThanCapacity_oldestAreForgotten)
+{
+    PartCrashOptions options;
+    options.capacity = 3;
+    list = PartCrashList(options);
+    for (const PartKey answered : { 7, 1, 2, 1, 3 })
+        list.noteSuccess({ answered }, now);
+    BOOST_TEST(list.noteCrash({ 1, 2, 3 }, 1, base::EndpointId("e"), now).empty());
+    BOOST_TEST(list.noteCrash(part, 1, base::EndpointId("e"), now).crashes.size() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(fleet_oneCrashingPart_isRefusedOnAllAndSoundRequestsAreServed)
+{
+    for (std::uint32_t seed = 1; seed <= 40; ++seed) {
+        Incident incident(seed);
+        incident.run(absl::Seconds(10));
+        incident.crashing = true;
+        incident.run(absl::Seconds(20));
+        BOOST_TEST(incident.fleet.crashes() >= 3u);
+        BOOST_TEST(incident.fleet.crashes() <= 20u, "seed " << seed);
+        BOOST_TEST(incident.fleet.lateCrashing() <= 3u, "seed " << seed);
+        BOOST_TEST(incident.fleet.isRefusedOnAll({ { "crash", 1 }, { "own", 1 } }));
+        BOOST_TEST(incident.soundRefused() == 0u, "seed " << seed);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(fleet_instancesRestartDuringIncident_lateCrashingRequestsStayBounded)
+{
+    for (std::uint32_t seed = 1; seed <= 40; ++seed) {
+        FleetOptions options;
+        options.copies = 3;
+        Incident incident(seed, options);
+        incident.run(absl::Seconds(10));
+        incident.crashing = true;
+        incident.run(absl::Seconds(15));
+        for (std::size_t instance = 0; instance < 8; instance += 3) {
+            // A restarted instance takes requests once it has heard its peers.
+            incident.fleet.restart(instance);
+            incident.fleet.list(instance).merge(
+                incident.fleet.list(instance + 1).entries(incident.fleet.now(), 8),
+                incident.fleet.now());
+            incident.run(absl::Seconds(5));
+        }
+        BOOST_TEST(incident.fleet.lateCrashing() <= 3u, "seed " << seed);
+        BOOST_TEST(incident.soundRefused() == 0u, "seed " << seed);
+    }
+}
+
+// Between two sound requests the first part has more crashes than any part needs to be refused.
+BOOST_AUTO_TEST_CASE(fleet_soundRequestsOfCrashingOrganisationAreRare_areServed)
+{
+    for (std::uint32_t seed = 1; seed <= 40; ++seed) {
+        Incident incident(seed);
+        incident.soundPerSecond = 1.0 / 7;
+        incident.sendSound("first");
+        incident.run(absl::Seconds(30));
+        incident.crashing = true;
+        incident.run(absl::Seconds(60));
+        BOOST_TEST(incident.fleet.lateCrashing() <= 3u, "seed " << seed);
+        BOOST_TEST(incident.soundRefused() == 0u, "seed " << seed);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(fleet_sixEndpointsEndTogether_nothingIsRefused)
+{
+    for (std::uint32_t seed = 1; seed <= 40; ++seed) {
+        FleetOptions options;
+        options.endpoints = 12;
+        Incident incident(seed, options);
+        incident.run(absl::Seconds(seed % 10 + 1));
+        for (std::size_t endpoint = 0; endpoint < 6; ++endpoint)
+            incident.fleet.endEndpoint(endpoint);
+        incident.run(absl::Seconds(10));
+        BOOST_TEST(incident.soundRefused() == 0u, "seed " << seed);
+    }
+}
+
+// Nothing has been answered yet anywhere.
+BOOST_AUTO_TEST_CASE(fleet_sixEndpointsEndTogetherAfterStart_nothingIsRefused)
+{
+    for (std::uint32_t seed = 1; seed <= 40; ++seed) {
+        FleetOptions options;
+        options.endpoints = 12;
+        Incident incident(seed, options);
+        incident.run(absl::Milliseconds(280));
+        for (std::size_t endpoint = 0; endpoint < 6; ++endpoint)
+            incident.fleet.endEndpoint(endpoint);
+        incident.run(absl::Seconds(10));
+        BOOST_TEST(incident.soundRefused() == 0u, "seed " << seed);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(fleet_rareSoundPartLosesEndpoints_isNotRefused)
+{
+    for (std::uint32_t seed = 1; seed <= 20; ++seed) {
+        Fleet fleet(seed, {});
+        std::size_t refused = 0;
+        for (int i = 0; i < 86; ++i) { // 10 minutes.
+            const std::size_t instance = fleet.draw(8);
+            PartCrashList &served = fleet.list(instance);
+            refused += served.refusedPart(part, fleet.now()) ? 1 : 0;
+            fleet.run(absl::Seconds(7));
+            fleet.serve(instance, part, static_cast<std::uint64_t>(i), fleet.chance(0.1));
+        }
+        BOOST_TEST(refused == 0u, "seed " << seed);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
