Exchange reports about prompt parts between instances

What the list returns for received reports is announced.

The test of unique formats now covers all five messages (it left out LeaderMessage and UsageWrittenNotice). New: truncated leader messages, and 20,000 messages with changed bytes, whose reports are applied where they decode.

--- a/include/zinniadoor/gateway/peer_message.hpp
+++ b/include/zinniadoor/gateway/peer_message.hpp
@@ -16,6 +16,7 @@
 #include "zinniadoor/gateway/usage_window_counter.hpp"
 #include "zinniadoor/serving/crash_list.hpp"
 #include "zinniadoor/serving/engine_view.hpp"
+#include "zinniadoor/serving/part_crash_list.hpp"
 
 namespace zinniadoor::gateway {
 
@@ -56,7 +57,8 @@
 /// permission depends on it.
 struct PeerMessage
 {
-    static constexpr std::uint8_t CurrentFormat = 7; ///< Distinct from that of every other message.
+    static constexpr std::uint8_t CurrentFormat
+        = 10; ///< Distinct from that of every other message.
 
     std::uint8_t format = CurrentFormat;
     ProcessName sender;
@@ -67,6 +69,7 @@
     std::vector<EndpointLoad> loads;
     std::vector<PrefixUpdate> prefixes; ///< Since the last message.
     std::vector<serving::CrashEntry> crashes; ///< Since the last message.
+    serving::PartReports partReports; ///< Each in several messages.
     std::map<std::string, std::int64_t> paused; ///< Remaining pause by endpoint, milliseconds.
     bool hasCounts = false; ///< `consumed`, `usage` and `usageFinalBefore` are set.
     ConsumedCounts consumed; ///< Of all organisations.
@@ -77,7 +80,7 @@
     void serialize(Archive &archive)
     {
         archive(format, sender, dataCentre, sequence, stopping, estimateMs, loads, prefixes,
-                crashes, paused, hasCounts, consumed, usage, usageFinalBefore);
+                crashes, partReports, paused, hasCounts, consumed, usage, usageFinalBefore);
     }
 };
 
@@ -105,7 +108,8 @@
 /// it; to each of its members, over all instances except that member. A hint, like `PeerMessage`.
 struct LeaderMessage
 {
-    static constexpr std::uint8_t CurrentFormat = 6; ///< Distinct from that of every other message.
+    static constexpr std::uint8_t CurrentFormat
+        = 11; ///< Distinct from that of every other message.
 
     std::uint8_t format = CurrentFormat;
     ProcessName sender;
@@ -123,13 +127,15 @@
         consumed; ///< By lower half of the organisation's digest.
     std::vector<PrefixUpdate> prefixes; ///< New in the engines' caches since the last message.
     std::vector<serving::CrashEntry> crashes; ///< Since the last message.
+    serving::PartReports partReports; ///< Each in several messages.
     std::map<std::string, std::int64_t> paused; ///< Remaining pause by endpoint, milliseconds.
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
         archive(format, sender, dataCentre, sequence, estimateMs, toMember, leader, reachable,
-                tracked, hasLoads, loads, hasAllCounts, consumed, prefixes, crashes, paused);
+                tracked, hasLoads, loads, hasAllCounts, consumed, prefixes, crashes, partReports,
+                paused);
     }
 };
 
--- a/include/zinniadoor/gateway/serving_context.hpp
+++ b/include/zinniadoor/gateway/serving_context.hpp
@@ -18,6 +18,7 @@
 #include "zinniadoor/serving/crash_list.hpp"
 #include "zinniadoor/serving/engine_view.hpp"
 #include "zinniadoor/serving/outlier_ejection.hpp"
+#include "zinniadoor/serving/part_crash_list.hpp"
 
 namespace zinniadoor::gateway {
 
@@ -34,6 +35,7 @@
                                const std::vector<serving::KeyedSegment> &parts, bool held)
         = 0;
     virtual void announceCrashes(const std::vector<serving::CrashEntry> &crashes) = 0;
+    virtual void announcePartReports(const serving::PartReports &reports) = 0;
 
     /// Endpoints in the directory, or their properties, have changed.
     virtual void onDirectoryChanged() = 0;
@@ -59,6 +61,7 @@
     serving::EngineView load;
     serving::OutlierEjection health;
     serving::CrashList crashes;
+    serving::PartCrashList partCrashes;
     Quota quota;
     RetryBudget budget;
     UsageWindowCounter usage;
--- a/include/zinniadoor/serving/part_crash_list.hpp
+++ b/include/zinniadoor/serving/part_crash_list.hpp
@@ -5,6 +5,7 @@
 #include <optional>
 #include <vector>
 
+#include <cereal/types/string.hpp>
 #include <cereal/types/vector.hpp>
 
 #include "absl/container/flat_hash_map.h"
--- a/src/zinniadoor/gateway/gateway.cpp
+++ b/src/zinniadoor/gateway/gateway.cpp
@@ -136,6 +136,7 @@
                      serving::EngineView(),
                      serving::OutlierEjection(serving::EjectionOptions {}),
                      serving::CrashList(serving::CrashListOptions {}),
+                     serving::PartCrashList(serving::PartCrashOptions {}),
                      Quota(quotaOptions(settings, start_)),
                      RetryBudget(budgetOptions(settings)),
                      UsageWindowCounter(settings.usageWindow),
@@ -239,6 +240,10 @@
     {
         peerLink_->announceCrashes(crashes);
     }
+    void announcePartReports(const serving::PartReports &reports) override
+    {
+        peerLink_->announcePartReports(reports);
+    }
     void onDirectoryChanged() override { applyEndpoints(); }
     void announcePause(const base::EndpointId &endpoint, absl::Duration time) override
     {
--- a/src/zinniadoor/gateway/peer_link.cpp
+++ b/src/zinniadoor/gateway/peer_link.cpp
@@ -12,6 +12,7 @@
 #include "zinniadoor/base/events.hpp"
 #include "zinniadoor/gateway/consumption_totals.hpp"
 #include "zinniadoor/gateway/paced_queue.hpp"
+#include "zinniadoor/gateway/part_report_queue.hpp"
 #include "zinniadoor/gateway/peer_group.hpp"
 #include "zinniadoor/net/datagram_socket.hpp"
 
@@ -164,6 +165,11 @@
         crashes_.insert(crashes_.end(), crashes.begin(), crashes.end());
     }
 
+    void announcePartReports(const serving::PartReports &reports) override
+    {
+        partReports_.push(reports, now());
+    }
+
     void announcePause(const base::EndpointId &endpoint, absl::Duration time) override
     {
         const absl::Time until = serving_.clock.now() + time;
@@ -354,6 +360,7 @@
             fullCountsSentAt_ = time;
         moveFirst(prefixes_, MaxPrefixesPerSums, message.prefixes);
         moveFirst(crashes_, MaxCrashesPerMessage, message.crashes);
+        message.partReports = partReports_.take(time);
         message.paused = pausedHere(time);
         const std::vector<base::EndpointId> engines = loadedEngines(time);
         leaderBytes_ = 0;
@@ -425,6 +432,9 @@
         message.paused.insert(pausedElsewhere.begin(), pausedElsewhere.end());
         message.crashes.insert(message.crashes.end(), otherCrashes_.begin(), otherCrashes_.end());
         otherCrashes_.clear();
+        const serving::PartReports otherReports = otherPartReports_.take(time);
+        append(message.partReports.crashes, otherReports.crashes);
+        append(message.partReports.successes, otherReports.successes);
         std::vector<PrefixUpdate> others;
         moveFirst(otherPrefixes_, MaxPrefixesPerSums, others);
         message.prefixes.insert(message.prefixes.end(), others.begin(), others.end());
@@ -552,6 +562,7 @@
         }
         moveFirst(prefixes_, MaxPrefixesPerMessage, message.prefixes);
         moveFirst(crashes_, MaxCrashesPerMessage, message.crashes);
+        message.partReports = partReports_.take(now);
         message.paused = pausedHere(now);
         if (now - countsSentAt_ >= std::max(MinCountsInterval, MessagesPerCounts * interval_)) {
             countsSentAt_ = now;
@@ -573,6 +584,12 @@
         }
     }
 
+    template <typename T>
+    static void append(std::vector<T> &to, const std::vector<T> &from)
+    {
+        to.insert(to.end(), from.begin(), from.end());
+    }
+
     template <typename T>
     static void moveFirst(std::vector<T> &from, std::size_t limit, std::vector<T> &to)
     {
@@ -707,6 +724,9 @@
         if (!message.toMember)
             otherCrashes_.insert(otherCrashes_.end(), message.crashes.begin(),
                                  message.crashes.end());
+        partReports_.push(serving_.partCrashes.merge(message.partReports, time), time);
+        if (!message.toMember)
+            otherPartReports_.push(message.partReports, time);
     }
 
     absl::flat_hash_map<base::EndpointId, serving::EngineLoad>
@@ -808,6 +828,9 @@
         serving_.crashes.merge(message->crashes, now);
         if (group_.hasLeaders())
             crashes_.insert(crashes_.end(), message->crashes.begin(), message->crashes.end());
+        partReports_.push(serving_.partCrashes.merge(message->partReports, now), now);
+        if (group_.hasLeaders())
+            partReports_.push(message->partReports, now);
     }
 
     void update()
@@ -919,6 +942,7 @@
     absl::Time fullCountsSentAt_ = absl::InfinitePast();
     std::vector<PrefixUpdate> otherPrefixes_; ///< From other leaders, for the members.
     std::vector<serving::CrashEntry> otherCrashes_; ///< From other leaders, for the members.
+    PartReportQueue otherPartReports_; ///< From other leaders, for the members.
     std::map<std::string, absl::Time> otherPaused_; ///< From other leaders, for the members.
     ServingContext &serving_;
     PeerTable &peers_;
@@ -932,6 +956,7 @@
     ConsumedCounts sentCounts_;
     std::vector<PrefixUpdate> prefixes_;
     std::vector<serving::CrashEntry> crashes_;
+    PartReportQueue partReports_;
     std::map<std::string, absl::Time> paused_;
 };
 
--- a/src/zinniadoor/gateway/records_test.cpp
+++ b/src/zinniadoor/gateway/records_test.cpp
@@ -1,4 +1,5 @@
 #include <fstream>
+#include <random>
 #include <regex>
 #include <set>
 #include <sstream>
@@ -13,6 +14,7 @@
 #include "zinniadoor/gateway/gateway_settings.hpp"
 #include "zinniadoor/gateway/journal.hpp"
 #include "zinniadoor/gateway/log_part.hpp"
+#include "zinniadoor/gateway/part_report_queue.hpp"
 #include "zinniadoor/gateway/peer_table.hpp"
 #include "zinniadoor/gateway/retry_budget.hpp"
 
@@ -46,6 +48,13 @@
         message.sequence = sequence;
         return message;
     }
+
+    static serving::PartReports partReports()
+    {
+        return { { { 5, 8, base::EndpointId("e"), absl::Milliseconds(10) },
+                   { 6, 9, base::EndpointId("f"), absl::Seconds(2) } },
+                 { { 7, absl::Milliseconds(20) } } };
+    }
 };
 
 BOOST_FIXTURE_TEST_SUITE(GatewayRecordsTest, RecordsFixture)
@@ -256,10 +265,14 @@
     BOOST_TEST(formatOf(base::encode(PeerMessage {})) == PeerMessage::CurrentFormat);
     BOOST_TEST(formatOf(base::encode(LogPart {})) == LogPart::CurrentFormat);
     BOOST_TEST(formatOf(base::encode(ConsumptionMessage {})) == ConsumptionMessage::CurrentFormat);
+    BOOST_TEST(formatOf(base::encode(LeaderMessage {})) == LeaderMessage::CurrentFormat);
+    BOOST_TEST(formatOf(base::encode(UsageWrittenNotice {})) == UsageWrittenNotice::CurrentFormat);
     BOOST_TEST(formatOf("") == 0);
     const std::set<std::uint8_t> formats { PeerMessage::CurrentFormat, LogPart::CurrentFormat,
-                                           ConsumptionMessage::CurrentFormat };
-    BOOST_TEST(formats.size() == 3u);
+                                           ConsumptionMessage::CurrentFormat,
+                                           LeaderMessage::CurrentFormat,
+                                           UsageWrittenNotice::CurrentFormat };
+    BOOST_TEST(formats.size() == 5u);
 }
 
 BOOST_AUTO_TEST_CASE(peerMessage_truncatedAnywhere_isRejected)
@@ -268,12 +281,90 @@
     sent.loads.push_back({ 17, serving::EngineLoad::ofRequest(100, 0) });
     sent.prefixes.push_back({ 17, { { 1, 2 } } });
     sent.usage[4] = { { "org", 1 } };
+    sent.partReports = partReports();
     const std::string bytes = base::encode(sent);
     BOOST_TEST(base::decode<PeerMessage>(bytes)->sequence == 7u);
     for (std::size_t cut = 0; cut < bytes.size(); ++cut)
         BOOST_TEST(!base::decode<PeerMessage>(bytes.substr(0, cut)).hasValue());
 }
 
+BOOST_AUTO_TEST_CASE(leaderMessage_truncatedAnywhere_isRejected)
+{
+    LeaderMessage sent;
+    sent.sequence = 7;
+    sent.prefixes.push_back({ 17, { { 1, 2 } } });
+    sent.partReports = partReports();
+    const std::string bytes = base::encode(sent);
+    BOOST_TEST(base::decode<LeaderMessage>(bytes)->sequence == 7u);
+    for (std::size_t cut = 0; cut < bytes.size(); ++cut)
+        BOOST_TEST(!base::decode<LeaderMessage>(bytes.substr(0, cut)).hasValue());
+}
+
+BOOST_AUTO_TEST_CASE(messages_partReports_arriveUnchanged)
+{
+    PeerMessage message;
+    message.partReports = partReports();
+    LeaderMessage sums;
+    sums.partReports = partReports();
+    const std::string expected = base::encode(partReports());
+    const auto received = base::decode<PeerMessage>(base::encode(message));
+    const auto receivedSums = base::decode<LeaderMessage>(base::encode(sums));
+    BOOST_REQUIRE(received.hasValue());
+    BOOST_REQUIRE(receivedSums.hasValue());
+    BOOST_TEST(base::encode(received->partReports) == expected);
+    BOOST_TEST(base::encode(receivedSums->partReports) == expected);
+    const serving::PartCrash &crash = received->partReports.crashes.at(1);
+    BOOST_TEST(crash.part == 6u);
+    BOOST_TEST(crash.request == 9u);
+    BOOST_TEST(crash.endpoint == base::EndpointId("f"));
+    BOOST_TEST((crash.age == absl::Seconds(2)));
+    BOOST_TEST(received->partReports.successes.at(0).part == 7u);
+    BOOST_TEST((received->partReports.successes.at(0).age == absl::Milliseconds(20)));
+}
+
+// Whatever is decoded is applied; the list stays within its limits and never fails.
+BOOST_AUTO_TEST_CASE(messages_anyBytesChanged_areRejectedOrHarmless)
+{
+    PeerMessage message;
+    message.crashes.push_back({ "body", base::EndpointId("e"), absl::Seconds(1) });
+    message.partReports = partReports();
+    LeaderMessage sums;
+    sums.crashes = message.crashes;
+    sums.partReports = partReports();
+    std::mt19937 random(20250301);
+    serving::PartCrashOptions options;
+    options.capacity = 20;
+    serving::PartCrashList list(options);
+    PartReportQueue queue;
+    const auto apply = [&](const serving::PartReports &reports, int i) {
+        queue.push(list.merge(reports, at(i)), at(i));
+        queue.push(reports, at(i));
+        const serving::PartReports next = queue.take(at(i));
+        BOOST_TEST(next.crashes.size() <= PartReportQueue::MaxCrashesPerMessage);
+        BOOST_TEST(next.successes.size() <= PartReportQueue::MaxSuccessesPerMessage);
+        BOOST_TEST(base::decode<serving::PartReports>(base::encode(next)).hasValue());
+        list.entries(at(i), 8);
+        BOOST_TEST(list.size() <= 20u);
+    };
+    int applied = 0;
+    for (int i = 0; i < 20000; ++i) {
+        std::string bytes = i % 2 == 0 ? base::encode(message) : base::encode(sums);
+        for (std::uint32_t change = 0; change <= random() % 4; ++change)
+            bytes[random() % bytes.size()] = static_cast<char>(random());
+        if (random() % 8 == 0)
+            bytes.resize(random() % bytes.size());
+        if (const auto read = base::decode<PeerMessage>(bytes)) {
+            apply(read->partReports, i);
+            ++applied;
+        }
+        if (const auto read = base::decode<LeaderMessage>(bytes)) {
+            apply(read->partReports, i);
+            ++applied;
+        }
+    }
+    BOOST_TEST(applied > 1000);
+}
+
 BOOST_AUTO_TEST_CASE(settings_missingOrInvalidKeys_reportedWithFileAndKey)
 {
     const auto settings = parseGatewaySettings("instance: {id: a}\n"
