Refuse requests with a prompt part that crashes each engine

Cause: crashes were counted by whole body. Requests that share only a part of their prompts were all new to the list, on every instance. Now the shared parts of the requests that ran on a crashed engine are counted too; a request with a part that has crashed engines again and again and was never answered is refused, also before a further attempt, between its prefill and its run, and as a standby. Parts of answered requests are cleared, and instances tell each other both.

Both lists of crashes expire when a crash is noted: the gateway never did so.

--- a/src/zinniadoor/gateway/exchange.cpp
+++ b/src/zinniadoor/gateway/exchange.cpp
@@ -31,6 +31,8 @@
 {
     const absl::Time now = context_.clock.now();
     phase_ = Phase::Deciding;
+    if (refuseIfHarmful()) // Its part may have crashed endpoints since the last attempt.
+        return;
     const auto choice = chooseEndpoint(context_, choiceFacts(), now);
     const bool first = attempts_ == 0;
     if (!choice) {
@@ -154,6 +156,8 @@
     prompt_ = PromptHandle { prefillEngine_.address, handle };
     promptTransferred_ = false;
     prefilledBefore_ = true;
+    if (refuseIfHarmful())
+        return;
     // Fails over to another decode engine.
     if (!context_.directory.mayCall(servingEndpoint_.id, now)) {
         ChoiceFacts facts;
@@ -394,6 +398,7 @@
             return;
         }
         context_.directory.noteSuccess(servingEndpoint_.id);
+        context_.updates.announcePartReports(context_.partCrashes.noteSuccess(sharedParts_, now));
         context_.health.noteSuccess(servingEndpoint_.id, now - callStartedAt_, now);
         if (firstByteAt_)
             context_.speeds.noteDecode(service_, now - *firstByteAt_);
--- a/src/zinniadoor/gateway/exchange_admission.cpp
+++ b/src/zinniadoor/gateway/exchange_admission.cpp
@@ -107,10 +107,13 @@
         return false;
     }
     bodyDigest_ = digestOf(facts_, request_.body());
+    sharedParts_ = serving::sharedPartKeys(facts_.promptParts);
     if (context_.crashes.verdict(bodyDigest_, arrivedAt_) == serving::CrashVerdict::Refused) {
         refuse(RefusalKind::Harmful, "crashed_endpoints");
         return false;
     }
+    if (refuseIfHarmful())
+        return false;
     parts_ = serving::keySegments(facts_.promptParts);
     lastEventId_ = facts_.lastEventId;
     armDeadlineTimer();
@@ -130,6 +133,19 @@
     return true;
 }
 
+bool Exchange::hasHarmfulPart() const
+{
+    return context_.partCrashes.refusedPart(sharedParts_, context_.clock.now()).has_value();
+}
+
+bool Exchange::refuseIfHarmful()
+{
+    if (!hasHarmfulPart())
+        return false;
+    refuse(RefusalKind::Harmful, "crashing_part");
+    return true;
+}
+
 bool Exchange::consumeQuota()
 {
     if (!organisation_)
--- a/src/zinniadoor/gateway/exchange_retry.cpp
+++ b/src/zinniadoor/gateway/exchange_retry.cpp
@@ -114,8 +114,12 @@
              { { "request", facts_.id },
                { "endpoint", endpoint.str() },
                { "parts", absl::StrJoin(sharedParts, ",") } });
-    context_.updates.announceCrashes(
-        context_.crashes.endpointCrashed(endpoint, context_.clock.now()));
+    const absl::Time now = context_.clock.now();
+    context_.crashes.expire(now);
+    context_.partCrashes.expire(now);
+    context_.updates.announceCrashes(context_.crashes.endpointCrashed(endpoint, now));
+    context_.updates.announcePartReports(context_.partCrashes.noteCrash(
+        sharedParts_, serving::stableDigest(bodyDigest_), endpoint, now));
 }
 
 void Exchange::endCrashTracking()
--- a/src/zinniadoor/gateway/exchange_standby.cpp
+++ b/src/zinniadoor/gateway/exchange_standby.cpp
@@ -21,6 +21,8 @@
     // The silent endpoint may have executed the request.
     if (auto reason = reasonNotToRepeat(mayHaveRunCount_ + 1))
         return reason;
+    if (hasHarmfulPart())
+        return "crashing_part";
     std::vector<base::EndpointId> avoided = tried_;
     avoided.push_back(servingEndpoint_.id);
     ChoiceFacts facts = choiceFacts();
--- a/src/zinniadoor/gateway/exchange_state.hpp
+++ b/src/zinniadoor/gateway/exchange_state.hpp
@@ -116,6 +116,8 @@
     bool authenticate(const Configuration &configuration);
     bool consumeQuota();
     void dispatch();
+    bool refuseIfHarmful(); ///< Returns whether the request was refused.
+    bool hasHarmfulPart() const;
     void refuseWithoutEndpoint();
     void send(const EndpointChoice &choice);
     void startPrefill(const EndpointChoice &choice);
@@ -180,6 +182,7 @@
     std::string service_;
     const Organisation *organisation_ = nullptr; ///< In `configuration_`.
     std::vector<serving::KeyedSegment> parts_;
+    std::vector<serving::PartKey> sharedParts_;
     std::string bodyDigest_;
     double quotaCost_ = 0;
     bool quotaConsumed_ = false;
