Keep an endpoint's error out of a stream that has begun

Cause: after a resume an unsuccessful answer took the path of whole answers. Now it counts as a failed attempt; where no other attempt is allowed the stream is aborted. stream_brokenThenAnsweredWithError_containsNothingOfTheError failed before for all of seven statuses. A rejected resume was handled right before; stream_brokenThenRejected_isContinuedByNextEndpoint holds it.

--- a/src/zinniadoor/gateway/exchange.cpp
+++ b/src/zinniadoor/gateway/exchange.cpp
@@ -249,6 +249,12 @@
         onRunFailed(rejectionOf(facts));
         return false;
     }
+    if (streamStarted_ && !success) { // Its head and body have no place within the stream.
+        CallOutcome outcome;
+        outcome.reason = absl::StrCat("status_", facts.status);
+        onRunFailed(outcome);
+        return false;
+    }
     const bool mayRepeat = route_.repeatability != Repeatability::AtMostOnce;
     if (!success && facts.status >= 500 && mayRepeat && !executionStartedAt_) {
         // Retried at another endpoint if possible; otherwise this answer is forwarded.
