Do not believe a refusal without id on a reused connection

What callers saw: a request that a server was running was taken as refused. It was sent to a second server (TWICE), or, with no attempt left, its caller was told "not run, try again" (REFUSED).

Cause: a response that echoes no request id counted as the answer to whichever request stood on the connection. A refusal (503, 429, 400, 421) of an earlier request or own call that a faulty server wrote once more was therefore believed.

Why this works: on a connection that has served a call, a refusal without id fails the call with CallError::Ambiguous. The connection is closed. The first response of a connection can repeat nothing and is believed as before.

Ruled out: refusing all responses without id. Other answers may come without one (docs/PLATFORM.md); an unsigned one already means that the outcome is unknown. Not shown: a signed answer without id that a server repeats is still taken as ours.

--- a/include/zinniadoor/gateway/dialects.hpp
+++ b/include/zinniadoor/gateway/dialects.hpp
@@ -101,6 +101,10 @@
     /// Whether the answer belongs to the request with this id.
     virtual bool answers(const net::ResponseHead &head, const std::string &requestId) const = 0;
 
+    /// Whether the answer is a refusal that does not name its request. A faulty endpoint may repeat
+    /// an earlier refusal.
+    virtual bool isRefusalWithoutId(const net::ResponseHead &head) const = 0;
+
     /// Whether the answer can belong to a request that this instance made for itself, without an
     /// id.
     virtual bool answersOwnRequest(const net::ResponseHead &head) const = 0;
--- a/include/zinniadoor/net/http_client.hpp
+++ b/include/zinniadoor/net/http_client.hpp
@@ -23,6 +23,7 @@
     ConnectionLost, ///< Closed or reset by the peer, or sent data was not acknowledged in time.
     Malformed, ///< The response is not valid HTTP or exceeds a limit.
     PermissionRevoked, ///< `CallOptions::mayWrite` returned false before the request was written.
+    Ambiguous, ///< The response may repeat that to an earlier call; see `CallOptions::isAmbiguous`.
 };
 
 /// Stable lower-case name for logs.
@@ -71,6 +72,10 @@
     /// Returns whether a response is for this call. A response for which it returns false is
     /// discarded and the next one is read. Empty: every response is accepted.
     std::function<bool(const ResponseHead &)> matchesCall;
+
+    /// Returns whether a response does not show which call it answers. On a connection that has
+    /// served another call, such a response fails the call. Empty: no response is ambiguous.
+    std::function<bool(const ResponseHead &)> isAmbiguous;
 };
 
 /// A call in progress.
--- a/src/zinniadoor/net/client_connection.cpp
+++ b/src/zinniadoor/net/client_connection.cpp
@@ -206,6 +206,10 @@
         startSkipping();
         return;
     }
+    if (hasServedCall_ && options_.isAmbiguous && options_.isAmbiguous(head)) {
+        fail(CallError::Ambiguous, "the response may repeat an earlier one");
+        return;
+    }
     updateIdleDeadline(head);
     const auto handler = handler_;
     const std::uint64_t call = callNumber_;
--- a/src/zinniadoor/net/http_client.cpp
+++ b/src/zinniadoor/net/http_client.cpp
@@ -103,6 +103,8 @@
         return "malformed";
     case CallError::PermissionRevoked:
         return "withdrawn";
+    case CallError::Ambiguous:
+        return "ambiguous";
     }
     return "unknown";
 }
--- a/src/zinniadoor/net/http_client_test.cpp
+++ b/src/zinniadoor/net/http_client_test.cpp
@@ -200,6 +200,27 @@
     BOOST_TEST(handler->body == "new");
 }
 
+BOOST_AUTO_TEST_CASE(response_ambiguousOnReusedConnection_failsAndClosesConnection)
+{
+    CallOptions options;
+    options.isAmbiguous = [](const ResponseHead &head) { return head["Id"].empty(); };
+    const auto first = start(options);
+    BOOST_REQUIRE(arrived(0));
+    listener.connection(0).write(CompleteResponse);
+    BOOST_REQUIRE(runUntil(io, [&] { return first->done(); }));
+    BOOST_TEST(first->ended);
+    listener.connection(0).clear();
+    const auto second = start(options);
+    BOOST_REQUIRE(arrived(0));
+    listener.connection(0).write(CompleteResponse);
+    BOOST_REQUIRE(runUntil(io, [&] { return second->done(); }));
+    BOOST_REQUIRE(second->failure);
+    BOOST_TEST((second->failure->error == CallError::Ambiguous));
+    BOOST_TEST(second->failure->sendStarted);
+    BOOST_TEST(second->status == 0u);
+    BOOST_TEST(runUntil(io, [&] { return listener.connection(0).ended(); }));
+}
+
 BOOST_AUTO_TEST_CASE(response_endlessHeader_failsAtLimit)
 {
     const auto call = start();
