Do not reuse a connection on which bytes wait unread

What callers saw: a response that a faulty server wrote once more answered the next call on the connection, although it had arrived before that call was written. Own calls (orders, releases, store, duties) carry no id, so that nothing else told them apart.

Cause: unread bytes on an idle connection were found only by a wait of the event loop. A call that started in the same turn of the loop as the bytes arrived, or before the loop got to the wait, cancelled it and read the bytes as its response.

Why this works: the pool asks the kernel for readable bytes right before the call is written, in the same stack frame, and closes the connection if there are any. What arrives later cannot be told apart from an answer in this way; ids and the rule for refusals without id are for that.

Ruled out: the same check for a closed connection without bytes; its call fails with `reachedPeer` false, as call_onConnectionClosedByPeer_reportsPeerNotReached requires.

--- a/src/zinniadoor/net/client_connection.cpp
+++ b/src/zinniadoor/net/client_connection.cpp
@@ -337,7 +337,11 @@
 
 bool ClientConnection::isUsable(std::chrono::steady_clock::time_point now) const
 {
-    return connected_ && !closed_ && !handler_ && now < idleUntil_;
+    if (!connected_ || closed_ || handler_ || now >= idleUntil_)
+        return false;
+    // The event loop may not have run the wait of `watchIdleConnection` yet.
+    ErrorCode error;
+    return buffer_.size() == 0 && socket_.available(error) == 0;
 }
 
 void ClientConnection::setPaused(bool paused)
--- a/src/zinniadoor/net/client_connection.hpp
+++ b/src/zinniadoor/net/client_connection.hpp
@@ -39,6 +39,7 @@
     void setPaused(bool paused) override;
 
     const CallTarget &target() const { return target_; }
+    /// Whether another call may start. False if bytes have arrived that belong to no call.
     bool isUsable(std::chrono::steady_clock::time_point now) const;
     void close();
 
--- a/src/zinniadoor/net/http_client_test.cpp
+++ b/src/zinniadoor/net/http_client_test.cpp
@@ -447,6 +447,40 @@
     BOOST_TEST(second->body == "new");
 }
 
+BOOST_AUTO_TEST_CASE(connection_bytesBeforeNextRequest_isNotReused)
+{
+    const std::string old = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nold";
+    for (const bool closed : { false, true }) {
+        const std::size_t connection = listener.count();
+        const auto first = start();
+        BOOST_REQUIRE(arrived(connection));
+        listener.connection(connection).write(CompleteResponse);
+        BOOST_REQUIRE(runUntil(io, [&] { return first->ended; }));
+        listener.connection(connection).write(old);
+        listener.connection(connection).awaitDelivery();
+        if (closed)
+            listener.connection(connection).close();
+        const auto second = start(); // Started before the client has noticed the bytes.
+        BOOST_REQUIRE(
+            runUntil(io, [&] { return second->done() || listener.count() > connection + 1; }));
+        BOOST_TEST(!second->done(), "closed: " << closed << ", body: " << second->body);
+        BOOST_REQUIRE(arrived(connection + 1));
+        BOOST_TEST(runUntil(io, [&] { return listener.connection(connection).ended(); }));
+        calls.back()->cancel();
+    }
+}
+
+BOOST_AUTO_TEST_CASE(connection_bytesWithCompleteResponse_isNotReused)
+{
+    const auto first = start();
+    BOOST_REQUIRE(arrived(0));
+    listener.connection(0).write(CompleteResponse + CompleteResponse);
+    BOOST_REQUIRE(runUntil(io, [&] { return first->ended; }));
+    const auto second = start();
+    BOOST_REQUIRE(arrived(1));
+    BOOST_TEST(!second->done());
+}
+
 BOOST_AUTO_TEST_CASE(response_beforeRequestWasSent_connectionIsNotReused)
 {
     CallOptions options;
--- a/tests/support/scripted_socket.hpp
+++ b/tests/support/scripted_socket.hpp
@@ -5,6 +5,9 @@
 #include <string>
 #include <vector>
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 
@@ -53,6 +56,16 @@
         socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
     }
 
+    /// Waits until the peer's TCP stack holds all bytes written here.
+    void awaitDelivery()
+    {
+        int undelivered = 1;
+        while (undelivered > 0) {
+            if (ioctl(socket_.native_handle(), SIOCOUTQ, &undelivered) != 0)
+                return;
+        }
+    }
+
     const std::string &received() const { return received_; }
     bool has(const std::string &text) const { return received_.find(text) != std::string::npos; }
     bool ended() const { return ended_; }
