Do not send a request again on a connection that carried it

What callers saw: a request that an endpoint refused, and that is sent to it again on the same connection, is answered by a second copy of the first refusal while it runs. Through whole exchanges this did not happen here: they close a connection that brought a refusal. It did happen with a request id that a caller used twice: a repeated answer to the first request answered the second, which was running.

Cause: the client compared the id of a response only with that of the current call. The same id was used on the connection before, so the response to that call matched as well.

Why this works: each call names its identity (CallOptions::identity, the request's id), and the pool skips connections that have carried it; if all have, it opens a new one. Every response with the id on a connection then belongs to the one call. This covers run after run, run after prefill, and ids that callers repeat. A connection keeps 8 bytes a call for at most 1024 calls and is not reused afterwards. Forgetting the oldest instead would save that one connection in 1024 calls, but would not hold for a slow caller. Equal hashes only cost a connection.

Ruled out: a new connection for each retry; retries mostly go to other endpoints, whose connections have not carried the request.

--- a/include/zinniadoor/net/http_client.hpp
+++ b/include/zinniadoor/net/http_client.hpp
@@ -64,6 +64,11 @@
     absl::Duration connectTimeout;
     bool newConnection = false; ///< Never reuse a pooled connection.
 
+    /// Names the request in its response. The call is not made on a connection that has carried a
+    /// call with this identity: the response to that one, if repeated, would match this one, too.
+    /// Empty: no restriction.
+    std::string identity;
+
     /// Checked immediately before each write of request bytes; false fails the call. If such a call
     /// ends early, its connection is reset, so that the kernel discards unsent bytes instead of
     /// sending them after the permission has expired. Empty: always allowed.
--- a/src/zinniadoor/gateway/exchange.cpp
+++ b/src/zinniadoor/gateway/exchange.cpp
@@ -457,6 +457,7 @@
     const std::string id = facts_.id;
     options.matchesCall
         = [&dialect, id](const net::ResponseHead &head) { return dialect.answers(head, id); };
+    options.identity = id;
     options.isAmbiguous
         = [&dialect](const net::ResponseHead &head) { return dialect.isRefusalWithoutId(head); };
     return options;
--- a/src/zinniadoor/net/client_connection.cpp
+++ b/src/zinniadoor/net/client_connection.cpp
@@ -1,6 +1,7 @@
 #include "client_connection.hpp"
 
 #include <algorithm>
+#include <functional>
 #include <limits>
 #include <sstream>
 
@@ -47,6 +48,15 @@
 /// Responses to other requests skipped on one connection before the call fails.
 constexpr int MaxSkippedResponses = 4;
 
+/// Identities remembered for one connection, which is not reused afterwards.
+constexpr std::size_t MaxCarriedIdentities = 1024;
+
+/// Equal hashes of different identities only cost a connection.
+std::size_t hashOf(const std::string &identity)
+{
+    return std::hash<std::string>()(identity);
+}
+
 } // namespace
 
 ClientConnection::ClientConnection(boost::asio::io_context &context,
@@ -67,6 +77,8 @@
     request_ = std::make_shared<Request>(std::move(request));
     options_ = std::move(options);
     handler_ = std::move(handler);
+    if (!options_.identity.empty())
+        carriedIdentities_.push_back(hashOf(options_.identity));
     sendStarted_ = false;
     requestSent_ = false;
     interimResponses_ = 0;
@@ -339,11 +351,20 @@
 {
     if (!connected_ || closed_ || handler_ || now >= idleUntil_)
         return false;
+    if (carriedIdentities_.size() >= MaxCarriedIdentities)
+        return false;
     // The event loop may not have run the wait of `watchIdleConnection` yet.
     ErrorCode error;
     return buffer_.size() == 0 && socket_.available(error) == 0;
 }
 
+bool ClientConnection::hasCarried(const std::string &identity) const
+{
+    return !identity.empty()
+        && std::find(carriedIdentities_.begin(), carriedIdentities_.end(), hashOf(identity))
+        != carriedIdentities_.end();
+}
+
 void ClientConnection::setPaused(bool paused)
 {
     paused_ = paused;
--- a/src/zinniadoor/net/client_connection.hpp
+++ b/src/zinniadoor/net/client_connection.hpp
@@ -4,6 +4,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -41,6 +42,9 @@
     const CallTarget &target() const { return target_; }
     /// Whether another call may start. False if bytes have arrived that belong to no call.
     bool isUsable(std::chrono::steady_clock::time_point now) const;
+
+    /// Whether a call with this identity has been made; see `CallOptions::identity`.
+    bool hasCarried(const std::string &identity) const;
     void close();
 
 private:
@@ -82,6 +86,7 @@
     bool reading_ = false;
     std::optional<std::uint64_t>
         acknowledgedAtSend_; ///< Acknowledged byte count when the request was sent.
+    std::vector<std::size_t> carriedIdentities_; ///< Hashes.
     int skippedResponses_ = 0;
     std::size_t skippedBytes_ = 0; ///< In the response being skipped.
     int interimResponses_ = 0; ///< In the current call.
--- a/src/zinniadoor/net/http_client.cpp
+++ b/src/zinniadoor/net/http_client.cpp
@@ -25,7 +25,7 @@
     {
         std::shared_ptr<ClientConnection> connection;
         if (!options.newConnection)
-            connection = pool_->take(target);
+            connection = pool_->take(target, options.identity);
         if (!connection) {
             connection = std::make_shared<ClientConnection>(context_, pool_, target, options_);
             ++opened_;
@@ -42,13 +42,16 @@
     class Pool : public ConnectionOwner
     {
     public:
-        std::shared_ptr<ClientConnection> take(const CallTarget &target)
+        std::shared_ptr<ClientConnection> take(const CallTarget &target,
+                                               const std::string &identity)
         {
             auto &idle = idle_[keyOf(target)];
             const auto now = std::chrono::steady_clock::now();
-            while (!idle.empty()) {
-                std::shared_ptr<ClientConnection> connection = std::move(idle.back());
-                idle.pop_back();
+            for (std::size_t i = idle.size(); i-- > 0;) {
+                if (idle[i]->hasCarried(identity))
+                    continue;
+                std::shared_ptr<ClientConnection> connection = std::move(idle[i]);
+                idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(i));
                 if (connection->isUsable(now))
                     return connection;
                 connection->close();
--- a/src/zinniadoor/net/http_client_test.cpp
+++ b/src/zinniadoor/net/http_client_test.cpp
@@ -200,6 +200,66 @@
     BOOST_TEST(handler->body == "new");
 }
 
+BOOST_AUTO_TEST_CASE(call_identityCarriedBefore_usesAnotherConnection)
+{
+    CallOptions options;
+    options.identity = "r1";
+    options.matchesCall = [](const ResponseHead &head) { return head["Id"] == "r1"; };
+    const std::string refusal
+        = "HTTP/1.1 503 Service Unavailable\r\nId: r1\r\nContent-Length: 0\r\n\r\n";
+    const auto first = start(options);
+    BOOST_REQUIRE(arrived(0));
+    listener.connection(0).write(refusal);
+    BOOST_REQUIRE(runUntil(io, [&] { return first->ended; }));
+    listener.connection(0).clear();
+    const auto repeat = start(options);
+    BOOST_REQUIRE(runUntil(
+        io, [&] { return listener.connection(0).has("question") || listener.count() > 1; }));
+    listener.connection(0).write(refusal);
+    runBriefly(io);
+    BOOST_TEST(!repeat->done());
+    BOOST_REQUIRE(arrived(1));
+    listener.connection(1).write("HTTP/1.1 200 OK\r\nId: r1\r\nContent-Length: 4\r\n\r\ndone");
+    BOOST_REQUIRE(runUntil(io, [&] { return repeat->ended; }));
+    BOOST_TEST(repeat->body == "done");
+}
+
+BOOST_AUTO_TEST_CASE(call_identityCarriedOnIdleConnection_usesOtherIdleConnection)
+{
+    CallOptions options;
+    options.identity = "r1";
+    const auto first = start(options);
+    BOOST_REQUIRE(arrived(0));
+    CallOptions otherOptions;
+    otherOptions.identity = "r2";
+    const auto other = start(otherOptions);
+    BOOST_REQUIRE(arrived(1));
+    listener.connection(1).write(CompleteResponse);
+    BOOST_REQUIRE(runUntil(io, [&] { return other->ended; }));
+    listener.connection(0).write(CompleteResponse); // Idle last, and so the first to be reused.
+    BOOST_REQUIRE(runUntil(io, [&] { return first->ended; }));
+    listener.connection(1).clear();
+    start(options);
+    BOOST_TEST(arrived(1));
+    BOOST_TEST(client->connectionsOpened() == 2u);
+}
+
+BOOST_AUTO_TEST_CASE(call_manyIdentities_shareConnectionUpToLimit)
+{
+    constexpr int Limit = 1024;
+    for (int i = 0; i <= Limit; ++i) {
+        CallOptions options;
+        options.identity = absl::StrCat("r", i);
+        const auto call = start(options);
+        const std::size_t connection = i < Limit ? 0 : 1;
+        BOOST_REQUIRE(arrived(connection));
+        listener.connection(connection).clear();
+        listener.connection(connection).write(CompleteResponse);
+        BOOST_REQUIRE(runUntil(io, [&] { return call->ended; }));
+        BOOST_REQUIRE(client->connectionsOpened() == connection + 1);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(response_ambiguousOnReusedConnection_failsAndClosesConnection)
 {
     CallOptions options;
