--- a/include/zinniadoor/net/http_client.hpp
+++ b/include/zinniadoor/net/http_client.hpp
@@ -23,6 +23,7 @@
     ConnectionLost, ///< Closed or reset by the peer, or sent data was not acknowledged in time.
     Malformed, ///< The response is not valid HTTP or exceeds a limit.
     PermissionRevoked, ///< `CallOptions::mayWrite` returned false before the request was written.
+    Ambiguous, ///< The response may repeat that to an earlier call; see `CallOptions::isAmbiguous`.
 };
 
 /// Stable lower-case name for logs.
@@ -63,6 +64,11 @@
     absl::Duration connectTimeout;
     bool newConnection = false; ///< Never reuse a pooled connection.
 
+    /// Names the request in its response. The call is not made on a connection that has carried a
+    /// call with this identity: the response to that one, if repeated, would match this one, too.
+    /// Empty: no restriction.
+    std::string identity;
+
     /// Checked immediately before each write of request bytes; false fails the call. If such a call
     /// ends early, its connection is reset, so that the kernel discards unsent bytes instead of
     /// sending them after the permission has expired. Empty: always allowed.
@@ -71,6 +77,10 @@
     /// Returns whether a response is for this call. A response for which it returns false is
     /// discarded and the next one is read. Empty: every response is accepted.
     std::function<bool(const ResponseHead &)> matchesCall;
+
+    /// Returns whether a response does not show which call it answers. On a connection that has
+    /// served another call, such a response fails the call. Empty: no response is ambiguous.
+    std::function<bool(const ResponseHead &)> isAmbiguous;
 };
 
 /// A call in progress.
