Report a call that cannot start only after start has returned

A retry was overwritten by the call that had just failed, and could not be cancelled when its caller left.

The failure is posted to the event loop; a call cancelled meanwhile reports nothing.

--- a/include/zinniadoor/net/http_client.hpp
+++ b/include/zinniadoor/net/http_client.hpp
@@ -109,6 +109,8 @@
 {
 public:
     virtual ~HttpClient() = default;
+
+    /// Starts a call. `handler` is not called before this returns.
     virtual std::shared_ptr<Call> start(const CallTarget &target, Request request,
                                         CallOptions options, std::shared_ptr<CallHandler> handler)
         = 0;
--- a/src/zinniadoor/net/client_connection.cpp
+++ b/src/zinniadoor/net/client_connection.cpp
@@ -9,6 +9,7 @@
 #include <netinet/tcp.h>
 
 #include <boost/asio/ip/address.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/beast/core/error.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/read.hpp>
@@ -83,13 +84,15 @@
     requestSent_ = false;
     interimResponses_ = 0;
     paused_ = false;
-    if (!connected_) {
+    starting_ = true;
+    if (connected_) {
+        ErrorCode ignored;
+        socket_.cancel(ignored); // Cancels the wait of `watchIdleConnection`.
+        send();
+    } else {
         connect();
-        return;
     }
-    ErrorCode ignored;
-    socket_.cancel(ignored); // Cancels the wait of `watchIdleConnection`.
-    send();
+    starting_ = false;
 }
 
 void ClientConnection::connect()
@@ -394,6 +397,15 @@
 
 void ClientConnection::fail(CallError error, const std::string &text)
 {
+    if (starting_) { // The owner of the call does not know it yet.
+        auto self = shared_from_this();
+        const std::uint64_t call = callNumber_;
+        boost::asio::post(timer_.get_executor(), [self, call, error, text] {
+            if (self->callNumber_ == call && self->handler_)
+                self->fail(error, text);
+        });
+        return;
+    }
     const auto handler = std::move(handler_);
     handler_.reset();
     CallFailure failure;
--- a/src/zinniadoor/net/client_connection.hpp
+++ b/src/zinniadoor/net/client_connection.hpp
@@ -79,6 +79,7 @@
         = 0; ///< Distinguishes callbacks of earlier calls from the current one's.
     bool connected_ = false;
     bool closed_ = false;
+    bool starting_ = false; ///< `run` has not returned yet.
     bool hasServedCall_ = false;
     bool sendStarted_ = false;
     bool requestSent_ = false;
--- a/src/zinniadoor/net/http_client_test.cpp
+++ b/src/zinniadoor/net/http_client_test.cpp
@@ -108,6 +108,26 @@
     BOOST_TEST(!handler->failure->sendStarted);
 }
 
+BOOST_AUTO_TEST_CASE(call_cannotStart_failsAfterStartReturns)
+{
+    auto handler = std::make_shared<RecordingHandler>();
+    client->start({ "not an address", "e1" }, request(), {}, handler);
+    BOOST_TEST(!handler->done());
+    BOOST_REQUIRE(runUntil(io, [&] { return handler->done(); }));
+    BOOST_REQUIRE(handler->failure);
+    BOOST_TEST((handler->failure->error == CallError::ConnectFailed));
+    BOOST_TEST(!handler->failure->sendStarted);
+}
+
+BOOST_AUTO_TEST_CASE(call_cannotStart_cancelledBefore_reportsNothing)
+{
+    auto handler = std::make_shared<RecordingHandler>();
+    const auto call = client->start({ "not an address", "e1" }, request(), {}, handler);
+    call->cancel();
+    runBriefly(io);
+    BOOST_TEST(!handler->done());
+}
+
 BOOST_AUTO_TEST_CASE(call_closedAtEachByteOfResponse_neverEndsAsComplete)
 {
     for (std::size_t cut = 0; cut < CompleteResponse.size(); ++cut) {
