Do not send a used prompt handle with a resumed run

Cause: a handle can be used once, but it was kept after the run had taken it, and sent again with the next attempt, which each endpoint then rejects as not run.

--- a/src/zinniadoor/gateway/exchange_end.cpp
+++ b/src/zinniadoor/gateway/exchange_end.cpp
@@ -109,8 +109,12 @@
 void Exchange::releasePrompt()
 {
     constexpr absl::Duration ReleaseTimeout = absl::Seconds(1);
-    if (!prompt_ || promptTransferred_)
+    if (!prompt_)
         return;
+    if (promptTransferred_) { // A handle can be used once.
+        prompt_.reset();
+        return;
+    }
     net::FetchOptions options;
     options.timeout = ReleaseTimeout;
     options.matchesCall = [&dialect = context_.endpointDialect](const net::ResponseHead &head) {
