Give up a silent call only once its standby goes on with the answer

Now its head and body are held back until its first event, or its whole answer where that is no stream; and a late head of the silent call no longer ends the standby.

--- a/include/zinniadoor/gateway/endpoint_directory.hpp
+++ b/include/zinniadoor/gateway/endpoint_directory.hpp
@@ -39,8 +39,10 @@
     /// The endpoint whose id has this digest; null if there is none.
     const base::EndpointId *findByDigest(std::uint64_t digest) const;
 
-    /// Callable endpoints of a service; suspected and paused ones only if there are no others.
-    std::vector<const EndpointRecord *> usable(const std::string &service, absl::Time now) const;
+    /// Callable endpoints of a service except `excluded`, if set; suspected and paused ones only if
+    /// there are no others.
+    std::vector<const EndpointRecord *> usable(const std::string &service, absl::Time now,
+                                               const base::EndpointId *excluded = nullptr) const;
     bool isUsable(const base::EndpointId &id, absl::Time now) const;
 
     /// Whether recent calls to the endpoint failed; rejected requests do not count.
--- a/src/zinniadoor/gateway/endpoint_choice.cpp
+++ b/src/zinniadoor/gateway/endpoint_choice.cpp
@@ -37,7 +37,8 @@
     double bestCost = 0;
     double bestLoad = 0;
     for (const bool allowTried : { false, true }) {
-        for (const EndpointRecord *endpoint : context.directory.usable(facts.service, now)) {
+        for (const EndpointRecord *endpoint :
+             context.directory.usable(facts.service, now, facts.excluded)) {
             if (!allowTried && contains(*facts.tried, endpoint->id))
                 continue;
             const double load = static_cast<double>(context.load.load(endpoint->id, now).requests)
@@ -81,6 +82,8 @@
         const auto usable = [&](const serving::EngineInfo &engine) {
             if (facts.localPrefill && engine.isPrefillEngine)
                 return false;
+            if (facts.excluded && *facts.excluded == engine.id)
+                return false;
             if (!context.directory.mayCall(engine.id, now))
                 return false;
             if (eligibility == Eligibility::Any)
--- a/src/zinniadoor/gateway/endpoint_choice.hpp
+++ b/src/zinniadoor/gateway/endpoint_choice.hpp
@@ -28,6 +28,7 @@
     std::size_t rank = 0; ///< Priority of the route.
     bool localPrefill = false; ///< Rules out a remote prefill.
     const std::vector<base::EndpointId> *tried = nullptr; ///< Endpoints of earlier attempts.
+    const base::EndpointId *excluded = nullptr; ///< Never chosen, even if there is no other.
 };
 
 /// Chooses the endpoint with the lowest expected time to first byte; nothing if none is callable.
--- a/src/zinniadoor/gateway/endpoint_directory.cpp
+++ b/src/zinniadoor/gateway/endpoint_directory.cpp
@@ -81,14 +81,17 @@
     return found == entries_.end() ? nullptr : &found->second.record;
 }
 
-std::vector<const EndpointRecord *> EndpointDirectory::usable(const std::string &service,
-                                                              absl::Time now) const
+std::vector<const EndpointRecord *>
+EndpointDirectory::usable(const std::string &service, absl::Time now,
+                          const base::EndpointId *excluded) const
 {
     std::vector<const EndpointRecord *> preferred;
     std::vector<const EndpointRecord *> avoided;
     for (const auto &[id, entry] : entries_) {
         if (entry.record.service != service || !mayCall(entry, now))
             continue;
+        if (excluded && *excluded == id)
+            continue;
         (isAvoided(entry, now) ? avoided : preferred).push_back(&entry.record);
     }
     return preferred.empty() ? avoided : preferred;
--- a/src/zinniadoor/gateway/exchange.cpp
+++ b/src/zinniadoor/gateway/exchange.cpp
@@ -19,9 +19,6 @@
 /// The first byte must be expected within this share of the remaining time.
 constexpr double MaxExpectedShare = 0.9;
 
-/// Size limit of buffered answers; streams are forwarded event by event.
-constexpr std::size_t MaxAnswerBytes = std::size_t { 8 } * 1024 * 1024;
-
 /// Allows several round trips between data centres.
 constexpr absl::Duration ConnectTimeout = absl::Milliseconds(400);
 
@@ -138,7 +135,7 @@
     servingLoad_ = LoadReservation(context_.load, servingEndpoint_.id,
                                    serving::EngineLoad::ofRequest(0, rank()));
     Dispatch dispatch = dispatchTo(prefillEngine_);
-    dispatch.prefixSource = prefixSourceAddress();
+    dispatch.prefixSource = prefixSourceAddress(choice_);
     net::Request request = context_.endpointDialect.prefill(request_, dispatch);
     call_ = context_.client.start({ prefillEngine_.address, prefillEngine_.id.str() },
                                   std::move(request), callOptions(),
@@ -224,7 +221,7 @@
     Dispatch dispatch = dispatchTo(servingEndpoint_);
     dispatch.prompt = prompt_;
     if (!prompt_)
-        dispatch.prefixSource = prefixSourceAddress();
+        dispatch.prefixSource = prefixSourceAddress(choice_);
     if (streamStarted_)
         dispatch.resumeAfter = lastEventId_;
     context_.crashes.begin(bodyDigest_, servingEndpoint_.id);
@@ -267,13 +264,12 @@
         const auto refusal = reasonNotToRetry(outcome);
         mayHaveRunCount_ = ranBefore;
         executionStartedAt_.reset();
-        if (!refusal) {
+        if (!refusal || standby_) {
             onRunFailed(outcome);
             return false;
         }
     }
     promptTransferred_ = true;
-    discardStandby(true);
     noteExecutionStarted();
     if (executionStartedAt_ && phase_ == Phase::Running && success && route_.streaming) {
         startStream(head);
@@ -370,8 +366,8 @@
             firstByteAt_ = context_.clock.now();
             context_.metrics.observeFirstByte(*firstByteAt_ - arrivedAt_);
             noteFirstEvent(*firstByteAt_ - runStartedAt_);
-            servingLoad_.releaseTokens();
         }
+        servingLoad_.releaseTokens();
         responder_->send(event.bytes);
     }
     if (events->empty())
@@ -462,10 +458,10 @@
     return dispatch;
 }
 
-std::string Exchange::prefixSourceAddress() const
+std::string Exchange::prefixSourceAddress(const EndpointChoice &choice) const
 {
     const EndpointRecord *source
-        = choice_.prefixSource ? context_.directory.find(*choice_.prefixSource) : nullptr;
+        = choice.prefixSource ? context_.directory.find(*choice.prefixSource) : nullptr;
     return source ? source->address : "";
 }
 
--- a/src/zinniadoor/gateway/exchange_calls.cpp
+++ b/src/zinniadoor/gateway/exchange_calls.cpp
@@ -117,11 +117,25 @@
     void onHead(const net::ResponseHead &head) override
     {
         const auto exchange = exchange_;
-        if (!exchange->isStandby(attempt_) || exchange->onStandbyHead(head))
+        if (exchange->isStandby(attempt_))
+            exchange->onStandbyHead(head);
+        else
             run_.onHead(head);
     }
-    void onBody(std::string bytes) override { run_.onBody(std::move(bytes)); }
-    void onEnd() override { run_.onEnd(); }
+    void onBody(std::string bytes) override
+    {
+        const auto exchange = exchange_;
+        if (exchange->isStandby(attempt_))
+            exchange->onStandbyBody(bytes);
+        else
+            run_.onBody(std::move(bytes));
+    }
+    void onEnd() override
+    {
+        const auto exchange = exchange_;
+        if (!exchange->isStandby(attempt_) || exchange->onStandbyEnd())
+            run_.onEnd();
+    }
     void onFailure(const net::CallFailure &failure) override
     {
         const auto exchange = exchange_;
--- a/src/zinniadoor/gateway/exchange_standby.cpp
+++ b/src/zinniadoor/gateway/exchange_standby.cpp
@@ -28,9 +28,10 @@
     ChoiceFacts facts = choiceFacts();
     facts.localPrefill = true;
     facts.tried = &avoided;
+    facts.excluded = &servingEndpoint_.id;
     const auto choice = chooseEndpoint(context_, facts, now);
     const EndpointRecord *endpoint = choice ? context_.directory.find(choice->endpoint) : nullptr;
-    if (!endpoint || endpoint->id == servingEndpoint_.id)
+    if (!endpoint)
         return "no_endpoint";
     if (!context_.budget.take(service_, now))
         return "retry_budget";
@@ -47,6 +48,7 @@
                           serving::EngineLoad::ofRequest(
                               static_cast<std::uint32_t>(choice->tokensToPrefill), rank()));
     Dispatch dispatch = dispatchTo(standby.endpoint);
+    dispatch.prefixSource = prefixSourceAddress(*choice);
     if (streamStarted_)
         dispatch.resumeAfter = lastEventId_;
     context_.crashes.begin(bodyDigest_, standby.endpoint.id);
@@ -62,20 +64,67 @@
     return standby_ && standby_->attempt == attempt;
 }
 
-bool Exchange::onStandbyHead(const net::ResponseHead &head)
+void Exchange::onStandbyHead(const net::ResponseHead &head)
 {
     const AnswerFacts facts = context_.endpointDialect.decode(head);
     noteEndpointStatus(context_, standby_->endpoint.id, facts);
-    if (!isServed(head, facts) || facts.status / 100 != 2) {
+    const bool success = facts.status / 100 == 2;
+    if (!isServed(head, facts) || (!success && (streamStarted_ || facts.status >= 500))) {
         noteMisdirected(standby_->endpoint.id, facts);
         onStandbyFailed(rejectionOf(facts));
-        return false;
+        return;
+    }
+    standby_->head = head;
+}
+
+bool Exchange::standbyIsWhole() const
+{
+    return !route_.streaming || standby_->head->result_int() / 100 != 2;
+}
+
+// The silent call may still go on better than a run that breaks off before its first event, or that
+// does not continue the stream.
+void Exchange::onStandbyBody(const std::string &bytes)
+{
+    standby_->body.append(bytes);
+    CallOutcome outcome;
+    if (standby_->body.size() > MaxAnswerBytes) {
+        outcome.reason = "answer_too_long";
+        onStandbyFailed(outcome);
+        return;
+    }
+    if (standbyIsWhole())
+        return;
+    const auto events = EventFramer().feed(standby_->body);
+    if (events && events->empty())
+        return;
+    const std::optional<std::uint64_t> first = events ? events->front().id : std::nullopt;
+    if (events && !(first && lastEventId_ && *first <= *lastEventId_)) {
+        keepStandby();
+        return;
+    }
+    outcome.reason = "bad_event";
+    onStandbyFailed(outcome);
+}
+
+bool Exchange::onStandbyEnd()
+{
+    if (standbyIsWhole()) {
+        keepStandby();
+        return true;
     }
+    CallOutcome outcome;
+    outcome.reason = "cut_event";
+    onStandbyFailed(outcome);
+    return false;
+}
+
+void Exchange::keepStandby()
+{
     CallOutcome replaced;
     replaced.endpointAtFault = false; // Its silence has been counted.
     replaced.reason = "replaced";
     onRunFailed(replaced);
-    return true;
 }
 
 void Exchange::activateStandby()
@@ -92,7 +141,9 @@
     silent_ = false;
     mayHaveQueued_ = true; // The time until the switch says nothing about the engine's speed.
     phase_ = Phase::Running;
-    armSilenceTimer(silenceTimeout());
+    armSilenceTimer(standby.head ? silenceTimeout() : firstByteTimeout());
+    if (standby.head && onRunHead(*standby.head) && !standby.body.empty())
+        onRunBody(standby.body);
 }
 
 void Exchange::onStandbyFailed(const CallOutcome &outcome)
--- a/src/zinniadoor/gateway/exchange_state.hpp
+++ b/src/zinniadoor/gateway/exchange_state.hpp
@@ -40,6 +40,9 @@
 /// Retry-After of requests rejected because of a transient state.
 constexpr absl::Duration DefaultRetryAfter = absl::Milliseconds(300);
 
+/// Size limit of buffered answers; streams are forwarded event by event.
+constexpr std::size_t MaxAnswerBytes = std::size_t { 8 } * 1024 * 1024;
+
 /// Half of the time after which callers usually abandon a silent stream.
 constexpr absl::Duration MinSilenceTimeout = absl::Seconds(1);
 
@@ -68,7 +71,8 @@
 /// Outcome of an answer that does not serve the request.
 CallOutcome rejectionOf(const AnswerFacts &facts);
 
-/// Second run of a request whose endpoint is silent. The endpoint that answers first is kept.
+/// Second run of a request whose endpoint is silent. The endpoint whose answer goes on first is
+/// kept.
 struct Standby
 {
     std::uint32_t attempt = 0; ///< Number of this attempt within the exchange.
@@ -77,6 +81,8 @@
     absl::Time startedAt;
     LoadReservation load;
     std::shared_ptr<net::Call> call;
+    std::optional<net::ResponseHead> head; ///< Held back, like `body`, until the standby is kept.
+    std::string body;
 };
 
 /// State machine of one HTTP exchange: admission, endpoint choice, prefill, run and retries.
@@ -106,7 +112,9 @@
 
     /// Events of a standby call, until it replaces the silent one.
     bool isStandby(std::uint32_t attempt) const;
-    bool onStandbyHead(const net::ResponseHead &head); ///< Returns whether it takes over.
+    void onStandbyHead(const net::ResponseHead &head);
+    void onStandbyBody(const std::string &bytes);
+    bool onStandbyEnd(); ///< Returns whether the standby has replaced the silent call.
     void onStandbyFailed(const CallOutcome &outcome);
 
 private:
@@ -128,7 +136,9 @@
     std::optional<std::string> reasonNotToRepeat(std::uint32_t runs) const;
     /// Returns the reason if there is no standby.
     std::optional<std::string> startStandby();
+    void keepStandby(); ///< Gives up the silent call.
     void activateStandby(); ///< The silent call is over.
+    bool standbyIsWhole() const; ///< Its answer is passed on when it is complete.
     void discardStandby(bool mayHaveRun);
     void logCallFailed(const base::EndpointId &endpoint, const CallOutcome &outcome,
                        const std::string &decision) const;
@@ -165,7 +175,8 @@
     absl::Duration timeLeft() const;
     absl::Duration firstByteTimeout() const;
     absl::Duration silenceTimeout() const; ///< Between two events of a stream.
-    std::string prefixSourceAddress() const; ///< Empty if there is no prefix source.
+    /// Empty if there is no prefix source.
+    std::string prefixSourceAddress(const EndpointChoice &choice) const;
     Dispatch dispatchTo(const EndpointRecord &endpoint) const;
     net::CallOptions callOptions() const;
     std::size_t rank() const;
