Answer orders, reports and scale orders on a connection of their own

What operators would have seen: a usage report counted as accepted, or the lease as lost, because the server of an earlier call wrote its response once more; a stage order taken as refused that the engine carried out, so that it kept getting requests while it changed its stage.

Cause: these calls and their responses carry no id, and they shared connections with earlier calls. Any response without an id counted as theirs.

Why this works: a stage order opens a new connection (FetchOptions::newConnection), so no earlier response can stand on it. Requests reuse the connection afterwards, and on it a refusal without id is not believed any more. Usage reports and scale orders ask for the connection to be closed, and the client closes it after the response whatever the server does: otherwise unused connections would pile up. Cost: a connection for each stage order (at most one at a time), each report of a window and each scale order, by the holder of the lease alone.

Left on shared connections: releases of prompts (DELETE /kv-handle), whose answer is ignored. An unbelieved or false answer there changes nothing.

--- a/include/zinniadoor/net/fetch.hpp
+++ b/include/zinniadoor/net/fetch.hpp
@@ -25,6 +25,7 @@
 struct FetchOptions
 {
     absl::Duration timeout; ///< For the whole exchange, connecting included.
+    bool newConnection = false; ///< See `CallOptions::newConnection`.
 
     /// See `CallOptions::mayWrite`.
     std::function<bool()> mayWrite;
--- a/src/zinniadoor/gateway/stage_duty.cpp
+++ b/src/zinniadoor/gateway/stage_duty.cpp
@@ -114,6 +114,9 @@
             = parts_.serving.endpointDialect.changeStage(*endpoint, stage, holder_, number);
         net::FetchOptions options;
         options.timeout = std::min(OrderTimeout, permit->timeLeft());
+        // Answers have no id: on a reused connection a repeated one could be taken for this
+        // order's.
+        options.newConnection = true;
         options.mayWrite = [permit] { return permit->isValid(); };
         options.matchesCall
             = [&dialect = parts_.serving.endpointDialect](const net::ResponseHead &head) {
--- a/src/zinniadoor/net/client_connection.cpp
+++ b/src/zinniadoor/net/client_connection.cpp
@@ -307,8 +307,8 @@
     handler_.reset();
     // If the response ended before the request was fully sent, the rest of the request would be
     // read as the start of the next one.
-    const bool reusable = requestSent_ && parser_->get().keep_alive() && buffer_.size() == 0
-        && !parser_->need_eof();
+    const bool reusable = requestSent_ && request_->keep_alive() && parser_->get().keep_alive()
+        && buffer_.size() == 0 && !parser_->need_eof();
     hasServedCall_ = true;
     if (reusable) {
         watchIdleConnection();
--- a/src/zinniadoor/net/fetch.cpp
+++ b/src/zinniadoor/net/fetch.cpp
@@ -33,6 +33,7 @@
         });
         CallOptions options;
         options.connectTimeout = fetchOptions.timeout;
+        options.newConnection = fetchOptions.newConnection;
         options.mayWrite = std::move(fetchOptions.mayWrite);
         options.matchesCall = std::move(fetchOptions.matchesCall);
         call_ = client.start(target, std::move(request), std::move(options), self);
