--- a/src/zinniadoor/gateway/exchange_end.cpp
+++ b/src/zinniadoor/gateway/exchange_end.cpp
@@ -139,8 +139,9 @@
 {
     if (phase_ == Phase::Ended)
         return;
-    const bool mayHaveRun = mayHaveRunCount_ > 0 || phase_ == Phase::Running;
-    refuse(mayHaveRun ? RefusalKind::TimedOut : RefusalKind::NotRun, "time_over");
+    if (phase_ == Phase::Running || standby_)
+        ++mayHaveRunCount_;
+    refuse(mayHaveRunCount_ > 0 ? RefusalKind::TimedOut : RefusalKind::NotRun, "time_over");
 }
 
 // Silence is not evidence of a failure: a run is only given up once another endpoint has taken the
