--- a/src/zinniadoor/gateway/exchange.cpp
+++ b/src/zinniadoor/gateway/exchange.cpp
@@ -225,6 +225,7 @@
     if (streamStarted_)
         dispatch.resumeAfter = lastEventId_;
     context_.crashes.begin(bodyDigest_, servingEndpoint_.id);
+    bodyTracked_ = true;
     net::Request request = context_.endpointDialect.run(request_, dispatch);
     call_ = context_.client.start({ servingEndpoint_.address, servingEndpoint_.id.str() },
                                   std::move(request), callOptions(),
--- a/src/zinniadoor/gateway/exchange_retry.cpp
+++ b/src/zinniadoor/gateway/exchange_retry.cpp
@@ -124,7 +124,8 @@
 
 void Exchange::endCrashTracking()
 {
-    context_.crashes.end(bodyDigest_, servingEndpoint_.id, std::exchange(bodyAccepted_, false));
+    if (std::exchange(bodyTracked_, false))
+        context_.crashes.end(bodyDigest_, servingEndpoint_.id, std::exchange(bodyAccepted_, false));
 }
 
 } // namespace zinniadoor::gateway
--- a/src/zinniadoor/gateway/exchange_state.hpp
+++ b/src/zinniadoor/gateway/exchange_state.hpp
@@ -214,6 +214,7 @@
     LoadReservation prefillLoad_;
     LoadReservation servingLoad_;
     std::optional<PromptHandle> prompt_;
+    bool bodyTracked_ = false; ///< `crashes` expects the end of the current run.
     bool bodyAccepted_ = false; ///< The serving endpoint has, or may have, started the request.
     bool promptTransferred_ = false; ///< The answer has started, so the prompt was fetched.
     std::shared_ptr<net::Call> call_;
