Send crashes of prompt parts again to new and regained peers

An instance that restarts, or was cut off, has missed the reports that convicted a part. When a first message of a process is heard or a peer is reachable again, the newest 16 counted crashes are sent again, those of refused parts first; 8 of them also each 2 s. With leaders, the leaders do both, for their members and for each other. Old crashes leave the list on the way.

--- a/include/zinniadoor/gateway/part_report_queue.hpp
+++ b/include/zinniadoor/gateway/part_report_queue.hpp
@@ -16,6 +16,9 @@
     PartReportQueue();
     void push(const serving::PartReports &reports, absl::Time now);
 
+    /// Also sends those again that were sent a short time ago.
+    void pushAgain(const serving::PartReports &reports, absl::Time now);
+
     /// Each report is included in one message only.
     void pushOnce(const serving::PartReports &reports, absl::Time now);
 
--- a/include/zinniadoor/gateway/peer_table.hpp
+++ b/include/zinniadoor/gateway/peer_table.hpp
@@ -34,6 +34,9 @@
     /// order or a duplicate.
     bool noteLiveness(const ProcessName &process, std::uint64_t sequence, absl::Time now);
 
+    /// Number of processes of other instances from which a first message was received.
+    std::uint64_t heardProcesses() const { return heardProcesses_; }
+
     /// Addresses of all peers that have not stopped.
     std::vector<std::string> addresses() const;
 
@@ -125,7 +128,11 @@
     };
     bool isReachable(const Peer &peer, absl::Time now) const;
 
+    /// Records a message that is neither late nor a duplicate.
+    void noteReceived(Peer &peer, std::uint64_t sequence, absl::Time now);
+
     ProcessName self_;
+    std::uint64_t heardProcesses_ = 0;
     std::optional<GroupStatus> groupStatus_;
     absl::Time journalReadAt_ = absl::InfiniteFuture(); ///< First time.
     std::function<void(const UsageWrittenNotice &)> usageWrittenCallback_;
--- a/include/zinniadoor/gateway/report_queue.hpp
+++ b/include/zinniadoor/gateway/report_queue.hpp
@@ -54,6 +54,18 @@
         }
     }
 
+    /// Also sends those again that were sent a short time ago.
+    void pushAgain(const std::vector<Report> &reports, absl::Time now)
+    {
+        for (Item &item : items_) {
+            const bool isRepeated
+                = std::any_of(reports.begin(), reports.end(),
+                              [&](const Report &report) { return isSame_(item.report, report); });
+            item.sent = isRepeated ? 0 : item.sent;
+        }
+        push(reports, now);
+    }
+
     /// At most `limit` reports for the next message.
     std::vector<Report> take(std::size_t limit, absl::Time now)
     {
--- a/src/zinniadoor/gateway/part_report_queue.cpp
+++ b/src/zinniadoor/gateway/part_report_queue.cpp
@@ -17,6 +17,12 @@
     successes_.push(reports.successes, now);
 }
 
+void PartReportQueue::pushAgain(const serving::PartReports &reports, absl::Time now)
+{
+    crashes_.pushAgain(reports.crashes, now);
+    successes_.pushAgain(reports.successes, now);
+}
+
 void PartReportQueue::pushOnce(const serving::PartReports &reports, absl::Time now)
 {
     crashes_.push(reports.crashes, 1, now);
--- a/src/zinniadoor/gateway/part_report_queue_test.cpp
+++ b/src/zinniadoor/gateway/part_report_queue_test.cpp
@@ -67,6 +67,18 @@
     BOOST_TEST(queue.take(now).crashes.size() == 1u);
 }
 
+BOOST_AUTO_TEST_CASE(report_neededByNewPeer_isSentAgainAtOnceWithItsAge)
+{
+    queue.push(crash(1), now);
+    for (int i = 0; i < 3; ++i)
+        queue.take(now);
+    now += absl::Milliseconds(100);
+    queue.pushAgain({ { { 1, 1, base::EndpointId("e"), absl::Milliseconds(100) } }, {} }, now);
+    for (int i = 0; i < 3; ++i)
+        BOOST_TEST((queue.take(now).crashes.at(0).age == absl::Milliseconds(100)));
+    BOOST_TEST(queue.take(now).empty());
+}
+
 BOOST_AUTO_TEST_CASE(message_manyReportsQueued_isBoundedAndFitsIntoPacket)
 {
     constexpr std::size_t PacketBytes = 1200;
--- a/src/zinniadoor/gateway/peer_link.cpp
+++ b/src/zinniadoor/gateway/peer_link.cpp
@@ -47,6 +47,12 @@
 constexpr std::size_t MaxPrefixesPerSums = 24;
 constexpr std::size_t MaxCrashesPerMessage = 8;
 
+/// Number of crashes that are sent again to a peer that may not know of them, and the time after
+/// which they are sent again in any case, for peers that were cut off.
+constexpr std::size_t MaxCrashesResent = 16;
+constexpr std::size_t MaxCrashesRepeated = 8;
+constexpr absl::Duration RepeatInterval = absl::Seconds(2);
+
 /// Older queued updates are dropped: after this many messages they are out of date.
 constexpr std::size_t MaxPrefixesQueued = 4 * MaxPrefixesPerSums;
 
@@ -845,12 +851,33 @@
         serving_.trueTime.setPeerOffsets(
             leader_ ? std::vector<absl::Duration> { leaderOffset_, leaderOffset_ }
                     : peers_.timeOffsets(now));
+        bool peerFound = false;
         for (const PeerTable::Change &change : peers_.takeChanges(now)) {
             logEvent(change.reachable ? EventId::PeerFound : EventId::PeerLost,
                      { { "peer", change.instance },
                        { "heard", std::to_string(membership.reachable) },
                        { "known", std::to_string(membership.tracked) } });
+            peerFound = peerFound || change.reachable;
         }
+        resendReports(peerFound, now);
+    }
+
+    /// A peer that has started, or was cut off, has missed earlier reports.
+    void resendReports(bool peerFound, absl::Time now)
+    {
+        serving_.partCrashes.expire(now);
+        const std::uint64_t heard = peers_.heardProcesses();
+        const bool isNew = peerFound || heard != heardProcesses_;
+        heardProcesses_ = heard;
+        if (group_.hasLeaders() && leader_)
+            return; // The leader does it.
+        if (isNew)
+            partReports_.pushAgain(serving_.partCrashes.entries(now, MaxCrashesResent), now);
+        else if (now - repeatedAt_ >= RepeatInterval)
+            partReports_.pushOnce(serving_.partCrashes.entries(now, MaxCrashesRepeated), now);
+        else
+            return;
+        repeatedAt_ = now;
     }
 
     void updateGroupStatus(absl::Time time)
@@ -957,6 +984,8 @@
     std::vector<PrefixUpdate> prefixes_;
     std::vector<serving::CrashEntry> crashes_;
     PartReportQueue partReports_;
+    std::uint64_t heardProcesses_ = 0; ///< When reports were last sent again.
+    absl::Time repeatedAt_ = absl::InfinitePast();
     std::map<std::string, absl::Time> paused_;
 };
 
--- a/src/zinniadoor/gateway/peer_table.cpp
+++ b/src/zinniadoor/gateway/peer_table.cpp
@@ -52,8 +52,7 @@
     Peer &peer = peers_[message.sender.instance];
     if (message.sender.incarnation < peer.incarnation || message.sequence <= peer.sequence)
         return false;
-    peer.sequence = message.sequence;
-    peer.lastReceived = now;
+    noteReceived(peer, message.sequence, now);
     peer.stopping = message.stopping;
     peer.timeOffset = absl::FromUnixMillis(message.estimateMs) - ownEstimate_;
     for (const auto &[window, counts] : message.usage)
@@ -69,11 +68,17 @@
     if (found == peers_.end() || process.incarnation != found->second.incarnation
         || sequence <= found->second.sequence)
         return false;
-    found->second.sequence = sequence;
-    found->second.lastReceived = now;
+    noteReceived(found->second, sequence, now);
     return true;
 }
 
+void PeerTable::noteReceived(Peer &peer, std::uint64_t sequence, absl::Time now)
+{
+    heardProcesses_ += peer.sequence == 0 ? 1 : 0;
+    peer.sequence = sequence;
+    peer.lastReceived = now;
+}
+
 bool PeerTable::isReachable(const Peer &peer, absl::Time now) const
 {
     return now - peer.lastReceived < PeerTimeout;
--- a/src/zinniadoor/gateway/records_test.cpp
+++ b/src/zinniadoor/gateway/records_test.cpp
@@ -253,6 +253,25 @@
     BOOST_TEST(peers.membership(at(1520)).reachable == 1u);
 }
 
+BOOST_AUTO_TEST_CASE(peerTable_firstMessageOfEachProcess_isCounted)
+{
+    PeerTable peers({ "self", 1 });
+    peers.noteStarted({ "p", 1 }, "10.0.0.2:1", "d");
+    BOOST_TEST(peers.heardProcesses() == 0u);
+    peers.noteMessage(message("p", 1, 5), "10.0.0.2:1", at(0));
+    peers.noteMessage(message("p", 1, 6), "10.0.0.2:1", at(1));
+    BOOST_TEST(peers.heardProcesses() == 1u);
+    peers.noteMessage(message("p", 2, 1), "10.0.0.2:1", at(2)); // Restarted, never unreachable.
+    BOOST_TEST(peers.heardProcesses() == 2u);
+    peers.noteMessage(message("p", 1, 7), "10.0.0.2:1", at(3));
+    peers.noteMessage(message("self", 9, 9), "10.0.0.2:1", at(4));
+    BOOST_TEST(peers.heardProcesses() == 2u);
+    peers.noteStarted({ "q", 1 }, "10.0.0.3:1", "d");
+    BOOST_TEST(peers.noteLiveness({ "q", 1 }, 3, at(5)));
+    BOOST_TEST(peers.noteLiveness({ "q", 1 }, 4, at(6)));
+    BOOST_TEST(peers.heardProcesses() == 3u);
+}
+
 BOOST_AUTO_TEST_CASE(trueTime_oneClockAhead_medianIsUsed)
 {
     ClusterTime time(at(0), absl::FromUnixSeconds(5000) + absl::Seconds(3)); // Runs 3 s ahead.
