Count a crash of one request on one endpoint once

A frozen instance reads old messages when it resumes, and their ages don't include the wait. A crash that is reported again then seemed to be a later one. One request does not crash an endpoint twice.

--- a/src/zinniadoor/serving/part_crash_list.cpp
+++ b/src/zinniadoor/serving/part_crash_list.cpp
@@ -207,7 +207,9 @@
     absl::flat_hash_set<std::uint64_t> requests;
     for (const Crash &other : crashes) {
         const absl::Duration apart = absl::AbsDuration(other.at - crash.at);
-        if (other.endpoint == crash.endpoint && apart < options_.duplicateWindow)
+        // A report may be received late, and again; then it seems to be of a later crash.
+        const bool isDuplicate = apart < options_.duplicateWindow || other.request == crash.request;
+        if (other.endpoint == crash.endpoint && isDuplicate)
             return;
         isSeparate = isSeparate && apart >= options_.outageWindow;
         requests.insert(other.request);
--- a/src/zinniadoor/serving/part_crash_list_test.cpp
+++ b/src/zinniadoor/serving/part_crash_list_test.cpp
@@ -322,6 +322,19 @@
     BOOST_TEST(isRefused(list));
 }
 
+// An instance that was frozen reads old messages, whose ages don't include the wait.
+BOOST_AUTO_TEST_CASE(crash_reportedAgainMuchLater_countsOnce)
+{
+    crash(list, part, 2);
+    const PartReports reports = list.entries(now, 8);
+    for (int i = 0; i < 5; ++i) {
+        now += absl::Seconds(6);
+        list.merge(reports, now);
+        BOOST_TEST(!isRefused(list));
+    }
+    BOOST_TEST(list.entries(now, 8).crashes.size() == 2u);
+}
+
 BOOST_AUTO_TEST_CASE(endpoint_crashedAgainLater_countsAgain)
 {
     for (std::uint64_t request = 1; request <= 3; ++request) {
