Plan fleets without std::clamp on limits from the configuration

No fault seen: a minimum above the maximum in a configuration is undefined behaviour for std::clamp, and ends a process whose standard library checks it.

--- a/src/zinniadoor/serving/fleet_plan.cpp
+++ b/src/zinniadoor/serving/fleet_plan.cpp
@@ -24,7 +24,8 @@
             = reclaimableGoal - std::min(reclaimableGoal, serving.reclaimable);
         regularGoal += shareOf(missing, policy.replacementShare);
     }
-    regularGoal = std::clamp(regularGoal, limits.minimum, limits.maximum);
+    // Not std::clamp, which is undefined for a minimum above the maximum.
+    regularGoal = std::min(std::max(regularGoal, limits.minimum), limits.maximum);
     // What a reclaimable endpoint already does, a regular one need not do any more.
     const std::uint32_t replaceable
         = serving.regular - std::min(serving.regular, serving.reclaimable);
--- a/src/zinniadoor/serving/placement_test.cpp
+++ b/src/zinniadoor/serving/placement_test.cpp
@@ -311,6 +311,17 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(planFleet_minimumAboveMaximum_staysWithinMaximum)
+{
+    for (const FleetLimits limits : { FleetLimits { 5, 3 }, FleetLimits { 4294967295, 0 } }) {
+        for (const bool unavailable : { false, true }) {
+            const auto plan
+                = planFleet({ { "a", { { 1, 1 }, unavailable } } }, limits, FleetPolicy {});
+            BOOST_TEST(plan.at("a").regular + plan.at("a").reclaimable <= limits.maximum);
+        }
+    }
+}
+
 // Load pattern: a data centre loses its reclaimable engines and the platform has none for a while.
 BOOST_AUTO_TEST_CASE(planFleet_reclaimableUnavailable_regularEndpointsReplaceThem)
 {
