Bound the crashes of a prompt part by the target alone

The limit of 20 crashes came from the measured figure. The target is stated: at most three requests with the part reach endpoints later than 3 s after the fifth crash; that check stays.

--- a/src/zinniadoor/serving/part_crash_list_test.cpp
+++ b/src/zinniadoor/serving/part_crash_list_test.cpp
@@ -527,7 +527,6 @@
         incident.crashing = true;
         incident.run(absl::Seconds(20));
         BOOST_TEST(incident.fleet.crashes() >= 3u);
-        BOOST_TEST(incident.fleet.crashes() <= 20u, "seed " << seed);
         BOOST_TEST(incident.fleet.lateCrashing() <= 3u, "seed " << seed);
         BOOST_TEST(incident.fleet.isRefusedOnAll({ { "crash", 1 }, { "own", 1 } }));
         BOOST_TEST(incident.soundRefused() == 0u, "seed " << seed);
