Log an instance's view of a quota that rejects requests

On the large site an organisation's quota was exceeded, and no log showed how much of the others' consumption an instance had charged when it admitted or rejected.

--- a/include/zinniadoor/base/events.hpp
+++ b/include/zinniadoor/base/events.hpp
@@ -65,6 +65,7 @@
     PeerLeaderChanged = 754,
     LogPartsDelayed = 755,
     LogRecordsRead = 756,
+    QuotaReached = 757,
 };
 
 /// One row of the event table.
--- a/include/zinniadoor/gateway/quota.hpp
+++ b/include/zinniadoor/gateway/quota.hpp
@@ -46,6 +46,17 @@
     ProcessStart start;
 };
 
+/// State of an organisation's quota as this instance sees it, for the log.
+struct QuotaView
+{
+    double level = 0;
+    double silentUse = 0; ///< Estimated consumption of silent peers, to be deducted.
+    double share = 0; ///< Fraction of the quota that this side of a partition may use.
+    double own = 0; ///< Consumed by this instance since its start.
+    double others = 0; ///< Charged for all others since this instance's start.
+    double estimated = 0; ///< The part of `others` that was estimated as peers were retired.
+};
+
 /// Token bucket of each organisation, shared by all instances, which report their consumption to
 /// each other. During a partition each side uses only (reachable / tracked) of the quota, so that
 /// all sides together never exceed it. Not thread-safe.
@@ -73,6 +84,9 @@
     std::optional<absl::Duration> tryConsume(const base::OrganisationId &organisation, double cost,
                                              absl::Time now);
 
+    /// The state of a quota that rejects requests, at most once a second for each organisation.
+    std::optional<QuotaView> takeView(const base::OrganisationId &organisation, absl::Time now);
+
     /// Returns the cost of a request that did not run.
     void refund(const base::OrganisationId &organisation, double cost);
 
@@ -92,7 +106,10 @@
         double rate = 0; ///< Per second, for all instances together; 0: unlimited.
         double burst = 0;
         double level = 0;
+        double others = 0; ///< Charged for all others.
+        double estimated = 0; ///< The part of `others` that was estimated as peers were retired.
         absl::Time filled = absl::InfinitePast();
+        absl::Time viewedAt = absl::InfinitePast();
         absl::flat_hash_map<std::string, PeerUse> peers; ///< By instance.
     };
     struct Peer
--- a/src/zinniadoor/base/events.cpp
+++ b/src/zinniadoor/base/events.cpp
@@ -266,6 +266,8 @@
           "Parts of a log for other instances wait long to be sent." },
         { EventId::LogRecordsRead, EventLevel::Info, "log_records_read",
           "This instance read records of a log, and why it did." },
+        { EventId::QuotaReached, EventLevel::Info, "quota_reached",
+          "An organisation reached its quota; the fields show this instance's view of it." },
     };
     return table;
 }
--- a/src/zinniadoor/gateway/exchange_admission.cpp
+++ b/src/zinniadoor/gateway/exchange_admission.cpp
@@ -7,11 +7,15 @@
 #include "absl/strings/str_cat.h"
 
 #include "exchange_state.hpp"
+#include "zinniadoor/base/events.hpp"
 
 namespace zinniadoor::gateway {
 
 namespace {
 
+using base::EventId;
+using base::logEvent;
+
 /// Applies to requests without a deadline.
 constexpr absl::Duration DefaultRequestTimeout = absl::Seconds(30);
 
@@ -141,6 +145,7 @@
     }
     const auto retryAfter = context_.quota.tryConsume(organisation_->id, quotaCost_, arrivedAt_);
     if (retryAfter) {
+        logQuota();
         refuse(RefusalKind::OverQuota, "over_quota", retryAfter);
         return false;
     }
@@ -148,6 +153,24 @@
     return true;
 }
 
+void Exchange::logQuota() const
+{
+    const auto view = context_.quota.takeView(organisation_->id, arrivedAt_);
+    if (!view)
+        return;
+    const auto whole
+        = [](double count) { return std::to_string(static_cast<std::int64_t>(count)); };
+    logEvent(EventId::QuotaReached,
+             { { "organisation", organisation_->id.str() },
+               { "limit", whole(organisation_->ratePerSecond) },
+               { "level", whole(view->level) },
+               { "silent_use", whole(view->silentUse) },
+               { "share_percent", whole(100 * view->share) },
+               { "own", whole(view->own) },
+               { "others", whole(view->others) },
+               { "estimated", whole(view->estimated) } });
+}
+
 void refuseRequest(ServingContext &context, net::Request request,
                    std::shared_ptr<net::Responder> responder, const Refusal &refusal)
 {
--- a/src/zinniadoor/gateway/exchange_state.hpp
+++ b/src/zinniadoor/gateway/exchange_state.hpp
@@ -93,6 +93,7 @@
     bool admit();
     bool authenticate(const Configuration &configuration);
     bool consumeQuota();
+    void logQuota() const;
     void dispatch();
     void refuseWithoutEndpoint();
     void send(const EndpointChoice &choice);
--- a/src/zinniadoor/gateway/quota.cpp
+++ b/src/zinniadoor/gateway/quota.cpp
@@ -21,6 +21,9 @@
 /// After this time the estimated consumption of a silent peer has been refilled.
 constexpr absl::Duration MaxSilence = absl::Seconds(10);
 
+/// Time between two views of a quota for the log.
+constexpr absl::Duration MinViewInterval = absl::Seconds(1);
+
 /// Limits of the retry time given to a rejected caller.
 constexpr absl::Duration MinRetryAfter = absl::Milliseconds(50);
 constexpr absl::Duration MaxRetryAfter = absl::Seconds(5);
@@ -116,7 +119,10 @@
             continue;
         if (bucket.rate > 0) {
             refill(bucket, now);
-            bucket.level -= use->second.rate * std::clamp(silent, 0.0, UseAveragingSeconds);
+            const double estimate = use->second.rate * std::clamp(silent, 0.0, UseAveragingSeconds);
+            bucket.level -= estimate;
+            bucket.others += estimate;
+            bucket.estimated += estimate;
         }
         bucket.peers.erase(use);
     }
@@ -131,6 +137,7 @@
     const double more = isBaseline ? 0 : consumed - use.consumed;
     use.consumed = consumed;
     bucket.level -= more;
+    bucket.others += more;
     if (use.ratedAt != absl::InfinitePast())
         use.rate *= std::exp(-std::max(0.0, absl::ToDoubleSeconds(now - use.ratedAt))
                              / UseAveragingSeconds);
@@ -173,6 +180,24 @@
     return std::clamp(absl::Seconds((needed - level) / rate), MinRetryAfter, MaxRetryAfter);
 }
 
+std::optional<QuotaView> Quota::takeView(const base::OrganisationId &organisation, absl::Time now)
+{
+    const auto found = buckets_.find(organisation);
+    if (found == buckets_.end() || now - found->second.viewedAt < MinViewInterval)
+        return std::nullopt;
+    Bucket &bucket = found->second;
+    bucket.viewedAt = now;
+    QuotaView view;
+    view.level = bucket.level;
+    view.silentUse = estimatedSilentUse(bucket, now);
+    view.share = groupShare();
+    const auto own = ownConsumption_.find(organisation.str());
+    view.own = own == ownConsumption_.end() ? 0 : own->second;
+    view.others = bucket.others;
+    view.estimated = bucket.estimated;
+    return view;
+}
+
 void Quota::refund(const base::OrganisationId &organisation, double cost)
 {
     const auto found = buckets_.find(organisation);
