--- a/src/zinniadoor/gateway/peer_link.cpp
+++ b/src/zinniadoor/gateway/peer_link.cpp
@@ -10,6 +10,7 @@
 
 #include "zinniadoor/base/codec.hpp"
 #include "zinniadoor/base/events.hpp"
+#include "zinniadoor/gateway/burst_order.hpp"
 #include "zinniadoor/gateway/consumption_totals.hpp"
 #include "zinniadoor/gateway/paced_queue.hpp"
 #include "zinniadoor/gateway/peer_group.hpp"
@@ -446,7 +447,8 @@
             for (const base::EndpointId &engine : engines)
                 loads.emplace_back(engine, serving_.load.load(engine, time));
         }
-        for (const auto &[instance, address] : peers_.reachableIn(serving_.dataCentre, time)) {
+        for (const auto &[instance, address] :
+             memberOrder_.next(peers_.reachableIn(serving_.dataCentre, time))) {
             if (otherLeaders_.count(instance) > 0)
                 continue;
             message.sequence = ++sequence_;
@@ -914,6 +916,7 @@
     absl::flat_hash_map<std::string, absl::Time> sumsSentAt_; ///< By address.
     absl::Duration leaderInterval_ = MaxLeaderInterval;
     absl::Duration loadsInterval_ = MaxLoadsInterval;
+    BurstOrder memberOrder_;
     std::size_t leaderBytes_ = 0; ///< Size of the last sums sent.
     absl::Time loadsSentAt_ = absl::InfinitePast();
     absl::Time fullCountsSentAt_ = absl::InfinitePast();
