--- a/src/zinniadoor/gateway/exchange_state.hpp
+++ b/src/zinniadoor/gateway/exchange_state.hpp
@@ -123,6 +123,7 @@
     bool admit();
     bool authenticate(const Configuration &configuration);
     bool consumeQuota();
+    void logQuota() const;
     void dispatch();
     bool refuseIfHarmful(); ///< Returns whether the request was refused.
     bool hasHarmfulPart() const;
