--- a/src/zinniadoor/gateway/exchange.cpp
+++ b/src/zinniadoor/gateway/exchange.cpp
@@ -85,6 +85,7 @@
     callStartedAt_ = now;
     lastSignAt_ = now;
     silent_ = false;
+    paused_ = false;
     if (attempts_ == 0)
         context_.budget.noteRequest(service_, now);
     ++attempts_;
@@ -325,15 +326,24 @@
         responder_->onDrained([weak] {
             const auto self = weak.lock();
             if (self && self->call_)
-                self->call_->setPaused(false);
+                self->resumeReading();
         });
     }
 }
 
+void Exchange::resumeReading()
+{
+    call_->setPaused(false);
+    if (std::exchange(paused_, false))
+        armSilenceTimer(silenceTimeout());
+}
+
 void Exchange::onRunBody(const std::string &bytes)
 {
     constexpr std::size_t MaxPendingBytes = std::size_t { 256 } * 1024; // Per slow caller.
     if (phase_ != Phase::Streaming) {
+        noteSignOfLife();
+        armSilenceTimer(silenceTimeout());
         answerBody_.append(bytes);
         if (answerBody_.size() > MaxAnswerBytes) {
             CallOutcome outcome;
@@ -343,8 +353,10 @@
         return;
     }
     deliverEvents(bytes);
-    if (call_ && responder_->pendingBytes() > MaxPendingBytes)
+    if (call_ && responder_->pendingBytes() > MaxPendingBytes) {
+        paused_ = true;
         call_->setPaused(true);
+    }
 }
 
 void Exchange::deliverEvents(absl::string_view bytes)
--- a/src/zinniadoor/gateway/exchange_end.cpp
+++ b/src/zinniadoor/gateway/exchange_end.cpp
@@ -150,6 +150,8 @@
 {
     if (phase_ == Phase::Ended || route_.repeatability == Repeatability::AtMostOnce)
         return;
+    if (paused_) // The caller is slow, not the endpoint; `resumeReading` sets the timer again.
+        return;
     CallOutcome outcome;
     outcome.reason = "silent";
     if (phase_ == Phase::Prefilling) {
--- a/src/zinniadoor/gateway/exchange_standby.cpp
+++ b/src/zinniadoor/gateway/exchange_standby.cpp
@@ -139,6 +139,7 @@
     runStartedAt_ = standby.startedAt;
     lastSignAt_ = standby.startedAt;
     silent_ = false;
+    paused_ = false;
     bodyTracked_ = true;
     mayHaveQueued_ = true; // The time until the switch says nothing about the engine's speed.
     phase_ = Phase::Running;
--- a/src/zinniadoor/gateway/exchange_state.hpp
+++ b/src/zinniadoor/gateway/exchange_state.hpp
@@ -156,6 +156,7 @@
     /// `time`: from the start of the run call to the first event.
     void noteFirstEvent(absl::Duration time);
     void startStream(const net::ResponseHead &head);
+    void resumeReading(); ///< The caller has taken what was sent to it.
 
     void refuse(RefusalKind kind, const std::string &why,
                 std::optional<absl::Duration> retryAfter = std::nullopt);
@@ -205,6 +206,7 @@
     absl::Time callStartedAt_;
     absl::Time runStartedAt_;
     absl::Time lastSignAt_; ///< Start of the call, or its last head or event.
+    bool paused_ = false; ///< Reading of the current call is paused for a slow caller.
     bool silent_ = false; ///< Since `lastSignAt_`, for at least the silence timeout.
     std::optional<absl::Duration> prefillTime_; ///< Duration of the last remote prefill.
     bool mayHaveQueued_ = false; ///< All slots of the serving endpoint were in use.
