Do not handle a request whose client has already left

The close stood in the socket behind the request; it was seen only after the request had been sent to an endpoint.

Now the socket is checked once more before a request is handled. client_disconnectedBeforeRequestWasRead_requestIsNotHandled failed before.

--- a/src/zinniadoor/net/http_server_test.cpp
+++ b/src/zinniadoor/net/http_server_test.cpp
@@ -145,6 +145,19 @@
     BOOST_TEST(runUntil(io, [&] { return closed; }));
 }
 
+// The event loop is behind: the request and the close of its connection are read together.
+BOOST_AUTO_TEST_CASE(client_disconnectedBeforeRequestWasRead_requestIsNotHandled)
+{
+    const auto client = connect();
+    runBriefly(io);
+    client->write(get);
+    client->awaitDelivery();
+    client->close();
+    runBriefly(io);
+    BOOST_TEST(handler.responders.empty());
+    BOOST_TEST(server->activeRequests() == 0u);
+}
+
 BOOST_AUTO_TEST_CASE(client_disconnectsDuringStream_isReported)
 {
     const auto client = connect();
--- a/src/zinniadoor/net/server_connection.cpp
+++ b/src/zinniadoor/net/server_connection.cpp
@@ -212,6 +212,10 @@
         close();
         return;
     }
+    if (peekInput() == Input::Closed) { // The event loop was behind: the client has left.
+        close();
+        return;
+    }
     timer_.cancel();
     // Bytes that follow the request may be a smuggled request: they are discarded with the
     // connection.
@@ -256,20 +260,31 @@
     socket_.async_wait(tcp::socket::wait_read, [self, number](ErrorCode error) {
         if (error || self->closed_ || !self->isCurrent(number))
             return;
-        ErrorCode peekError;
-        char byte = 0;
-        const std::size_t got = self->socket_.receive(boost::asio::buffer(&byte, 1),
-                                                      tcp::socket::message_peek, peekError);
-        if (peekError == boost::asio::error::would_block) {
+        switch (self->peekInput()) {
+        case Input::None:
             self->watchForDisconnect();
-        } else if (peekError || got == 0) {
+            break;
+        case Input::Closed:
             self->close();
-        } else {
+            break;
+        case Input::Bytes:
             self->keepAlive_ = false; // Pipelined bytes are not parsed.
+            break;
         }
     });
 }
 
+ServerConnection::Input ServerConnection::peekInput()
+{
+    ErrorCode error;
+    char byte = 0;
+    const std::size_t got
+        = socket_.receive(boost::asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+    if (error == boost::asio::error::would_block)
+        return Input::None;
+    return error || got == 0 ? Input::Closed : Input::Bytes;
+}
+
 void ServerConnection::answer(std::uint64_t number, Response answer)
 {
     if (!isCurrent(number))
--- a/src/zinniadoor/net/server_connection.hpp
+++ b/src/zinniadoor/net/server_connection.hpp
@@ -62,6 +62,9 @@
     void readBody();
     void onBodyRead(boost::system::error_code error);
     void reject(boost::system::error_code error);
+    /// Input that has not been read.
+    enum class Input : std::uint8_t { None, Bytes, Closed };
+    Input peekInput();
     void watchForDisconnect();
     void write(std::string bytes);
     void writeNext();
