--- a/src/zinniadoor/gateway/exchange_standby.cpp
+++ b/src/zinniadoor/gateway/exchange_standby.cpp
@@ -2,17 +2,9 @@
 
 #include "endpoint_status.hpp"
 #include "exchange_state.hpp"
-#include "zinniadoor/base/events.hpp"
 
 namespace zinniadoor::gateway {
 
-namespace {
-
-using base::EventId;
-using base::logEvent;
-
-} // namespace
-
 // A silent endpoint may be down or merely slow. Cancelling its call first would lose the request if
 // no other endpoint takes it.
 std::optional<std::string> Exchange::startStandby()
