Accrue retries per request, so that a restart gains none

What callers saw: repeats beyond what all instances together may send to a service, when instances are killed while most engines shed load.

Cause: the budget compared the retries of a window with the requests of the same window. A process could spend what ten seconds of requests allowed within one second; after a kill its successor, which does not know of these retries, counted its own requests from zero and had another share of the slack. Class: a limit over a sliding window whose state is lost in a restart.

Change: a request adds the ratio to a level, a retry takes one from it, and the level holds no more than 1.5 s of requests have added and the share of the slack. A new process starts at zero. A restart then only loses retries, and the retries of any window stay below (1 + 0.15) x 0.85 of the ratio and 0.85 of the slack, with no peer heard and nothing stored.

Weighed and not taken: counts reported to peers, which are lost when most instances are killed at once.

--- a/include/zinniadoor/gateway/retry_budget.hpp
+++ b/include/zinniadoor/gateway/retry_budget.hpp
@@ -15,11 +15,16 @@
     double ratio = 0.2; ///< Retries per request, over all instances.
     double slack = 0; ///< Additional retries per window, over all instances.
     absl::Duration window = absl::Seconds(10);
+
+    /// Fraction of the slack available at start. Zero for a process that may have a predecessor,
+    /// whose retries are unknown.
+    double startShare = 1;
 };
 
-/// Bounds the retries to further endpoints in any window. Each instance uses the ratio of its own
-/// requests and an equal part of the slack, which needs no coordination between instances.
-/// Not thread-safe.
+/// Bounds the retries to further endpoints in any window, summed over all instances and over the
+/// processes that run on each of them one after the other. Each instance accrues the ratio of its
+/// own requests and keeps no more than a short time's worth of it and an equal part of the slack,
+/// which needs neither coordination nor memory across restarts. Not thread-safe.
 class RetryBudget
 {
 public:
@@ -38,9 +43,13 @@
 private:
     struct Service
     {
-        std::deque<absl::Time> requests;
-        std::deque<absl::Time> retries;
+        std::deque<absl::Time> requests; ///< Of the accrual time.
+        double level = 0; ///< Retries available.
     };
+    Service &service(const std::string &name);
+    double slackShare() const;
+
+    /// Removes what was accrued by requests older than the accrual time.
     void expire(Service &service, absl::Time now) const;
 
     RetryBudgetOptions options_;
--- a/src/zinniadoor/gateway/gateway.cpp
+++ b/src/zinniadoor/gateway/gateway.cpp
@@ -76,7 +76,12 @@
 
 RetryBudgetOptions budgetOptions(const GatewaySettings &settings)
 {
-    return { settings.retryRatio, settings.retrySlack, settings.retryWindow };
+    RetryBudgetOptions options;
+    options.ratio = settings.retryRatio;
+    options.slack = settings.retrySlack;
+    options.window = settings.retryWindow;
+    options.startShare = 0;
+    return options;
 }
 
 net::Response textAnswer(net::http::status status, std::string text)
--- a/src/zinniadoor/gateway/retry_budget.cpp
+++ b/src/zinniadoor/gateway/retry_budget.cpp
@@ -4,41 +4,59 @@
 
 namespace {
 
-/// Safety margin: the windows of the instances are not aligned.
+/// Share of the ratio and of the slack that is used. The rest makes room for retries that were
+/// accrued before a window and are sent within it.
 constexpr double UsableBudgetShare = 0.85;
 
+/// Requests of this share of a window may have accrued retries that are not consumed yet. A process
+/// that is killed right after it has consumed them has a successor that accrues anew, so that a
+/// window can contain both: (1 + 0.15) x 0.85 < 1.
+constexpr double AccrualShare = 0.15;
+
 } // namespace
 
 RetryBudget::RetryBudget(const RetryBudgetOptions &options)
     : options_(options)
 { }
 
+double RetryBudget::slackShare() const
+{
+    return UsableBudgetShare * options_.slack / instances_;
+}
+
+RetryBudget::Service &RetryBudget::service(const std::string &name)
+{
+    const auto [it, isNew] = services_.try_emplace(name);
+    if (isNew)
+        it->second.level = options_.startShare * slackShare();
+    return it->second;
+}
+
 void RetryBudget::expire(Service &service, absl::Time now) const
 {
-    const absl::Time begin = now - options_.window;
+    const absl::Time begin = now - options_.window * AccrualShare;
     while (!service.requests.empty() && service.requests.front() < begin)
         service.requests.pop_front();
-    while (!service.retries.empty() && service.retries.front() < begin)
-        service.retries.pop_front();
+    const double accrued
+        = UsableBudgetShare * options_.ratio * static_cast<double>(service.requests.size());
+    service.level = std::min(service.level, accrued + slackShare());
 }
 
-void RetryBudget::noteRequest(const std::string &service, absl::Time now)
+void RetryBudget::noteRequest(const std::string &name, absl::Time now)
 {
-    Service &counted = services_[service];
-    expire(counted, now);
+    Service &counted = service(name);
     counted.requests.push_back(now);
+    counted.level += UsableBudgetShare * options_.ratio;
+    expire(counted, now);
 }
 
-bool RetryBudget::take(const std::string &service, absl::Time now)
+bool RetryBudget::take(const std::string &name, absl::Time now)
 {
-    Service &counted = services_[service];
+    Service &counted = service(name);
     expire(counted, now);
-    const double allowed = UsableBudgetShare
-        * (options_.ratio * static_cast<double>(counted.requests.size())
-           + options_.slack / instances_);
-    if (static_cast<double>(counted.retries.size()) + 1 > allowed)
+    if (counted.level < 1)
         return false;
-    counted.retries.push_back(now);
+    counted.level -= 1;
     return true;
 }
 
--- a/src/zinniadoor/gateway/retry_budget_test.cpp
+++ b/src/zinniadoor/gateway/retry_budget_test.cpp
@@ -43,7 +43,7 @@
     void start(Instance &instance, int tick) const
     {
         instance.budget = std::make_unique<RetryBudget>(
-            RetryBudgetOptions { Ratio, Slack, absl::Milliseconds(WindowTicks) });
+            RetryBudgetOptions { Ratio, Slack, absl::Milliseconds(WindowTicks), 0 });
         instance.startedAt = tick;
         instance.knowsOthers = false;
     }
