Use no slack for retries until the instances are known

What callers saw: the same repeats beyond the common bound; found by reading while the first cause was traced.

Cause: a share of a sum taken from a lower bound of its divisor.

--- a/include/zinniadoor/gateway/retry_budget.hpp
+++ b/include/zinniadoor/gateway/retry_budget.hpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <deque>
+#include <optional>
 #include <string>
 
 #include "absl/container/flat_hash_map.h"
@@ -16,8 +17,8 @@
     double slack = 0; ///< Additional retries per window, over all instances.
     absl::Duration window = absl::Seconds(10);
 
-    /// Fraction of the slack available at start. Zero for a process that may have a predecessor,
-    /// whose retries are unknown.
+    /// Fraction of the slack available at start, and until the number of instances has been set.
+    /// Zero for a process that may have peers, or a predecessor whose retries are unknown.
     double startShare = 1;
 };
 
@@ -53,7 +54,7 @@
     void expire(Service &service, absl::Time now) const;
 
     RetryBudgetOptions options_;
-    std::uint32_t instances_ = 1;
+    std::optional<std::uint32_t> instances_; ///< Empty: unknown.
     absl::flat_hash_map<std::string, Service> services_;
 };
 
--- a/src/zinniadoor/gateway/peer_link.cpp
+++ b/src/zinniadoor/gateway/peer_link.cpp
@@ -848,7 +848,9 @@
         const Membership membership = peers_.membership(now);
         if (peers_.hasReadJournal() || now - startedAt_ >= JournalTimeout)
             serving_.quota.setMembership(membership, now);
-        serving_.budget.setInstances(membership.tracked);
+        // Before, the number of received peers is only a lower bound.
+        if (peers_.hasReadJournal())
+            serving_.budget.setInstances(membership.tracked);
         // A leader's estimate is already a median; given twice, it outweighs the own one.
         serving_.trueTime.setPeerOffsets(
             leader_ ? std::vector<absl::Duration> { leaderOffset_, leaderOffset_ }
--- a/src/zinniadoor/gateway/retry_budget.cpp
+++ b/src/zinniadoor/gateway/retry_budget.cpp
@@ -21,7 +21,8 @@
 
 double RetryBudget::slackShare() const
 {
-    return UsableBudgetShare * options_.slack / instances_;
+    const double share = instances_ ? 1.0 / *instances_ : options_.startShare;
+    return UsableBudgetShare * options_.slack * share;
 }
 
 RetryBudget::Service &RetryBudget::service(const std::string &name)
--- a/src/zinniadoor/gateway/retry_budget_test.cpp
+++ b/src/zinniadoor/gateway/retry_budget_test.cpp
@@ -141,6 +141,15 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(retries_instancesKnowNoOthers_stayWithinSumOfAllInstances)
+{
+    discoveryTicks = EndTick;
+    for (std::uint32_t seed = 1; seed <= 5; ++seed) {
+        run(seed);
+        BOOST_TEST(largestExcess() <= 0, "seed " << seed << ": " << largestExcess());
+    }
+}
+
 BOOST_AUTO_TEST_CASE(retries_noInstanceKilled_stayWithinSumAndUseMostOfIt)
 {
     run(1);
