Close a target's idle connections when a call to it fails

What callers saw: instances that use an old configuration seconds after a newer one was confirmed.

Cause: a read that got no answer was repeated on the next pooled connection. Connections that became silent together, or that the store reset while the instance was cut off, were found out one at a time: a timeout of 0.8 s each and a pause that doubles to 0.8 s. Class: a retry over resources that fail together.

Change: a fetch that fails closes the idle connections to its target, so that the next attempt opens a new one. Calls in progress go on.

Evidence: fetch_test failed before (silent and reset connections: the repeated call never reached a new connection) and passes.

The same cause elsewhere: calls to the duties interface and orders to endpoints use the same fetch. Runs and prefills are not repeated on the same endpoint.

--- a/include/zinniadoor/net/http_client.hpp
+++ b/include/zinniadoor/net/http_client.hpp
@@ -115,6 +115,9 @@
                                         CallOptions options, std::shared_ptr<CallHandler> handler)
         = 0;
 
+    /// Closes the idle connections to a target. Calls in progress go on.
+    virtual void closeIdle(const CallTarget &target) = 0;
+
     virtual std::uint64_t connectionsOpened() const = 0;
 };
 
--- a/src/zinniadoor/net/fetch.cpp
+++ b/src/zinniadoor/net/fetch.cpp
@@ -17,13 +17,15 @@
 class Fetch : public CallHandler, public Call, public std::enable_shared_from_this<Fetch>
 {
 public:
-    Fetch(boost::asio::io_context &context, FetchCallback done)
+    Fetch(boost::asio::io_context &context, HttpClient &client, CallTarget target,
+          FetchCallback done)
         : timer_(context)
+        , client_(client)
+        , target_(std::move(target))
         , done_(std::move(done))
     { }
 
-    void start(HttpClient &client, const CallTarget &target, Request request,
-               FetchOptions fetchOptions)
+    void start(Request request, FetchOptions fetchOptions)
     {
         auto self = shared_from_this();
         timer_.expires_after(absl::ToChronoMilliseconds(fetchOptions.timeout));
@@ -36,7 +38,7 @@
         options.newConnection = fetchOptions.newConnection;
         options.mayWrite = std::move(fetchOptions.mayWrite);
         options.matchesCall = std::move(fetchOptions.matchesCall);
-        call_ = client.start(target, std::move(request), std::move(options), self);
+        call_ = client_.start(target_, std::move(request), std::move(options), self);
         if (!done_)
             call_.reset();
     }
@@ -71,13 +73,22 @@
     void onFailure(const CallFailure &failure) override
     {
         call_.reset();
+        closeIdle();
         const ReasonCode code
             = failure.sendStarted ? ReasonCode::OutcomeUnknown : ReasonCode::Unavailable;
         finish(Reason { code, absl::StrCat(nameOf(failure.error), ": ", failure.text) });
     }
 
 private:
-    void onTimeout() { finish(Reason { ReasonCode::OutcomeUnknown, "response timeout" }); }
+    void onTimeout()
+    {
+        closeIdle();
+        finish(Reason { ReasonCode::OutcomeUnknown, "response timeout" });
+    }
+
+    // What has broken one connection may have broken all; a repeated call must not find out one
+    // connection at a time.
+    void closeIdle() { client_.closeIdle(target_); }
 
     void finish(base::Outcome<FullResponse> outcome)
     {
@@ -97,6 +108,8 @@
     }
 
     boost::asio::steady_timer timer_;
+    HttpClient &client_;
+    CallTarget target_;
     FetchCallback done_;
     std::shared_ptr<Call> call_;
     FullResponse response_;
@@ -108,8 +121,8 @@
                             const CallTarget &target, Request request, FetchOptions options,
                             FetchCallback done)
 {
-    auto fetch = std::make_shared<Fetch>(context, std::move(done));
-    fetch->start(client, target, std::move(request), std::move(options));
+    auto fetch = std::make_shared<Fetch>(context, client, target, std::move(done));
+    fetch->start(std::move(request), std::move(options));
     return fetch;
 }
 
--- a/src/zinniadoor/net/http_client.cpp
+++ b/src/zinniadoor/net/http_client.cpp
@@ -34,6 +34,8 @@
         return connection;
     }
 
+    void closeIdle(const CallTarget &target) override { pool_->closeIdle(target); }
+
     std::uint64_t connectionsOpened() const override { return opened_; }
 
 private:
@@ -59,6 +61,17 @@
             return nullptr;
         }
 
+        void closeIdle(const CallTarget &target)
+        {
+            const auto found = idle_.find(keyOf(target));
+            if (found == idle_.end())
+                return;
+            const auto idle = std::move(found->second);
+            idle_.erase(found); // Closing a connection looks it up here.
+            for (const std::shared_ptr<ClientConnection> &connection : idle)
+                connection->close();
+        }
+
         void onReusable(const std::shared_ptr<ClientConnection> &connection) override
         {
             idle_[keyOf(connection->target())].push_back(connection);
