Keep to the rates that endpoints name, summed over all instances

What callers saw: an endpoint that names a limit of calls in its answers gets more than twice as many (LIMIT).

Cause: the field was not read. With equal parts for all instances most parts would be less than one call in seconds, and saved-up calls of all would exceed the limit; with counts of the others, the sum would break when instances hear no peers.

Change: a limited endpoint is called by few enough instances that each has a usable rate: those that rank first in a hash of endpoint and instance, among all that may be running. Each saves up at most one call or one second, and starts with none. Others learn of a limit and of its end by messages and test it again after 30 s without any. A call counts when it is decided, the run after a remote prefill included.

--- a/include/zinniadoor/base/events.hpp
+++ b/include/zinniadoor/base/events.hpp
@@ -42,6 +42,7 @@
     EndpointSuspected = 714,
     EndpointLeaving = 715,
     EndpointRests = 716,
+    EndpointLimitChanged = 717,
     DependencyLost = 720,
     DependencyRegained = 721,
     RequestDispatched = 730,
--- a/include/zinniadoor/gateway/dialects.hpp
+++ b/include/zinniadoor/gateway/dialects.hpp
@@ -81,6 +81,10 @@
     /// The endpoint rejected the request and must get no request from this instance for this
     /// time.
     std::optional<absl::Duration> backOff;
+
+    /// Requests per second that the endpoint accepts from all instances together, for as long as
+    /// its answers say so.
+    std::optional<double> limit;
 };
 
 /// Translates between the gateway's types and HTTP messages of endpoints.
--- a/include/zinniadoor/gateway/endpoint_directory.hpp
+++ b/include/zinniadoor/gateway/endpoint_directory.hpp
@@ -8,6 +8,7 @@
 #include "absl/time/time.h"
 
 #include "zinniadoor/gateway/endpoint_record.hpp"
+#include "zinniadoor/serving/endpoint_limits.hpp"
 
 namespace zinniadoor::gateway {
 
@@ -39,8 +40,8 @@
     /// The endpoint whose id has this digest; null if there is none.
     const base::EndpointId *findByDigest(std::uint64_t digest) const;
 
-    /// Callable endpoints of a service except `excluded`, if set; suspected and paused ones only if
-    /// there are no others.
+    /// Endpoints of a service that may be called within their limits, except `excluded`, if set;
+    /// suspected and paused ones only if there are no others.
     std::vector<const EndpointRecord *> usable(const std::string &service, absl::Time now,
                                                const base::EndpointId *excluded = nullptr) const;
     bool isUsable(const base::EndpointId &id, absl::Time now) const;
@@ -49,9 +50,16 @@
     bool isSuspected(const base::EndpointId &id, absl::Time now) const;
 
     /// Whether requests may be sent to the endpoint: it is neither shutting down nor backing off.
-    /// Suspicions and pauses are ignored.
+    /// Suspicions, pauses and limits are ignored.
     bool mayCall(const base::EndpointId &id, absl::Time now) const;
 
+    /// The same, and the endpoint's limit allows one more call.
+    bool hasRoom(const base::EndpointId &id, absl::Time now) const;
+
+    /// The rates to which endpoints limit their calls.
+    serving::EndpointLimits &limits() { return limits_; }
+    const serving::EndpointLimits &limits() const { return limits_; }
+
     /// Whether the endpoint accepts work, now or after its back-off.
     bool acceptsWork(const base::EndpointId &id) const;
 
@@ -115,6 +123,7 @@
     }
 
     DirectoryOptions options_;
+    serving::EndpointLimits limits_;
     absl::flat_hash_map<base::EndpointId, Entry> entries_;
     absl::flat_hash_map<std::uint64_t, base::EndpointId> byDigest_;
 };
--- a/include/zinniadoor/gateway/peer_message.hpp
+++ b/include/zinniadoor/gateway/peer_message.hpp
@@ -177,4 +177,38 @@
     }
 };
 
+/// Limit of an endpoint's calls, as its last answer showed it.
+struct PackedLimit
+{
+    static constexpr float NoLimit = -1;
+
+    std::uint64_t endpoint = 0; ///< Its digest.
+    float perSecond = NoLimit;
+    std::uint16_t ageMs = 0; ///< Time since the answer.
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(endpoint, perSecond, ageMs);
+    }
+};
+
+/// Notifies other instances of the limits of endpoints, for as long as answers show them. A hint,
+/// like `PeerMessage`.
+struct LimitsMessage
+{
+    static constexpr std::uint8_t CurrentFormat
+        = 12; ///< Distinct from that of every other message.
+
+    std::uint8_t format = CurrentFormat;
+    ProcessName sender;
+    std::vector<PackedLimit> limits;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(format, sender, limits);
+    }
+};
+
 } // namespace zinniadoor::gateway
--- a/src/zinniadoor/base/events.cpp
+++ b/src/zinniadoor/base/events.cpp
@@ -221,6 +221,8 @@
         { EventId::EndpointRests, EventLevel::Debug, "endpoint_rests",
           "An endpoint rejected a request with a retry delay; it receives nothing until the delay "
           "ends." },
+        { EventId::EndpointLimitChanged, EventLevel::Info, "endpoint_limit_changed",
+          "An endpoint limits its calls from all instances together, or no longer does." },
         { EventId::DependencyLost, EventLevel::Warning, "dependency_lost",
           "A platform service does not respond." },
         { EventId::DependencyRegained, EventLevel::Info, "dependency_regained",
--- a/src/zinniadoor/gateway/endpoint_choice.cpp
+++ b/src/zinniadoor/gateway/endpoint_choice.cpp
@@ -84,7 +84,7 @@
                 return false;
             if (facts.excluded && *facts.excluded == engine.id)
                 return false;
-            if (!context.directory.mayCall(engine.id, now))
+            if (!context.directory.hasRoom(engine.id, now))
                 return false;
             if (eligibility == Eligibility::Any)
                 return true;
--- a/src/zinniadoor/gateway/endpoint_directory.cpp
+++ b/src/zinniadoor/gateway/endpoint_directory.cpp
@@ -88,7 +88,7 @@
     std::vector<const EndpointRecord *> preferred;
     std::vector<const EndpointRecord *> avoided;
     for (const auto &[id, entry] : entries_) {
-        if (entry.record.service != service || !mayCall(entry, now))
+        if (entry.record.service != service || !mayCall(entry, now) || !limits_.mayCall(id, now))
             continue;
         if (excluded && *excluded == id)
             continue;
@@ -103,6 +103,11 @@
     return found != entries_.end() && mayCall(found->second, now) && !isAvoided(found->second, now);
 }
 
+bool EndpointDirectory::hasRoom(const base::EndpointId &id, absl::Time now) const
+{
+    return mayCall(id, now) && limits_.mayCall(id, now);
+}
+
 bool EndpointDirectory::isSuspected(const base::EndpointId &id, absl::Time now) const
 {
     const auto found = entries_.find(id);
@@ -128,7 +133,7 @@
     for (const auto &[id, entry] : entries_) {
         if (entry.record.service != service || !acceptsWork(entry))
             continue;
-        const absl::Time from = std::max(now, entry.backOffUntil);
+        const absl::Time from = std::max(entry.backOffUntil, limits_.availableFrom(id, now));
         first = std::min(first.value_or(from), from);
     }
     return first;
--- a/src/zinniadoor/gateway/endpoint_status.cpp
+++ b/src/zinniadoor/gateway/endpoint_status.cpp
@@ -24,6 +24,11 @@
                        { { "endpoint", called.str() },
                          { "for_ms", std::to_string(absl::ToInt64Milliseconds(*facts.backOff)) } });
     }
+    if (context.directory.limits().note(called, facts.limit, now, now)) {
+        base::logEvent(base::EventId::EndpointLimitChanged,
+                       { { "endpoint", called.str() },
+                         { "per_second", facts.limit ? std::to_string(*facts.limit) : "" } });
+    }
     if (facts.leaving && context.directory.noteLeaving(called)) {
         base::logEvent(base::EventId::EndpointLeaving, { { "endpoint", called.str() } });
         context.updates.announcePause(called, LeavingAdvice);
--- a/src/zinniadoor/gateway/exchange.cpp
+++ b/src/zinniadoor/gateway/exchange.cpp
@@ -62,7 +62,7 @@
 {
     const absl::Time now = context_.clock.now();
     const auto from = context_.directory.availableFrom(service_, now);
-    if (from && *from > now)
+    if (from && *from > now && *from < absl::InfiniteFuture())
         refuseWithExactRetryAfter(RefusalKind::NotRun, "all_resting", *from - now);
     else
         refuse(RefusalKind::NotRun, "no_endpoint", DefaultRetryAfter);
@@ -89,6 +89,10 @@
     if (attempts_ == 0)
         context_.budget.noteRequest(service_, now);
     ++attempts_;
+    // The decode engine's call follows; counted now, so that it will not find the limit reached.
+    if (prefillEngine)
+        context_.directory.limits().noteCall(prefillEngine_.id, now);
+    context_.directory.limits().noteCall(servingEndpoint_.id, now);
     const base::EndpointId &executor = prefillEngine ? prefillEngine_.id : servingEndpoint_.id;
     queuedTokens_ = context_.load.load(executor, now).tokensAhead(rank());
     noteDispatched(choice, servingEndpoint_, executor);
@@ -171,6 +175,7 @@
             return;
         }
         servingEndpoint_ = *other;
+        context_.directory.limits().noteCall(servingEndpoint_.id, now);
         servingLoad_ = LoadReservation(context_.load, servingEndpoint_.id,
                                        serving::EngineLoad::ofRequest(0, rank()));
     }
--- a/src/zinniadoor/gateway/exchange_standby.cpp
+++ b/src/zinniadoor/gateway/exchange_standby.cpp
@@ -29,6 +29,7 @@
         return "retry_budget";
     context_.metrics.countRetry();
     ++attempts_;
+    context_.directory.limits().noteCall(endpoint->id, now);
     noteDispatched(*choice, *endpoint, endpoint->id);
     Standby &standby = standby_.emplace();
     standby.attempt = attempts_;
--- a/src/zinniadoor/gateway/gateway.cpp
+++ b/src/zinniadoor/gateway/gateway.cpp
@@ -443,6 +443,7 @@
                   [](const auto &a, const auto &b) { return a.id < b.id; });
         serving_.load.setEngines(engines);
         serving_.health.setEndpoints(ids);
+        serving_.directory.limits().setEndpoints(ids);
         metrics_.setEndpoints(ids.size());
         logEvent(EventId::EndpointsChanged,
                  { { "endpoints", std::to_string(ids.size()) },
--- a/src/zinniadoor/gateway/peer_link.cpp
+++ b/src/zinniadoor/gateway/peer_link.cpp
@@ -1,6 +1,7 @@
 #include "zinniadoor/gateway/peer_link.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 #include <boost/asio/steady_timer.hpp>
@@ -57,6 +58,10 @@
 /// Older queued updates are dropped: after this many messages they are out of date.
 constexpr std::size_t MaxPrefixesQueued = 4 * MaxPrefixesPerSums;
 
+/// Time between messages with limits of endpoints, and their number in one message.
+constexpr absl::Duration LimitsInterval = absl::Milliseconds(400);
+constexpr std::size_t MaxLimitsPerMessage = 100;
+
 /// Upper limit of an endpoint pause received from a peer.
 constexpr absl::Duration MaxPeerPause = absl::Seconds(10);
 
@@ -325,6 +330,40 @@
         }
     }
 
+    void sendLimits()
+    {
+        const absl::Time time = now();
+        if (time - limitsSentAt_ < LimitsInterval)
+            return;
+        limitsSentAt_ = time;
+        LimitsMessage message;
+        message.sender = self_;
+        const auto reports = serving_.directory.limits().reports(time);
+        for (std::size_t i = 0; i < reports.size(); ++i) {
+            PackedLimit limit;
+            limit.endpoint = digestOf(reports[i].endpoint);
+            if (reports[i].perSecond)
+                limit.perSecond = static_cast<float>(*reports[i].perSecond);
+            limit.ageMs = static_cast<std::uint16_t>(absl::ToInt64Milliseconds(reports[i].age));
+            message.limits.push_back(limit);
+            if (message.limits.size() < MaxLimitsPerMessage && i + 1 < reports.size())
+                continue;
+            sendToReceivers(base::encode(message));
+            if (group_.hasLeaders() && !leader_)
+                sendToGroup(base::encode(message), time);
+            message.limits.clear();
+        }
+    }
+
+    /// Sends to the other leaders and to the members of the own data centre.
+    void sendToGroup(const std::string &bytes, absl::Time time)
+    {
+        for (const std::string &address : group_.leaderAddresses(time))
+            socket_->send(address, bytes);
+        for (const auto &[instance, address] : peers_.reachableIn(serving_.dataCentre, time))
+            socket_->send(address, bytes);
+    }
+
     /// Sends to the leader, or to all peers in a full mesh. Returns the number of bytes sent.
     std::size_t sendToReceivers(const std::string &bytes)
     {
@@ -616,6 +655,8 @@
             receiveSums(bytes, from);
         else if (formatOf(bytes) == UsageWrittenNotice::CurrentFormat)
             receiveUsageWritten(bytes, from);
+        else if (formatOf(bytes) == LimitsMessage::CurrentFormat)
+            receiveLimits(bytes, from);
         else
             receivePeerMessage(bytes, from);
     }
@@ -672,6 +713,27 @@
             logRejected(from, notice.lastReason().text);
     }
 
+    void receiveLimits(const std::string &bytes, const std::string &from)
+    {
+        const auto message = base::decode<LimitsMessage>(bytes);
+        if (!message) {
+            logRejected(from, message.lastReason().text);
+            return;
+        }
+        if (message->sender == self_)
+            return;
+        const absl::Time time = now();
+        for (const PackedLimit &limit : message->limits) {
+            const base::EndpointId *id = serving_.directory.findByDigest(limit.endpoint);
+            if (!id || std::isnan(limit.perSecond) || std::isinf(limit.perSecond))
+                continue;
+            const auto perSecond
+                = limit.perSecond < 0 ? std::nullopt : std::optional<double>(limit.perSecond);
+            serving_.directory.limits().note(*id, perSecond, time - absl::Milliseconds(limit.ageMs),
+                                             time);
+        }
+    }
+
     void receiveSums(const std::string &bytes, const std::string &from)
     {
         const auto message = base::decode<LeaderMessage>(bytes);
@@ -848,9 +910,12 @@
         const Membership membership = peers_.membership(now);
         if (peers_.hasReadJournal() || now - startedAt_ >= JournalTimeout)
             serving_.quota.setMembership(membership, now);
-        // Before, the number of received peers is only a lower bound.
-        if (peers_.hasReadJournal())
+        // Before, the received peers are only a part of the instances.
+        if (peers_.hasReadJournal()) {
             serving_.budget.setInstances(membership.tracked);
+            updateLimits(now);
+        }
+        sendLimits();
         // A leader's estimate is already a median; given twice, it outweighs the own one.
         serving_.trueTime.setPeerOffsets(
             leader_ ? std::vector<absl::Duration> { leaderOffset_, leaderOffset_ }
@@ -866,6 +931,14 @@
         resendReports(peerFound, now);
     }
 
+    void updateLimits(absl::Time now)
+    {
+        std::vector<std::string> instances { self_.instance };
+        for (const GroupCandidate &peer : peers_.candidates(now))
+            instances.push_back(peer.instance);
+        serving_.directory.limits().setInstances(self_.instance, std::move(instances), now);
+    }
+
     /// A peer that has started, or was cut off, has missed earlier reports.
     void resendReports(bool peerFound, absl::Time now)
     {
@@ -991,6 +1064,7 @@
     PartReportQueue partReports_;
     std::uint64_t heardProcesses_ = 0; ///< When reports were last sent again.
     absl::Time repeatedAt_ = absl::InfinitePast();
+    absl::Time limitsSentAt_ = absl::InfinitePast();
     std::map<std::string, absl::Time> paused_;
 };
 
