Answer every request that a planned stop ends, and take none too late

What callers saw (reported by operators of a similar system): requests taken late in a planned stop were passed on and cut at its end with no answer, among them requests that may not be repeated.

Here: requests were accepted for 3 s whatever the stop time. With 8 s that leaves 4.2 s; with less than 3.3 s they were accepted until the cut, and the cut closed their connections without an answer.

Cause: a constant beside a setting that it depends on. Change: requests are accepted for 0.35 of the stop time and 3 s at most; at the cut a request that has not run is refused with a time to retry after, one that may have run is answered as unknown, and only streams that have begun are broken off.

--- a/include/zinniadoor/gateway/serving_context.hpp
+++ b/include/zinniadoor/gateway/serving_context.hpp
@@ -9,6 +9,7 @@
 #include "zinniadoor/gateway/configuration.hpp"
 #include "zinniadoor/gateway/dialects.hpp"
 #include "zinniadoor/gateway/endpoint_directory.hpp"
+#include "zinniadoor/gateway/exchange_registry.hpp"
 #include "zinniadoor/gateway/gateway_metrics.hpp"
 #include "zinniadoor/gateway/quota.hpp"
 #include "zinniadoor/gateway/retry_budget.hpp"
@@ -67,6 +68,7 @@
     UsageWindowCounter usage;
     ClusterTime trueTime;
     SpeedEstimate speeds;
+    ExchangeRegistry exchanges {};
 };
 
 } // namespace zinniadoor::gateway
--- a/src/zinniadoor/gateway/exchange_admission.cpp
+++ b/src/zinniadoor/gateway/exchange_admission.cpp
@@ -65,6 +65,7 @@
         if (const auto self = weak.lock())
             self->onCallerLeft();
     });
+    context_.exchanges.add(weak);
     if (admit())
         dispatch();
 }
--- a/src/zinniadoor/gateway/exchange_end.cpp
+++ b/src/zinniadoor/gateway/exchange_end.cpp
@@ -144,6 +144,16 @@
     refuse(mayHaveRunCount_ > 0 ? RefusalKind::TimedOut : RefusalKind::NotRun, "time_over");
 }
 
+void Exchange::endForStop()
+{
+    if (phase_ == Phase::Running || standby_)
+        ++mayHaveRunCount_;
+    if (mayHaveRunCount_ > 0)
+        refuse(RefusalKind::OutcomeUnknown, "stopping");
+    else
+        refuse(RefusalKind::NotRun, "stopping", DefaultRetryAfter);
+}
+
 // Silence is not evidence of a failure: a run is only given up once another endpoint has taken the
 // request. Requests that must not be executed twice keep waiting until their deadline.
 void Exchange::onSilenceTimeout()
--- a/src/zinniadoor/gateway/exchange_state.hpp
+++ b/src/zinniadoor/gateway/exchange_state.hpp
@@ -86,7 +86,7 @@
 };
 
 /// State machine of one HTTP exchange: admission, endpoint choice, prefill, run and retries.
-class Exchange : public std::enable_shared_from_this<Exchange>
+class Exchange : public EndableExchange, public std::enable_shared_from_this<Exchange>
 {
 public:
     Exchange(ServingContext &context, net::Request request,
@@ -98,6 +98,8 @@
     /// Rejects the request without admission.
     void reject(const Refusal &refusal);
 
+    void endForStop() override;
+
     /// Events of the prefill call.
     void onPrefillHead(const AnswerFacts &facts);
     void onPrefillDone(const std::string &handle);
--- a/src/zinniadoor/gateway/gateway.cpp
+++ b/src/zinniadoor/gateway/gateway.cpp
@@ -12,6 +12,7 @@
 #include "zinniadoor/gateway/log_follower.hpp"
 #include "zinniadoor/gateway/peer_link.hpp"
 #include "zinniadoor/gateway/stage_duty.hpp"
+#include "zinniadoor/gateway/stop_plan.hpp"
 #include "zinniadoor/gateway/usage_duty.hpp"
 
 namespace zinniadoor::gateway {
@@ -36,12 +37,9 @@
 /// The load balancer probes readiness once per second and reacts to the second failure.
 constexpr absl::Duration BalancerDetectionTime = absl::Milliseconds(3200);
 
-/// Time for which a stopping instance accepts new requests. Later ones are rejected, since they
-/// might not end in time; requests in flight have the remaining stop time.
-constexpr absl::Duration AcceptancePeriod = absl::Milliseconds(3000);
-
-/// Share of the stop time after which requests in flight are aborted.
-constexpr double MaxDrainShare = 0.9;
+/// Time for the answers to requests that are ended by the stop to leave, as a share of the stop
+/// time.
+constexpr double LastAnswersShare = 0.02;
 
 /// Limit for writing the last usage counts to the store.
 constexpr absl::Duration FlushTimeout = absl::Milliseconds(500);
@@ -217,6 +215,7 @@
         stopping_ = true;
         stopped_ = std::move(stopped);
         stopStartedAt_ = ports_.clock->now();
+        stopPlan_ = planStop(settings_.stopTime);
         logEvent(EventId::GatewayStopping,
                  { { "active", std::to_string(callerServer_->activeRequests()) } });
         noteReadiness();
@@ -228,7 +227,7 @@
 
     void onRequest(net::Request request, std::shared_ptr<net::Responder> responder) override
     {
-        if (stopping_ && ports_.clock->now() - stopStartedAt_ >= AcceptancePeriod) {
+        if (stopping_ && ports_.clock->now() - stopStartedAt_ >= stopPlan_.acceptance) {
             refuseRequest(serving_, std::move(request), std::move(responder),
                           { RefusalKind::NotRun, "stopping", StoppingRetryAfter });
             return;
@@ -473,11 +472,15 @@
     void pollStop()
     {
         const absl::Duration since = ports_.clock->now() - stopStartedAt_;
-        const bool idle = callerServer_->activeRequests() == 0;
-        if ((idle && since >= BalancerDetectionTime)
-            || since >= settings_.stopTime * MaxDrainShare) {
+        const std::size_t active = callerServer_->activeRequests();
+        if (active > 0 && since >= stopPlan_.cut && cutRequests_ == 0) {
+            cutRequests_ = active;
+            serving_.exchanges.endAll();
+        }
+        if ((active == 0 && since >= BalancerDetectionTime)
+            || since >= stopPlan_.cut + settings_.stopTime * LastAnswersShare) {
             logEvent(EventId::GatewayStopped,
-                     { { "cut", std::to_string(callerServer_->activeRequests()) },
+                     { { "cut", std::to_string(cutRequests_) },
                        { "took_ms", std::to_string(absl::ToInt64Milliseconds(since)) } });
             callerServer_->close();
             usageDuty_->stop(stopped_);
@@ -523,6 +526,8 @@
     bool stopping_ = false;
     bool readyLogged_ = false;
     absl::Time stopStartedAt_;
+    StopPlan stopPlan_;
+    std::size_t cutRequests_ = 0; ///< Ended since the stop time was nearly over.
     std::function<void()> stopped_;
 };
 
