Take no answer whose head is cut for a complete one

What callers saw (reported by operators of a similar system): an endpoint stops within the head of its answer and closes; callers get a 200 with an empty or short body, framed as whole.

The stand-alone daemon is: libcurl reports success for a connection that is closed after the status line.

Change: a call of the daemon to an endpoint or to the platform is complete only once the empty line after the head was received.

The ctl tool's reads are not changed: a cut head gives an operator an empty page.

--- a/src/zinniadoor/adapters/curl_endpoint_client.cpp
+++ b/src/zinniadoor/adapters/curl_endpoint_client.cpp
@@ -288,10 +288,12 @@
         char *cls = nullptr;
         curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &cls);
         auto &call = *reinterpret_cast<Call *>(cls);
-        if (result == CURLE_OK)
-            end(call, true, {});
-        else
+        if (result != CURLE_OK)
             end(call, false, { reasonCodeOf(result), curl_easy_strerror(result) });
+        else if (!call.headersComplete) // libcurl takes a close within the head for its end.
+            end(call, false, { base::ReasonCode::Unavailable, detail::CutHeadText });
+        else
+            end(call, true, {});
     }
 }
 
--- a/src/zinniadoor/adapters/curl_endpoint_client_test.cpp
+++ b/src/zinniadoor/adapters/curl_endpoint_client_test.cpp
@@ -127,6 +127,23 @@
     BOOST_TEST(observer->last.mayHaveRun);
 }
 
+BOOST_AUTO_TEST_CASE(endpointClient_connectionClosedWithinHead_isNotComplete)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nX-A: b\r\nContent-Length: 5\r\n\r\n";
+    for (std::size_t bytes = 0; bytes < head.size(); ++bytes) {
+        observer = std::make_shared<RecordingObserver>();
+        start(request());
+        {
+            const TestConnection endpoint = listener.accept();
+            endpoint.receiveUntil("{}");
+            endpoint.send(head.substr(0, bytes));
+        }
+        BOOST_REQUIRE(observer->waitForEnd());
+        BOOST_TEST(!observer->last.complete, "cut after byte " << bytes);
+        BOOST_TEST(observer->last.mayHaveRun);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(endpointClient_connectionRefused_reportsNotRun)
 {
     const ports::EndpointRequest call = request();
--- a/src/zinniadoor/adapters/curl_handle.cpp
+++ b/src/zinniadoor/adapters/curl_handle.cpp
@@ -1,5 +1,7 @@
 #include "curl_handle.hpp"
 
+#include <string_view>
+
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 
@@ -18,6 +20,17 @@
     return CURL_PREREQFUNC_OK;
 }
 
+std::size_t onHeadLine(char *data, std::size_t, std::size_t size, void *cls)
+{
+    const std::string_view line(data, size);
+    if (line == "\r\n" || line == "\n")
+        *static_cast<bool *>(cls) = true;
+    else if (absl::StartsWith(absl::string_view(data, size),
+                              "HTTP/")) // The one before was interim.
+        *static_cast<bool *>(cls) = false;
+    return size;
+}
+
 bool isConnectionHeader(const std::string &name)
 {
     for (const char *connectionHeader :
@@ -74,6 +87,13 @@
     curl_easy_setopt(easy, CURLOPT_PREREQDATA, attempt);
 }
 
+void watchHead(CURL *easy, bool *complete)
+{
+    *complete = false;
+    curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &onHeadLine);
+    curl_easy_setopt(easy, CURLOPT_HEADERDATA, complete);
+}
+
 void setRequest(CURL *easy, const std::string &method, const std::string &body)
 {
     const bool bodyExpected = method == "POST" || method == "PUT" || method == "PATCH";
--- a/src/zinniadoor/adapters/curl_handle.hpp
+++ b/src/zinniadoor/adapters/curl_handle.hpp
@@ -37,6 +37,13 @@
 /// Aborts the transfer if libcurl retries the request. `attempt` must outlive the transfer.
 void forbidRetry(CURL *easy, Attempt *attempt);
 
+/// Reason text of a response whose connection was closed within its head.
+constexpr char CutHeadText[] = "the connection was closed within the head of the response";
+
+/// Sets `complete` once the head of the final response has been received to its end. libcurl
+/// reports success without it. `complete` must outlive the transfer.
+void watchHead(CURL *easy, bool *complete);
+
 /// Sets method and body. `body` is not copied and must outlive the transfer.
 void setRequest(CURL *easy, const std::string &method, const std::string &body);
 
--- a/src/zinniadoor/adapters/platform_call.cpp
+++ b/src/zinniadoor/adapters/platform_call.cpp
@@ -95,11 +95,16 @@
     curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(absl::ToInt64Milliseconds(total)));
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &appendBody);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, &response.body);
+    bool headComplete = false;
+    watchHead(easy, &headComplete);
     const CURLcode result = curl_easy_perform(easy);
     if (result != CURLE_OK)
         return base::Reason { attempt.started ? base::ReasonCode::OutcomeUnknown
                                               : base::ReasonCode::Unavailable,
                               absl::StrCat(request.path, ": ", curl_easy_strerror(result)) };
+    if (!headComplete)
+        return base::Reason { base::ReasonCode::OutcomeUnknown,
+                              absl::StrCat(request.path, ": ", CutHeadText) };
     long status = 0;
     curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
     response.status = static_cast<int>(status);
--- a/src/zinniadoor/adapters/platform_http_test.cpp
+++ b/src/zinniadoor/adapters/platform_http_test.cpp
@@ -153,6 +153,17 @@
     BOOST_TEST((billing->report(report).lastReason().code == ReasonCode::OutcomeUnknown));
 }
 
+BOOST_AUTO_TEST_CASE(billing_responseCutWithinHead_isOutcomeUnknown)
+{
+    const auto billing = adapters::httpBilling(options);
+    for (const char *cut : { "HTTP/1.1 200 X\r\n", "HTTP/1.1 200 X\r\nContent-Length: 0\r\n" }) {
+        serve("}", cut);
+        const auto reported = billing->report({});
+        BOOST_REQUIRE(!reported.hasValue());
+        BOOST_TEST((reported.lastReason().code == ReasonCode::OutcomeUnknown));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(endpointOrders_send_routesToPlatformOrEngine)
 {
     const auto orders = adapters::httpEndpointOrders(options);
