Name the quota's level in logs so that it keeps the line's level

What operators saw: lines of quota_reached with a number in place of the level, since a field of the event had the name of the line's own field.

--- a/src/zinniadoor/gateway/exchange_admission.cpp
+++ b/src/zinniadoor/gateway/exchange_admission.cpp
@@ -180,7 +180,7 @@
     logEvent(EventId::QuotaReached,
              { { "organisation", organisation_->id.str() },
                { "limit", whole(organisation_->ratePerSecond) },
-               { "level", whole(view->level) },
+               { "available", whole(view->level) },
                { "silent_use", whole(view->silentUse) },
                { "share_percent", whole(100 * view->share) },
                { "own", whole(view->own) },
