End a stopped gateway without static destructors

Cause: after the last log line (3.7 s after the signal) the process waits in log4cplus's static destructor, which joins its thread pool; prints in a scratch copy show the event loop ended, logs flushed and deinitialize() not returning. Class: work at exit that waits for something.

In the repository's own tests processes ended in time before, too.

--- a/src/zinniadoor/daemon/main.cpp
+++ b/src/zinniadoor/daemon/main.cpp
@@ -1,5 +1,6 @@
 #include <csignal>
 #include <cstdio>
+#include <cstdlib>
 #include <iostream>
 #include <string>
 
@@ -84,8 +85,12 @@
     CommandLine line;
     if (const std::optional<int> exitCode = readCommandLine(argc, argv, line))
         return *exitCode;
-    if (line.gateway)
-        return zinniadoor::daemon::gatewayMain(line.config, line.checkOnly);
+    if (line.gateway) {
+        const int exitCode = zinniadoor::daemon::gatewayMain(line.config, line.checkOnly);
+        // Skips the static destructors: that of log4cplus waits for its threads, which may not end
+        // before the platform kills the process.
+        std::quick_exit(exitCode);
+    }
     const sigset_t signals = blockStopSignals();
     const auto settings = zinniadoor::daemon::loadSettings(line.config);
     if (!settings) {
