Give parts of logs the age of the answer that they relay

What callers saw: an old configuration in use seconds after a newer one was confirmed.

Cause: the age of a relayed part began with its sending. An answer of the store that came late, by up to half of the followers' timeout, was passed on as new; followers that missed the next notice read the store that much later.

Change: a part's age begins when the answer was due, the time that the store may hold the read included. That replaces the limit readWait + relayTimeout / 2, beyond which nothing was relayed: followers ignore parts that are too old, and a part still shows that there is something to read.

Evidence: reader_readAnsweredLate_partHasAgeOfAnswer failed before (age 0, answer 40 min late) and passes. That this has a share in the reported case is not shown.

--- a/src/zinniadoor/gateway/log_follower.cpp
+++ b/src/zinniadoor/gateway/log_follower.cpp
@@ -31,6 +31,9 @@
 /// Larger updates are read from the store by each instance: relaying them would take too long.
 constexpr std::size_t MaxRelayedBytes = std::size_t { 8 } * 1024;
 
+/// Limit of the age given to a part; receivers add their own delays to it.
+constexpr std::int64_t MaxAgeMs = std::int64_t { 24 } * 3600 * 1000;
+
 /// Encoded size of a record in addition to its key and value.
 constexpr std::size_t RecordOverhead = 32;
 
@@ -197,7 +200,7 @@
         const absl::Duration wait
             = cause_ == ReadCause::Poll ? options_.readWait : absl::ZeroDuration();
         store_.read(options_.log, from, wait,
-                    [self, requestedAt, from](const base::Outcome<LogRecords> &read) {
+                    [self, requestedAt, from, wait](const base::Outcome<LogRecords> &read) {
                         self->reading_ = false;
                         if (!self->handler_)
                             return;
@@ -220,7 +223,7 @@
                         self->logRead(from, *read, requestedAt);
                         self->apply(from, *read);
                         if (self->cause_ != ReadCause::Gap) // Otherwise others have relayed it.
-                            self->relayUpdates(from, requestedAt);
+                            self->relayUpdates(from, requestedAt + wait);
                         self->discardUpdatesBefore(from);
                         if (self->nextOffset_ < read->end)
                             self->scheduleRead(absl::ZeroDuration());
@@ -277,14 +280,14 @@
     }
 
     // Repeats the records of the previous part, so that a single lost part is recovered by the
-    // next.
-    void relayUpdates(LogOffset from, absl::Time requestedAt)
+    // next. `answerDue`: when the store has answered at the latest, unless it or the way is slow.
+    void relayUpdates(LogOffset from, absl::Time answerDue)
     {
         if (clock_.now() - lastShown_ >= relayTimeout_)
             noteReader(true);
-        // If this process was suspended during the read, the result may be stale.
-        if (clock_.now() - requestedAt > options_.readWait + options_.relayTimeout / 2)
-            return;
+        const absl::Duration late = std::max(absl::ZeroDuration(), clock_.now() - answerDue);
+        ageMs_ = static_cast<std::uint32_t>(
+            std::min<std::int64_t>(absl::ToInt64Milliseconds(late), MaxAgeMs));
         const std::size_t capacity = std::min(MaxRelayedBytes, relay_.capacity());
         if (options_.relaysRecords && bytesOfUpdates() > capacity)
             discardUpdatesBefore(from); // Without the repetition, they may fit.
@@ -324,6 +327,7 @@
         LogPart part;
         part.sender = options_.self;
         part.log = options_.log;
+        part.ageMs = ageMs_;
         part.from = from;
         part.to = nextOffset_;
         part.includesRecords = includesRecords;
@@ -362,6 +366,7 @@
     std::deque<LogPartRecord>
         updates_; ///< From `updatesFrom_` to `nextOffset_`, without heartbeats.
     LogOffset updatesFrom_ = 0;
+    std::uint32_t ageMs_ = 0; ///< Of what the last read showed, when it was answered.
 
     /// The latest time as of which a part from a smaller rank showed the end of the log.
     absl::Time lastShown_ = absl::InfinitePast();
--- a/src/zinniadoor/gateway/log_follower_test.cpp
+++ b/src/zinniadoor/gateway/log_follower_test.cpp
@@ -44,7 +44,11 @@
         result.first = from;
         result.end = log.size();
         result.records.assign(log.begin() + static_cast<std::ptrdiff_t>(from), log.end());
-        boost::asio::post(io_, [done, result] { done(result); });
+        boost::asio::post(io_, [this, done, result] {
+            if (beforeAnswer)
+                beforeAnswer();
+            done(result);
+        });
     }
 
     void readNewest(LogName, std::function<void(base::Outcome<NewestRecords>)> done) override
@@ -84,6 +88,7 @@
     int reads = 0;
     absl::Duration lastWait;
     bool down = false;
+    std::function<void()> beforeAnswer; ///< Called between a read and its answer.
 
 private:
     boost::asio::io_context &io_;
@@ -375,6 +380,21 @@
     BOOST_TEST(listener.published.empty());
 }
 
+BOOST_AUTO_TEST_CASE(reader_readAnsweredLate_partHasAgeOfAnswer)
+{
+    constexpr absl::Duration Late = absl::Minutes(40);
+    auto advancing = std::make_unique<OffsetClock>();
+    OffsetClock &offset = *advancing;
+    clock = std::move(advancing);
+    const auto reader = follower(store, listener, "a", absl::Hours(2));
+    BOOST_REQUIRE(until([&] { return !listener.published.empty(); }));
+    BOOST_TEST(listener.published.back().ageMs < absl::ToInt64Milliseconds(Late - ReadWait));
+    store.beforeAnswer = [&] { offset.offset += Late; };
+    listener.published.clear();
+    BOOST_REQUIRE(until([&] { return listener.published.size() > 1; }));
+    BOOST_TEST(listener.published.back().ageMs >= absl::ToInt64Milliseconds(Late - ReadWait));
+}
+
 BOOST_AUTO_TEST_CASE(reader_relaysNoRecords_publishesRangeOnly)
 {
     const auto reader = follower(store, listener, "a", absl::Hours(1), false);
