Read the log again when a notice arrived during a read

What callers saw: an old configuration in use after a newer one was confirmed; found by reading while the cause was traced.

Cause: a notice of new records during a read was left to that read, whose answer can be older than the notice. The next read followed with the next part, or after the relay timeout if that was lost. Class: an event that is dropped while another one is handled.

Change: a read that has not reached the end that a notice has shown since it began is followed by another one. An answer to a later read corrects a notice that promised too much.

Evidence: follower_noticeDuringRead_readsAgain failed before, and passes; follower_noticeOfMissingRecords_isReadOnce holds the other side.

--- a/src/zinniadoor/gateway/log_follower.cpp
+++ b/src/zinniadoor/gateway/log_follower.cpp
@@ -108,7 +108,10 @@
     {
         if (!handler_ || !tailing_ || part.to < nextOffset_)
             return;
-        knownEnd_ = std::max(knownEnd_, part.to);
+        if (part.to > knownEnd_) {
+            knownEnd_ = part.to;
+            knownEndAt_ = clock_.now();
+        }
         const bool hasReader = noteOtherReader(part);
         const bool hasGap = part.from > nextOffset_; // An earlier part was lost.
         if (hasGap || (!part.includesRecords && part.to > nextOffset_)) {
@@ -182,6 +185,12 @@
             std::max(minDelay, hasReader ? relayTimeout_ - silent : options_.readInterval));
     }
 
+    void scheduleGapRead()
+    {
+        cause_ = ReadCause::Gap;
+        scheduleRead(absl::ZeroDuration());
+    }
+
     absl::Duration nextRetry()
     {
         const absl::Duration delay = options_.retryDelay * (1 << retries_);
@@ -225,8 +234,14 @@
                         if (self->cause_ != ReadCause::Gap) // Otherwise others have relayed it.
                             self->relayUpdates(from, requestedAt + wait);
                         self->discardUpdatesBefore(from);
-                        if (self->nextOffset_ < read->end)
+                        if (requestedAt >= self->knownEndAt_) // Newer than any notice.
+                            self->knownEnd_ = read->end;
+                        if (self->nextOffset_ < read->end) {
                             self->scheduleRead(absl::ZeroDuration());
+                            return;
+                        }
+                        if (self->isBehind()) // A notice came during the read.
+                            self->scheduleGapRead();
                         else
                             self->scheduleNextRead();
                     });
@@ -362,7 +377,8 @@
     std::uint64_t ownRank_;
     absl::Duration relayTimeout_;
     LogOffset nextOffset_ = 0;
-    LogOffset knownEnd_ = 0; ///< Largest end of a part.
+    LogOffset knownEnd_ = 0; ///< Largest end of a part, or end of the last read if that is newer.
+    absl::Time knownEndAt_ = absl::InfinitePast(); ///< When a part last raised it.
     std::deque<LogPartRecord>
         updates_; ///< From `updatesFrom_` to `nextOffset_`, without heartbeats.
     LogOffset updatesFrom_ = 0;
--- a/src/zinniadoor/gateway/log_follower_test.cpp
+++ b/src/zinniadoor/gateway/log_follower_test.cpp
@@ -343,6 +343,44 @@
     BOOST_TEST(store.lastWait == absl::ZeroDuration());
 }
 
+BOOST_AUTO_TEST_CASE(follower_noticeDuringRead_readsAgain)
+{
+    const auto passive = follower(store, listener, nameWhich(true));
+    BOOST_REQUIRE(until([&] { return listener.current > 0; }));
+    passive->onPart(partOf(0, 0));
+    test::runBriefly(io);
+    LogPart notice = partOf(0, 1);
+    notice.includesRecords = false;
+    bool added = false;
+    store.beforeAnswer = [&] { // The answer was decided before the record was added.
+        if (added || listener.values.count("e0") > 0)
+            return;
+        added = true;
+        store.log.push_back("e1=1");
+        notice.to = 2;
+        passive->onPart(notice);
+    };
+    store.log.push_back("e0=1");
+    passive->onPart(notice); // Causes the read.
+    BOOST_REQUIRE(until([&] { return added; }));
+    BOOST_TEST(until([&] { return listener.values.count("e1") == 1; }));
+}
+
+BOOST_AUTO_TEST_CASE(follower_noticeOfMissingRecords_isReadOnce)
+{
+    const auto passive = follower(store, listener, nameWhich(true));
+    BOOST_REQUIRE(until([&] { return listener.current > 0; }));
+    passive->onPart(partOf(0, 0));
+    test::runBriefly(io);
+    const int before = store.reads;
+    LogPart wrong = partOf(0, 9);
+    wrong.includesRecords = false;
+    passive->onPart(wrong);
+    BOOST_REQUIRE(until([&] { return store.reads > before; }));
+    test::runBriefly(io);
+    BOOST_TEST(store.reads <= before + 2);
+}
+
 BOOST_AUTO_TEST_CASE(follower_onlyPartsWithoutRecords_leavesReadingToReader)
 {
     auto advancing = std::make_unique<OffsetClock>();
