Forget an endpoint's limit at its restart; report its end for 5 s only

Found by reading the change: a number that went through another instance as a float counted as a change, each answer after an endpoint's last limit was reported again, and a limit outlived the restart of its endpoint.

--- a/include/zinniadoor/gateway/peer_message.hpp
+++ b/include/zinniadoor/gateway/peer_message.hpp
@@ -180,10 +180,10 @@
 /// Limit of an endpoint's calls, as its last answer showed it.
 struct PackedLimit
 {
-    static constexpr float NoLimit = -1;
+    static constexpr double NoLimit = -1;
 
     std::uint64_t endpoint = 0; ///< Its digest.
-    float perSecond = NoLimit;
+    double perSecond = NoLimit;
     std::uint16_t ageMs = 0; ///< Time since the answer.
 
     template <typename Archive>
--- a/include/zinniadoor/serving/endpoint_limits.hpp
+++ b/include/zinniadoor/serving/endpoint_limits.hpp
@@ -33,6 +33,9 @@
     /// Drops the state of all other endpoints.
     void setEndpoints(const std::vector<base::EndpointId> &endpoints);
 
+    /// An endpoint has restarted.
+    void forget(const base::EndpointId &endpoint) { limits_.erase(endpoint); }
+
     /// An endpoint answered at `answeredAt`, to this instance or to another one. Returns whether
     /// the limit has changed.
     bool note(const base::EndpointId &endpoint, std::optional<double> perSecond,
@@ -53,6 +56,7 @@
     {
         std::optional<double> perSecond; ///< Of all instances; empty: not limited any more.
         absl::Time answeredAt; ///< Of the latest answer that showed it.
+        absl::Time changedAt; ///< When `perSecond` was set.
         absl::Time calledAt = absl::InfinitePast();
         double rate = 0; ///< Of this instance, per second.
         double level = 0; ///< Calls that may be made at `filledAt`.
--- a/src/zinniadoor/gateway/endpoint_directory.cpp
+++ b/src/zinniadoor/gateway/endpoint_directory.cpp
@@ -58,6 +58,7 @@
     const bool restarted = !inserted && entry.record.startTimeMs != record.startTimeMs;
     if (restarted || (!inserted && entry.record.address != record.address)) {
         entry = Entry {};
+        limits_.forget(record.id);
     }
     entry.record = record;
     return true;
--- a/src/zinniadoor/gateway/peer_link.cpp
+++ b/src/zinniadoor/gateway/peer_link.cpp
@@ -343,7 +343,7 @@
             PackedLimit limit;
             limit.endpoint = digestOf(reports[i].endpoint);
             if (reports[i].perSecond)
-                limit.perSecond = static_cast<float>(*reports[i].perSecond);
+                limit.perSecond = *reports[i].perSecond;
             limit.ageMs = static_cast<std::uint16_t>(absl::ToInt64Milliseconds(reports[i].age));
             message.limits.push_back(limit);
             if (message.limits.size() < MaxLimitsPerMessage && i + 1 < reports.size())
@@ -725,7 +725,7 @@
         const absl::Time time = now();
         for (const PackedLimit &limit : message->limits) {
             const base::EndpointId *id = serving_.directory.findByDigest(limit.endpoint);
-            if (!id || std::isnan(limit.perSecond) || std::isinf(limit.perSecond))
+            if (!id || !std::isfinite(limit.perSecond))
                 continue;
             const auto perSecond
                 = limit.perSecond < 0 ? std::nullopt : std::optional<double>(limit.perSecond);
--- a/src/zinniadoor/serving/endpoint_limits.cpp
+++ b/src/zinniadoor/serving/endpoint_limits.cpp
@@ -23,6 +23,9 @@
 /// Limits are reported to others for this time after an answer.
 constexpr absl::Duration ReportTime = absl::Seconds(1);
 
+/// The end of a limit is reported for this time.
+constexpr absl::Duration EndReportTime = absl::Seconds(5);
+
 /// Time without an answer from an endpoint after which an instance that may not call it makes a
 /// probe. All instances together use no more than this share of the limit for probes.
 constexpr absl::Duration MinProbeInterval = absl::Seconds(30);
@@ -83,6 +86,7 @@
     // Calls made without a limit were not counted.
     limit.level = limit.perSecond ? levelAt(limit, now) : 0;
     limit.perSecond = perSecond;
+    limit.changedAt = now;
     limit.filledAt = now;
     limit.rate = perSecond ? rateOf(endpoint, *perSecond) : 0;
     return true;
@@ -136,7 +140,8 @@
 {
     std::vector<LimitReport> reports;
     for (const auto &[endpoint, limit] : limits_) {
-        if (now - limit.answeredAt < ReportTime)
+        const bool isReported = limit.perSecond || now - limit.changedAt < EndReportTime;
+        if (isReported && now - limit.answeredAt < ReportTime)
             reports.push_back({ endpoint, limit.perSecond, now - limit.answeredAt });
     }
     return reports;
--- a/src/zinniadoor/serving/endpoint_limits_test.cpp
+++ b/src/zinniadoor/serving/endpoint_limits_test.cpp
@@ -168,6 +168,19 @@
     BOOST_TEST(*limit.reports(at(30)).front().perSecond == 5);
 }
 
+BOOST_AUTO_TEST_CASE(limit_endedLongAgo_isNotReported)
+{
+    EndpointLimits limit;
+    limit.setInstances(nameOf(0), namesOf(1), at(0));
+    limit.note(Limited, 5, at(0), at(0));
+    for (int tick = 1; tick < 20 * TicksPerSecond; ++tick) {
+        limit.note(Limited, std::nullopt, at(tick), at(tick));
+        if (tick < TicksPerSecond)
+            BOOST_TEST(limit.reports(at(tick)).size() == 1u);
+    }
+    BOOST_TEST(limit.reports(at(20 * TicksPerSecond)).empty());
+}
+
 BOOST_AUTO_TEST_CASE(endpoint_limitedBeforeInstancesAreKnown_isNotCalled)
 {
     EndpointLimits limit;
