Send limits of endpoints as a leader to leaders and members only

Found by reading the change: a leader sent them to all instances, and to its members twice: 1 MB/s with 295 instances and 135 limited endpoints, on links of 10 to 20 Mbit/s. Computed, not measured.

--- a/src/zinniadoor/gateway/peer_link.cpp
+++ b/src/zinniadoor/gateway/peer_link.cpp
@@ -348,9 +348,10 @@
             message.limits.push_back(limit);
             if (message.limits.size() < MaxLimitsPerMessage && i + 1 < reports.size())
                 continue;
-            sendToReceivers(base::encode(message));
             if (group_.hasLeaders() && !leader_)
                 sendToGroup(base::encode(message), time);
+            else
+                sendToReceivers(base::encode(message));
             message.limits.clear();
         }
     }
