Wait for the log line in the test of a served request

A request's line is written by another thread after the answer has left, and reaches the test through a pipe and a reading thread, so that the check was a race whatever the code does. It now waits for the line, as the other cases of the file do; a line that does not come still fails it.

--- a/tests/e2e/gateway_test.cpp
+++ b/tests/e2e/gateway_test.cpp
@@ -110,7 +110,7 @@
         BOOST_TEST(call.fields.count("authorization") == 0u);
     }
     BOOST_TEST(gateways[0]->metrics().find("zinniadoor_requests_total") != std::string::npos);
-    BOOST_TEST(gateways[0]->logged("request_ended"));
+    BOOST_TEST(waitUntil([&] { return gateways[0]->logged("request_ended"); }));
 }
 
 BOOST_AUTO_TEST_CASE(usage_leaseHolderKilled_isReportedCompletelyAndOnce)
