--- a/review/standins/standin.hpp
+++ b/review/standins/standin.hpp
@@ -11,6 +11,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <condition_variable>
@@ -578,6 +579,7 @@
     }
 
     const std::string &name() const { return name_; }
+    pid_t pid() const { return pid_; }
     int callers = 0;
     int readiness = 0;
 
