--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,7 +3,7 @@
 here=$(cd "$(dirname "$0")" && pwd)
 root=$(cd "$here/../.." && pwd)
 gateway=$root/target/src/zinniadoor/daemon/zinniadoord
-standin=$root/review/target/quota_restart
+standin=$root/review/target/crashing_request
 [ -x "$gateway" ] && [ -x "$standin" ] || exit 2
 folder=$(mktemp -d) || exit 2
 trap 'rm -rf "$folder"' EXIT
--- a/review/build.sh
+++ b/review/build.sh
@@ -4,5 +4,5 @@
 cd "$(dirname "$0")"
 mkdir -p target
 for source in standins/*.cpp; do
-  g++ -std=c++17 -O1 -Wall -Wextra -pthread -o "target/$(basename "$source" .cpp)" "$source"
+  g++ -std=c++17 -O1 -Wall -Wextra -Wno-psabi -pthread -o "target/$(basename "$source" .cpp)" "$source"
 done
--- a/review/standins/standin.hpp
+++ b/review/standins/standin.hpp
@@ -552,6 +552,21 @@
         pid_ = -1;
     }
 
+    /// Sends SIGTERM, and SIGKILL if the process has not ended after `graceS`.
+    void stop(double graceS)
+    {
+        ::kill(pid_, SIGTERM);
+        const double end = seconds() + graceS;
+        while (seconds() < end) {
+            if (waitpid(pid_, nullptr, WNOHANG) == pid_) {
+                pid_ = -1;
+                return;
+            }
+            sleepFor(0.05);
+        }
+        kill();
+    }
+
     /// Whether the process has ended by itself; `how` says how.
     bool hasEnded(std::string &how)
     {
