--- a/review/standins/crashing_request.cpp
+++ b/review/standins/crashing_request.cpp
@@ -248,5 +248,5 @@
                   lost.load(), " ended with an unknown outcome");
     if (arrivals.empty())
         return 2;
-    return retries > MostRetries ? 1 : 0;
+    _exit(retries > MostRetries ? 1 : 0); // Threads of the stand-ins still run.
 }
--- a/review/standins/endless_trailer.cpp
+++ b/review/standins/endless_trailer.cpp
@@ -146,5 +146,5 @@
                   MostUnanswered);
     if (kept != Callers)
         return 2;
-    return unanswered > MostUnanswered ? 1 : 0;
+    _exit(unanswered > MostUnanswered ? 1 : 0); // Threads of the stand-ins still run.
 }
--- a/review/standins/quota_restart.cpp
+++ b/review/standins/quota_restart.cpp
@@ -185,5 +185,5 @@
                   WindowS, " s: ", most, " tokens from ", from, " s; the rule allows ", limit);
     if (runs.empty())
         return 2;
-    return most > limit ? 1 : 0;
+    _exit(most > limit ? 1 : 0); // Threads of the stand-ins still run.
 }
