--- a/review/standins/crashing_request.cpp
+++ b/review/standins/crashing_request.cpp
@@ -1,5 +1,5 @@
-// One request crashes each server that begins to run it, and comes again at any machine. Meanwhile the
-// machines are stopped and started in turn.
+// One request crashes each server that begins to run it, and comes again at any machine. Meanwhile
+// the machines are stopped and started in turn.
 #include "standin.hpp"
 
 using namespace review;
@@ -33,7 +33,8 @@
 std::mutex arrivalsMutex;
 std::vector<std::pair<double, std::string>> arrivals; ///< Of the harmful request: time and id.
 
-/// A server that crashes when it begins to run the harmful request, and starts again with another id.
+/// A server that crashes when it begins to run the harmful request, and starts again with another
+/// id.
 class CrashingServer
 {
 public:
@@ -115,8 +116,8 @@
         const std::string requestId = request.field("x-zinniadoor-request-id");
         const std::string fields = "X-Zinniadoor-Request-Id: " + requestId + "\r\n";
         if (request.field("x-zinniadoor-expect-instance") != mine)
-            return connection.write(answerText(
-                421, "", fields + "X-Zinniadoor-Instance-Id: " + mine + "\r\n"));
+            return connection.write(
+                answerText(421, "", fields + "X-Zinniadoor-Instance-Id: " + mine + "\r\n"));
         if (request.target() == HarmfulPath) {
             {
                 const std::lock_guard<std::mutex> lock(arrivalsMutex);
@@ -127,8 +128,8 @@
             return false;
         }
         sleepFor(0.3);
-        return connection.write(
-            answerText(200, "booked", fields + "X-Zinniadoor-Server-Signature: s." + mine + "\r\n"));
+        return connection.write(answerText(
+            200, "booked", fields + "X-Zinniadoor-Server-Signature: s." + mine + "\r\n"));
     }
 
     Store &store_;
@@ -194,7 +195,8 @@
             std::shared_ptr<Connection> connection;
             for (int n = 0; !done; ++n) {
                 if (!connection)
-                    connection = connectTo(gateways[static_cast<std::size_t>(c % Gateways)]->callers);
+                    connection
+                        = connectTo(gateways[static_cast<std::size_t>(c % Gateways)]->callers);
                 HttpMessage answer;
                 const std::string id = "book-" + std::to_string(c) + "-" + std::to_string(n);
                 if (!connection || !connection->write(requestText("/book/" + id, id))
@@ -242,8 +244,8 @@
     for (const auto &[at, id] : arrivals)
         retries += arrivals.size() > Third && at > arrivals[Third].first + ContactS ? 1 : 0;
     record().line("the request came ", number, " times and crashed ", arrivals.size(),
-                  " servers; later than ContactMs after the third crash it reached servers ", retries,
-                  " times, sent by machines in touch; the rule allows ", MostRetries);
+                  " servers; later than ContactMs after the third crash it reached servers ",
+                  retries, " times, sent by machines in touch; the rule allows ", MostRetries);
     record().line("other requests, which may run once: ", served.load(), " answered 200, ",
                   lost.load(), " ended with an unknown outcome");
     if (arrivals.empty())
--- a/review/standins/endless_trailer.cpp
+++ b/review/standins/endless_trailer.cpp
@@ -1,5 +1,5 @@
-// A server in trouble sends bytes that are no answer where the end of a chunked body is due. Callers
-// of a sound server have requests in progress at the same gateway.
+// A server in trouble sends bytes that are no answer where the end of a chunked body is due.
+// Callers of a sound server have requests in progress at the same gateway.
 #include "standin.hpp"
 
 using namespace review;
@@ -123,16 +123,16 @@
                 ++unanswered;
             record().line("caller ", i, ": ", id,
                           whole ? " answered " + std::to_string(answer.status())
-                                : connection->wasClosed() ? " unanswered, connection closed"
-                                                          : " unanswered");
+                              : connection->wasClosed() ? " unanswered, connection closed"
+                                                        : " unanswered");
         });
     }
     sleepFor(1);
     record().line("a caller sends read-1");
     const auto reader = connectTo(gateway.callers);
     HttpMessage answer;
-    const bool read = reader && reader->write(requestText("/read/a", "read-1"))
-        && reader->read(answer, 7);
+    const bool read
+        = reader && reader->write(requestText("/read/a", "read-1")) && reader->read(answer, 7);
     record().line("read-1 ", read ? "answered " + std::to_string(answer.status()) : "unanswered");
     for (std::thread &caller : callers)
         caller.join();
--- a/review/standins/quota_restart.cpp
+++ b/review/standins/quota_restart.cpp
@@ -74,22 +74,22 @@
     static std::vector<std::unique_ptr<HttpServer>> servers;
     for (int i = 0; i < 3; ++i) {
         const std::string name = "i-" + std::to_string(i);
-        servers.push_back(std::make_unique<HttpServer>([name](const HttpMessage &request,
-                                                              Connection &connection) {
-            if (request.target() == "/health")
-                return connection.write(
-                    answerText(200, "", "X-Zinniadoor-Instance-Id: " + name + "\r\n"));
-            const std::string id = request.field("x-zinniadoor-request-id");
-            {
-                const std::lock_guard<std::mutex> lock(mutex);
-                runs.emplace_back(sentAt[id], seconds());
-            }
-            sleepFor(0.005);
-            return connection.write(
-                answerText(200, "booked",
-                           "X-Zinniadoor-Request-Id: " + id
-                               + "\r\nX-Zinniadoor-Server-Signature: s." + name + "\r\n"));
-        }));
+        servers.push_back(std::make_unique<HttpServer>(
+            [name](const HttpMessage &request, Connection &connection) {
+                if (request.target() == "/health")
+                    return connection.write(
+                        answerText(200, "", "X-Zinniadoor-Instance-Id: " + name + "\r\n"));
+                const std::string id = request.field("x-zinniadoor-request-id");
+                {
+                    const std::lock_guard<std::mutex> lock(mutex);
+                    runs.emplace_back(sentAt[id], seconds());
+                }
+                sleepFor(0.005);
+                return connection.write(answerText(200, "booked",
+                                                   "X-Zinniadoor-Request-Id: " + id
+                                                       + "\r\nX-Zinniadoor-Server-Signature: s."
+                                                       + name + "\r\n"));
+            }));
     }
     store.putKeyed("keyed.op", "config", configuration());
     const auto beat = [](int sequence) {
@@ -132,8 +132,8 @@
                         sleepFor(0.05);
                         continue;
                     }
-                    const std::string id = std::to_string(g) + "-" + std::to_string(c) + "-"
-                        + std::to_string(n);
+                    const std::string id
+                        = std::to_string(g) + "-" + std::to_string(c) + "-" + std::to_string(n);
                     {
                         const std::lock_guard<std::mutex> lock(mutex);
                         sentAt[id] = seconds();
@@ -181,8 +181,9 @@
     double from = 0;
     const double most = mostInWindow(from);
     const double limit = (Rate * WindowS + Burst) * (1 + Overage) + Slack;
-    record().line(served.load(), " answered 200, ", refused.load(), " refused; most in a window of ",
-                  WindowS, " s: ", most, " tokens from ", from, " s; the rule allows ", limit);
+    record().line(served.load(), " answered 200, ", refused.load(),
+                  " refused; most in a window of ", WindowS, " s: ", most, " tokens from ", from,
+                  " s; the rule allows ", limit);
     if (runs.empty())
         return 2;
     _exit(most > limit ? 1 : 0); // Threads of the stand-ins still run.
--- a/review/standins/standin.hpp
+++ b/review/standins/standin.hpp
@@ -311,8 +311,8 @@
 inline std::string answerText(int status, const std::string &body,
                               const std::string &moreFields = "")
 {
-    return "HTTP/1.1 " + std::to_string(status) + " X\r\n" + moreFields + "Content-Length: "
-        + std::to_string(body.size()) + "\r\n\r\n" + body;
+    return "HTTP/1.1 " + std::to_string(status) + " X\r\n" + moreFields
+        + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
 inline std::string base64(const std::string &bytes)
@@ -419,8 +419,7 @@
         expire(log);
         std::string answer;
         if (target.rfind("/log-append", 0) == 0) {
-            if (parameters.count("At") > 0
-                && std::stoull(parameters["At"]) != log.end()) {
+            if (parameters.count("At") > 0 && std::stoull(parameters["At"]) != log.end()) {
                 answer = answerText(412, "{\"EndOffset\":" + std::to_string(log.end()) + "}");
             } else {
                 const std::uint64_t first = log.end();
@@ -431,8 +430,9 @@
                     append(topic, request.body.substr(at, length));
                     at += length;
                 }
-                answer = answerText(200, "{\"Offset\":" + std::to_string(first) + ",\"EndOffset\":"
-                                        + std::to_string(log.end()) + "}");
+                answer = answerText(200,
+                                    "{\"Offset\":" + std::to_string(first)
+                                        + ",\"EndOffset\":" + std::to_string(log.end()) + "}");
                 changed_.notify_all();
             }
         } else if (target.rfind("/log-newest", 0) == 0) {
@@ -440,7 +440,8 @@
             for (const auto &[key, value] : newest_[topic])
                 items += (items.empty() ? "" : ",") + std::string("{\"Key\":\"") + key
                     + "\",\"Value\":\"" + base64(value) + "\",\"Offset\":0}";
-            answer = answerText(200, "{\"items\":[" + items + "],\"HasMore\":false,\"EndOffset\":"
+            answer = answerText(200,
+                                "{\"items\":[" + items + "],\"HasMore\":false,\"EndOffset\":"
                                     + std::to_string(log.end()) + "}");
         } else {
             const std::uint64_t from = std::stoull(parameters["From"]);
