--- a/review/standins/quota_restart.cpp
+++ b/review/standins/quota_restart.cpp
@@ -37,6 +37,7 @@
 
 std::mutex mutex;
 std::map<std::string, double> sentAt;
+std::map<int, int> refusedIn; ///< Requests answered without a run, by second.
 std::vector<std::pair<double, double>> runs; ///< When sent, and when it arrived at its server.
 
 /// The most tokens that were both sent and arrived within one window, and when it began.
@@ -83,6 +84,8 @@
                 {
                     const std::lock_guard<std::mutex> lock(mutex);
                     runs.emplace_back(sentAt[id], seconds());
+                    record().line(name, " runs ", id, " of ", RequestTokens, " tokens, sent at ",
+                                  sentAt[id], " s");
                 }
                 sleepFor(0.005);
                 return connection.write(answerText(200, "booked",
@@ -144,6 +147,10 @@
                         continue;
                     }
                     ++(answer.status() == 200 ? served : refused);
+                    if (answer.status() != 200) {
+                        const std::lock_guard<std::mutex> lock(mutex);
+                        ++refusedIn[static_cast<int>(seconds())];
+                    }
                     if (lower(answer.field("connection")) == "close")
                         connection.reset();
                     sleepFor(0.008);
@@ -177,7 +184,8 @@
     for (const auto &[sent, arrived] : runs)
         ++perSecond[static_cast<int>(arrived)];
     for (const auto &[second, count] : perSecond)
-        record().line("second ", second, ": ", count * RequestTokens, " tokens arrived");
+        record().line("second ", second, ": ", count * RequestTokens, " tokens arrived, ",
+                      refusedIn[second], " requests answered without a run");
     double from = 0;
     const double most = mostInWindow(from);
     const double limit = (Rate * WindowS + Burst) * (1 + Overage) + Slack;
