--- a/review/standins/crashing_request.cpp
+++ b/review/standins/crashing_request.cpp
@@ -10,6 +10,7 @@
 constexpr int Servers = 6;
 constexpr int Callers = 16; // Of other requests.
 constexpr double ContactS = 3; // ContactMs
+constexpr double HeartbeatS = 1.2;
 constexpr double DownS = 2; // Of a crashed server.
 constexpr int MostRetries = 3; // The rule allows three.
 
@@ -59,7 +60,7 @@
         for (int sequence = 1;; ++sequence) {
             if (up_)
                 listServer(store_, id(), "atelier", address(), sequence);
-            sleepFor(1.2);
+            sleepFor(HeartbeatS);
         }
     }
 
@@ -83,9 +84,12 @@
             }
             close(listening);
             const std::string gone = id();
+            std::thread([this, gone] {
+                sleepFor(3 * HeartbeatS); // After three intervals of silence.
+                store_.putKeyed("keyed.servers", gone, "");
+            }).detach();
             sleepFor(DownS);
             ++incarnation_;
-            store_.putKeyed("keyed.servers", gone, "");
             record().line("server ", gone, " is back as ", id());
         }
     }
--- a/review/standins/standin.hpp
+++ b/review/standins/standin.hpp
@@ -493,11 +493,22 @@
 inline void listServer(Store &store, const std::string &id, const std::string &service,
                        const std::string &address, int sequence)
 {
+    static std::mutex mutex;
+    static std::map<std::string, long long> starts; // By id: each start has an id of its own.
+    long long born = 0;
+    {
+        const std::lock_guard<std::mutex> lock(mutex);
+        const auto now = std::chrono::system_clock::now().time_since_epoch();
+        born = starts
+                   .try_emplace(id,
+                                std::chrono::duration_cast<std::chrono::milliseconds>(now).count())
+                   .first->second;
+    }
     store.putKeyed("keyed.servers", id,
                    "{\"Service\":\"" + service + "\",\"Address\":\"" + address
                        + "\",\"Zone\":\"moka\",\"Version\":1,\"Slots\":64,\"State\":\"ready\","
-                         "\"ColdRemainingMs\":0,\"born\":1,\"Sequence\":"
-                       + std::to_string(sequence) + "}");
+                         "\"ColdRemainingMs\":0,\"born\":"
+                       + std::to_string(born) + ",\"Sequence\":" + std::to_string(sequence) + "}");
 }
 
 /// A gateway process, started with the command of the deploy file and the settings of its template.
