End a call, not the process, whose bytes the HTTP library rejects with an exception

What callers saw: one endpoint sends a line of 70,000 bytes after the last chunk of its answer, and the gateway process ends with SIGABRT.

Cause: the library stores names and values of fields with a length of 16 bits and throws std::length_error for longer ones. The head limit (32 KiB) does not apply to trailers; the read buffer took 256 KiB. The library's asynchronous operations call the parser from a handler of the event loop, so no code of ours could catch it, and nothing caught it around the loop. The reader of callers' requests had the same fault, in a head too if the configured limit is above 64 KiB, and no limit at all for a trailer.

Change: MessageReader reads from the socket and calls the parser itself. An exception of the parser is an error of that message. It buffers at most the head limit and one read. The class of the fault: what handlers make of bytes from outside may throw too, so calls, requests and datagrams are guarded each on its own (event_handler_failed in the log). For what no reader has caught, the event loop goes on, and the gateway stops as it does at SIGTERM: the state of that part is unknown, and the requests in progress are answered.

These tests failed before, five of six with the exception out of the event loop: response_overlongTrailerLine_*, response_headFieldOverLimitOfLibrary_*, handler_throws_* (client), request_fieldOverLimitOfLibrary_*, request_trailerOverHeadLimit_*, requestHandler_throws_*.

Ruled out by reading: JSON of the platform and of endpoints (parsed without exceptions, written from parsed text), handles of prompts (limited to 4 KiB of visible characters), datagrams (the codec catches), status codes over 999 (the parser takes three digits).

--- a/include/zinniadoor/base/events.hpp
+++ b/include/zinniadoor/base/events.hpp
@@ -14,6 +14,7 @@
 /// Numbered events of the structured log, listed in docs/EVENTS.md. Numbers of removed events are
 /// not reused. Ranges: 1xx base, 2xx control, 4xx adapters, 5xx daemon, 6xx tool, 7xx gateway.
 enum class EventId {
+    EventHandlerFailed = 101,
     BundleApplied = 201,
     BundleRejected = 202,
     KeyWithdrawn = 203,
--- a/src/zinniadoor/base/events.cpp
+++ b/src/zinniadoor/base/events.cpp
@@ -165,6 +165,8 @@
 const std::vector<EventInfo> &eventTable()
 {
     static const std::vector<EventInfo> table {
+        { EventId::EventHandlerFailed, EventLevel::Error, "event_handler_failed",
+          "An event handler threw an exception; what it worked on has failed." },
         { EventId::BundleApplied, EventLevel::Info, "bundle_applied",
           "A configuration version was applied." },
         { EventId::BundleRejected, EventLevel::Warning, "bundle_rejected",
--- a/src/zinniadoor/daemon/gateway_main.cpp
+++ b/src/zinniadoor/daemon/gateway_main.cpp
@@ -8,6 +8,7 @@
 
 #include "zinniadoor/base/events.hpp"
 #include "zinniadoor/gateway/gateway.hpp"
+#include "zinniadoor/net/event_loop.hpp"
 #include "zinniadoor/platform/platform.hpp"
 
 namespace zinniadoor::daemon {
@@ -75,9 +76,11 @@
         return ExitFailed;
     }
     watchSignals(signals, **gateway, file, io);
-    io.run();
+    // Its state is unknown after an exception: the requests in progress are answered first.
+    const bool ok
+        = net::runEventLoop(io, [&io, &gateway] { (*gateway)->stop([&io] { io.stop(); }); });
     base::flushLogging();
-    return ExitOk;
+    return ok ? ExitOk : ExitFailed;
 }
 
 } // namespace
--- a/src/zinniadoor/net/client_connection.cpp
+++ b/src/zinniadoor/net/client_connection.cpp
@@ -12,7 +12,6 @@
 #include <boost/asio/post.hpp>
 #include <boost/beast/core/error.hpp>
 #include <boost/beast/http/error.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include "absl/strings/numbers.h"
@@ -20,6 +19,7 @@
 #include "absl/strings/strip.h"
 
 #include "acknowledged_bytes.hpp"
+#include "zinniadoor/base/events.hpp"
 #include "zinniadoor/net/address.hpp"
 
 namespace zinniadoor::net {
@@ -32,10 +32,6 @@
 /// Far above any response: flow control by the reader bounds memory use, not the response length.
 constexpr std::uint64_t MaxResponseBytes = std::numeric_limits<std::uint32_t>::max();
 
-/// Capacity of the read buffer. It is only exhausted by an overlong line in a chunk header or a
-/// trailer.
-constexpr std::size_t MaxBufferedBytes = std::size_t { 256 } * 1024;
-
 /// Interim responses (1xx) to one request before the call fails.
 constexpr int MaxInterimResponses = 16;
 
@@ -65,7 +61,7 @@
                                    const HttpClientOptions &options)
     : socket_(context)
     , timer_(context)
-    , buffer_(MaxBufferedBytes)
+    , reader_(socket_)
     , owner_(std::move(owner))
     , target_(std::move(target))
     , clientOptions_(options)
@@ -210,16 +206,27 @@
     requestSent_ = true;
 }
 
+// What a handler makes of the bytes of a response may throw; the responses of other calls must not
+// be lost with it.
+template <typename Step>
+void ClientConnection::guard(Step step)
+{
+    try {
+        step();
+    } catch (const std::exception &error) {
+        base::logEvent(base::EventId::EventHandlerFailed,
+                       { { "peer", target_.address }, { "reason", error.what() } });
+        fail(CallError::Malformed, error.what());
+    }
+}
+
 void ClientConnection::readHead()
 {
-    parser_.emplace();
-    parser_->header_limit(static_cast<std::uint32_t>(clientOptions_.maxHeadBytes));
-    parser_->body_limit(MaxResponseBytes);
+    reader_.begin({ clientOptions_.maxHeadBytes, MaxResponseBytes });
     if (request_->method() == http::verb::head)
-        parser_->skip(true);
+        reader_.parser()->skip(true);
     auto self = shared_from_this();
-    http::async_read_header(socket_, buffer_, *parser_,
-                            [self](ErrorCode error, std::size_t) { self->onHeadRead(error); });
+    reader_.readHead([self](ErrorCode error) { self->guard([&] { self->onHeadRead(error); }); });
 }
 
 void ClientConnection::onHeadRead(ErrorCode error)
@@ -233,7 +240,7 @@
         fail(lost ? CallError::ConnectionLost : CallError::Malformed, error.message());
         return;
     }
-    const ResponseHead &head = parser_->get().base();
+    const ResponseHead &head = reader_.parser()->get().base();
     if (head.result_int() < 200) { // The final response follows.
         if (++interimResponses_ > MaxInterimResponses)
             fail(CallError::Malformed, "too many interim responses");
@@ -263,7 +270,7 @@
     skippedBytes_ = 0;
     if (++skippedResponses_ > MaxSkippedResponses)
         fail(CallError::Malformed, "too many responses to other requests");
-    else if (parser_->need_eof())
+    else if (reader_.parser()->need_eof())
         fail(CallError::ConnectionLost, "connection lost after a response to another request");
     else
         skipResponse();
@@ -271,16 +278,15 @@
 
 void ClientConnection::skipResponse()
 {
-    if (parser_->is_done()) {
+    if (reader_.parser()->is_done()) {
         readHead();
         return;
     }
     auto self = shared_from_this();
-    http::async_read_some(socket_, buffer_, *parser_, [self](ErrorCode error, std::size_t) {
+    reader_.readBody([self](ErrorCode error) {
         if (self->closed_ || !self->handler_)
             return;
-        self->skippedBytes_ += self->parser_->get().body().size();
-        self->parser_->get().body().clear();
+        self->skippedBytes_ += self->reader_.takeBody().size();
         if (error)
             self->fail(CallError::ConnectionLost,
                        "connection lost after a response to another request");
@@ -293,8 +299,7 @@
 
 void ClientConnection::deliverBody()
 {
-    std::string bytes = std::move(parser_->get().body());
-    parser_->get().body().clear();
+    std::string bytes = reader_.takeBody();
     const auto handler = handler_;
     const std::uint64_t call = callNumber_;
     if (!bytes.empty()) {
@@ -302,7 +307,7 @@
         if (closed_ || callNumber_ != call || handler_ != handler)
             return;
     }
-    if (parser_->is_done()) {
+    if (reader_.parser()->is_done()) {
         finishResponse();
         return;
     }
@@ -316,7 +321,7 @@
         return;
     reading_ = true;
     auto self = shared_from_this();
-    http::async_read_some(socket_, buffer_, *parser_, [self](ErrorCode error, std::size_t) {
+    reader_.readBody([self](ErrorCode error) {
         self->reading_ = false;
         if (self->closed_ || !self->handler_)
             return;
@@ -324,7 +329,7 @@
             self->fail(CallError::ConnectionLost, error.message());
             return;
         }
-        self->deliverBody();
+        self->guard([&] { self->deliverBody(); });
     });
 }
 
@@ -335,8 +340,9 @@
     handler_.reset();
     // If the response ended before the request was fully sent, the rest of the request would be
     // read as the start of the next one.
-    const bool reusable = requestSent_ && request_->keep_alive() && parser_->get().keep_alive()
-        && buffer_.size() == 0 && !parser_->need_eof();
+    const bool reusable = requestSent_ && request_->keep_alive()
+        && reader_.parser()->get().keep_alive() && reader_.bufferedBytes() == 0
+        && !reader_.parser()->need_eof();
     hasServedCall_ = true;
     if (reusable) {
         watchIdleConnection();
@@ -383,7 +389,7 @@
         return false;
     // The event loop may not have run the wait of `watchIdleConnection` yet.
     ErrorCode error;
-    return buffer_.size() == 0 && socket_.available(error) == 0;
+    return reader_.bufferedBytes() == 0 && socket_.available(error) == 0;
 }
 
 bool ClientConnection::hasCarried(const std::string &identity) const
@@ -396,7 +402,8 @@
 void ClientConnection::setPaused(bool paused)
 {
     paused_ = paused;
-    if (!paused_ && handler_ && parser_ && parser_->is_header_done() && !parser_->is_done())
+    const auto *parser = reader_.parser();
+    if (!paused_ && handler_ && parser && parser->is_header_done() && !parser->is_done())
         readBody();
 }
 
--- a/src/zinniadoor/net/client_connection.hpp
+++ b/src/zinniadoor/net/client_connection.hpp
@@ -8,9 +8,8 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/parser.hpp>
 
+#include "message_reader.hpp"
 #include "zinniadoor/net/http_client.hpp"
 
 namespace zinniadoor::net {
@@ -48,13 +47,14 @@
     void close();
 
 private:
-    using Parser = http::response_parser<http::string_body>;
-
     void connect();
     void send();
     void setUnackedTimeout(absl::Duration timeout);
     void watchAcknowledgement();
     void writeWhilePermitted();
+    /// Fails the call if `step` throws.
+    template <typename Step>
+    void guard(Step step);
     void readHead();
     void onHeadRead(boost::system::error_code error);
     void startSkipping();
@@ -68,11 +68,10 @@
 
     boost::asio::ip::tcp::socket socket_;
     boost::asio::steady_timer timer_;
-    boost::beast::flat_buffer buffer_;
+    MessageReader<false> reader_;
     std::weak_ptr<ConnectionOwner> owner_;
     CallTarget target_;
     HttpClientOptions clientOptions_;
-    std::optional<Parser> parser_;
     std::shared_ptr<Request> request_;
     std::string unsentRequest_; ///< Rest of a request that has a `mayWrite` check.
     absl::Duration unackedTimeout_; ///< As set on the socket.
--- a/src/zinniadoor/net/datagram_socket.cpp
+++ b/src/zinniadoor/net/datagram_socket.cpp
@@ -7,6 +7,7 @@
 #include "absl/container/flat_hash_map.h"
 #include "absl/strings/str_cat.h"
 
+#include "zinniadoor/base/events.hpp"
 #include "zinniadoor/net/address.hpp"
 
 namespace zinniadoor::net {
@@ -72,6 +73,16 @@
     }
 
 private:
+    void deliver(const std::string &bytes, const std::string &from)
+    {
+        try {
+            received_(bytes, from);
+        } catch (const std::exception &error) {
+            base::logEvent(base::EventId::EventHandlerFailed,
+                           { { "peer", from }, { "reason", error.what() } });
+        }
+    }
+
     void receive()
     {
         auto self = shared_from_this();
@@ -82,7 +93,7 @@
                 if (!error) {
                     const std::string from = absl::StrCat(self->sender_.address().to_string(), ":",
                                                           self->sender_.port());
-                    self->received_(std::string(self->buffer_.data(), size), from);
+                    self->deliver(std::string(self->buffer_.data(), size), from);
                 }
                 if (self->received_)
                     self->receive();
--- a/src/zinniadoor/net/http_client_test.cpp
+++ b/src/zinniadoor/net/http_client_test.cpp
@@ -1,4 +1,5 @@
 #include <array>
+#include <stdexcept>
 
 #include <boost/test/unit_test.hpp>
 
@@ -72,6 +73,8 @@
         return runUntil(io, [&] { return handler.done(); });
     }
 
+    /// Longer than what the HTTP library stores in one field.
+    const std::string overlongField = "x: " + std::string(70000, 'x') + "\r\n";
     boost::asio::io_context io;
     test::ScriptedListener listener { io };
     std::unique_ptr<HttpClient> client
@@ -340,6 +343,55 @@
     BOOST_TEST(call->body.empty());
 }
 
+// A line too long for a field of the HTTP library ended the process instead of the call.
+BOOST_AUTO_TEST_CASE(response_overlongTrailerLine_failsAndOtherCallsGoOn)
+{
+    const auto call = start();
+    BOOST_REQUIRE(arrived(0));
+    const auto other = start();
+    BOOST_REQUIRE(arrived(1));
+    listener.connection(0).write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                 "4\r\nread\r\n0\r\n"
+                                 + overlongField + "\r\n");
+    BOOST_REQUIRE(runUntil(io, [&] { return call->done(); }));
+    BOOST_TEST(call->failure.has_value());
+    listener.connection(1).write(CompleteResponse);
+    BOOST_TEST(runUntil(io, [&] { return other->ended; }));
+}
+
+// The same, within the limit set for a head.
+BOOST_AUTO_TEST_CASE(response_headFieldOverLimitOfLibrary_isMalformed)
+{
+    client = makeHttpClient(io, { absl::Seconds(5), absl::Seconds(5), 256 * KibiByte });
+    const auto call = start();
+    BOOST_REQUIRE(arrived(0));
+    listener.connection(0).write("HTTP/1.1 200 OK\r\n" + overlongField
+                                 + "Content-Length: 0\r\n\r\n");
+    BOOST_REQUIRE(runUntil(io, [&] { return call->done(); }));
+    BOOST_REQUIRE(call->failure);
+    BOOST_TEST((call->failure->error == CallError::Malformed));
+}
+
+// An exception out of the processing of one response ended the process.
+BOOST_AUTO_TEST_CASE(handler_throws_callFailsAndOtherCallsGoOn)
+{
+    struct ThrowingHandler : RecordingHandler
+    {
+        void onHead(const ResponseHead &) override { throw std::length_error("too long"); }
+    };
+    const auto throwing = std::make_shared<ThrowingHandler>();
+    calls.push_back(client->start({ listener.address(), "e1" }, request("question"), {}, throwing));
+    BOOST_REQUIRE(arrived(0));
+    const auto other = start();
+    BOOST_REQUIRE(arrived(1));
+    listener.connection(0).write(CompleteResponse);
+    BOOST_REQUIRE(runUntil(io, [&] { return throwing->done(); }));
+    BOOST_REQUIRE(throwing->failure);
+    BOOST_TEST((throwing->failure->error == CallError::Malformed));
+    listener.connection(1).write(CompleteResponse);
+    BOOST_TEST(runUntil(io, [&] { return other->ended; }));
+}
+
 BOOST_AUTO_TEST_CASE(response_endlessAndToAnotherRequest_failsAtLimit)
 {
     CallOptions options;
--- a/src/zinniadoor/net/http_server_test.cpp
+++ b/src/zinniadoor/net/http_server_test.cpp
@@ -1,4 +1,6 @@
+#include <stdexcept>
 #include <thread>
+#include <utility>
 
 #include <boost/asio/post.hpp>
 #include <boost/test/unit_test.hpp>
@@ -19,11 +21,14 @@
 {
     void onRequest(Request request, std::shared_ptr<Responder> responder) override
     {
+        if (std::exchange(throwsNext, false))
+            throw std::length_error("too long");
         requests.push_back(std::move(request));
         responders.push_back(std::move(responder));
     }
     std::vector<Request> requests;
     std::vector<std::shared_ptr<Responder>> responders;
+    bool throwsNext = false;
 };
 
 struct HttpServerFixture
@@ -115,6 +120,52 @@
     BOOST_TEST(!client->ended());
 }
 
+// A field too long for the HTTP library ended the process instead of the request.
+BOOST_AUTO_TEST_CASE(request_fieldOverLimitOfLibrary_isRejected)
+{
+    limits.maxHeadBytes = std::size_t { 256 } * 1024;
+    server->setLimits(limits);
+    const std::string field = "x: " + std::string(70000, 'x') + "\r\n";
+    const auto inHead = connect();
+    inHead->write("GET /a HTTP/1.1\r\nHost: h\r\n" + field + "\r\n");
+    BOOST_REQUIRE(runUntil(io, [&] { return inHead->ended(); }));
+    BOOST_TEST(inHead->has("HTTP/1.1 431 "));
+    const auto inTrailer = connect();
+    inTrailer->write("POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n"
+                     + field + "\r\n");
+    BOOST_REQUIRE(runUntil(io, [&] { return inTrailer->ended(); }));
+    BOOST_TEST(inTrailer->has("HTTP/1.1 431 "));
+    BOOST_TEST(handler.requests.empty());
+}
+
+// A trailer of any length was kept in memory.
+BOOST_AUTO_TEST_CASE(request_trailerOverHeadLimit_isRejected)
+{
+    const auto client = connect();
+    std::string trailer;
+    for (int i = 0; i < 2000; ++i)
+        trailer += "field: of some length\r\n";
+    client->write("POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n"
+                  + trailer);
+    BOOST_REQUIRE(runUntil(io, [&] { return client->ended(); }));
+    BOOST_TEST(client->has("HTTP/1.1 431 "));
+}
+
+// An exception out of the processing of one request ended the process.
+BOOST_AUTO_TEST_CASE(requestHandler_throws_requestFailsAndOthersAreServed)
+{
+    const auto other = connect();
+    other->write(get);
+    BOOST_REQUIRE(receivesRequests(1));
+    handler.throwsNext = true;
+    const auto client = connect();
+    client->write(get);
+    BOOST_REQUIRE(runUntil(io, [&] { return client->ended(); }));
+    BOOST_TEST(client->has("HTTP/1.1 500 "));
+    handler.responders.back()->answer(answer("hello"));
+    BOOST_TEST(runUntil(io, [&] { return other->has("hello"); }));
+}
+
 BOOST_AUTO_TEST_CASE(request_followedByBytes_isTheOnlyOneParsed)
 {
     const auto client = connect();
--- a/src/zinniadoor/net/server_connection.cpp
+++ b/src/zinniadoor/net/server_connection.cpp
@@ -3,10 +3,11 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/error.hpp>
 #include <boost/beast/http/error.hpp>
-#include <boost/beast/http/read.hpp>
 
 #include "absl/strings/str_cat.h"
 
+#include "zinniadoor/base/events.hpp"
+
 namespace zinniadoor::net {
 
 namespace {
@@ -107,6 +108,7 @@
 ServerConnection::ServerConnection(tcp::socket socket, std::weak_ptr<ConnectionHost> host)
     : socket_(std::move(socket))
     , timer_(socket_.get_executor())
+    , reader_(socket_)
     , host_(std::move(host))
 { }
 
@@ -193,9 +195,7 @@
         }
         self->requestStarted_ = true;
         const ServerLimits &limits = host->limits();
-        self->parser_.emplace();
-        self->parser_->header_limit(static_cast<std::uint32_t>(limits.maxHeadBytes));
-        self->parser_->body_limit(limits.maxBodyBytes);
+        self->reader_.begin({ limits.maxHeadBytes, limits.maxBodyBytes });
         self->setTimer(limits.requestTimeout);
         self->readHead();
     });
@@ -204,8 +204,7 @@
 void ServerConnection::readHead()
 {
     auto self = shared_from_this();
-    http::async_read_header(socket_, buffer_, *parser_,
-                            [self](ErrorCode error, std::size_t) { self->onHeadRead(error); });
+    reader_.readHead([self](ErrorCode error) { self->onHeadRead(error); });
 }
 
 void ServerConnection::onHeadRead(ErrorCode error)
@@ -216,9 +215,10 @@
         reject(error);
         return;
     }
-    const auto expect = parser_->get().find(http::field::expect);
+    const auto &head = reader_.parser()->get();
+    const auto expect = head.find(http::field::expect);
     const bool expectsContinue
-        = expect != parser_->get().end() && boost::beast::iequals(expect->value(), "100-continue");
+        = expect != head.end() && boost::beast::iequals(expect->value(), "100-continue");
     if (expectsContinue)
         write("HTTP/1.1 100 Continue\r\n\r\n");
     readBody();
@@ -227,8 +227,7 @@
 void ServerConnection::readBody()
 {
     auto self = shared_from_this();
-    http::async_read(socket_, buffer_, *parser_,
-                     [self](ErrorCode error, std::size_t) { self->onBodyRead(error); });
+    reader_.readMessage([self](ErrorCode error) { self->onBodyRead(error); });
 }
 
 void ServerConnection::onBodyRead(ErrorCode error)
@@ -256,13 +255,28 @@
     }
     // Bytes that follow the request may be a smuggled request: they are discarded with the
     // connection.
-    keepAlive_ = parser_->keep_alive() && buffer_.size() == 0;
+    keepAlive_ = reader_.parser()->keep_alive() && reader_.bufferedBytes() == 0;
     awaitingResponse_ = true;
-    Request request = parser_->release();
-    parser_.reset();
     watchForDisconnect();
-    host->handler()->onRequest(std::move(request),
-                               std::make_shared<ConnectionResponder>(weak_from_this(), number_));
+    handleRequest(*host->handler());
+}
+
+// What the handler makes of a request may throw; the requests of other clients must not be lost
+// with it.
+void ServerConnection::handleRequest(RequestHandler &handler)
+{
+    try {
+        auto message = reader_.release();
+        handler.onRequest(Request(std::move(message.base()), std::move(message.body())),
+                          std::make_shared<ConnectionResponder>(weak_from_this(), number_));
+    } catch (const std::exception &error) {
+        base::logEvent(base::EventId::EventHandlerFailed, { { "reason", error.what() } });
+        if (headSent_ || responseComplete_)
+            close();
+        else
+            rejectWith(textResponse(http::status::internal_server_error,
+                                    "the request could not be processed"));
+    }
 }
 
 void ServerConnection::reject(ErrorCode error)
--- a/src/zinniadoor/net/server_connection.hpp
+++ b/src/zinniadoor/net/server_connection.hpp
@@ -9,9 +9,8 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/parser.hpp>
 
+#include "message_reader.hpp"
 #include "zinniadoor/net/http_server.hpp"
 
 namespace zinniadoor::net {
@@ -55,14 +54,13 @@
     void onDrained(std::uint64_t number, std::function<void()> drained);
 
 private:
-    using Parser = http::request_parser<http::string_body>;
-
     void readRequest();
     void waitForRequest();
     void readHead();
     void onHeadRead(boost::system::error_code error);
     void readBody();
     void onBodyRead(boost::system::error_code error);
+    void handleRequest(RequestHandler &handler);
     void reject(boost::system::error_code error);
     void rejectWith(Response answer);
     /// Input that has not been read.
@@ -82,9 +80,8 @@
 
     boost::asio::ip::tcp::socket socket_;
     boost::asio::steady_timer timer_;
-    boost::beast::flat_buffer buffer_;
+    MessageReader<true> reader_;
     std::weak_ptr<ConnectionHost> host_;
-    std::optional<Parser> parser_;
     std::chrono::steady_clock::time_point idleSince_;
     std::deque<std::string> writeQueue_;
     std::size_t pendingBytes_ = 0;
