Repeat reports of bodies that crash endpoints, for instances that start later

What callers saw: a request that crashes the endpoints that run it is refused by all instances, but each instance that restarts sends it to two endpoints again.

Cause: crashes of parts of prompts are repeated to instances that have just started; those of whole bodies were told once, in one message. The same cause on a related path: with one data centre and more instances than hear each other directly, only the leader repeats reports, and a leader that restarted heard them from nobody; this held for parts too.

Change: crashes of bodies have a message of their own, sent at once, in several copies, and again to new peers, as for parts; of refused bodies first. Members repeat their reports once to a leader that is a new process. An instance that receives a report late and again took it for another crash: a report now has an id. Reports close to the end of their retention are ignored, so that instances don't keep them alive among each other.

Prefixes of prompts are told once: a new instance reads a prompt elsewhere once more.

--- a/include/zinniadoor/serving/crash_list.hpp
+++ b/include/zinniadoor/serving/crash_list.hpp
@@ -20,6 +20,9 @@
     base::EndpointId endpoint;
     absl::Duration age; ///< Time since the crash; an age, as peers share no clock.
 
+    /// Of the crash, given by the instance that observed it; 0 if unknown. Not in the archive.
+    std::uint64_t id = 0;
+
     template <typename Archive>
     void save(Archive &archive) const
     {
@@ -42,6 +45,10 @@
     /// Reports about one endpoint within this time count as one crash: all instances detect a
     /// crash within it, and no endpoint restarts faster.
     absl::Duration duplicateWindow = absl::Seconds(3);
+
+    /// Reports that are closer to `retention` are ignored, so that instances don't keep a crash
+    /// alive by reporting it to each other.
+    absl::Duration reportMargin = absl::Seconds(30);
     std::size_t capacity = 10000; ///< Maximum number of tracked bodies.
 };
 
@@ -71,7 +78,8 @@
     /// send to peers immediately.
     std::vector<CrashEntry> endpointCrashed(const base::EndpointId &endpoint, absl::Time now);
 
-    void merge(const std::vector<CrashEntry> &entries, absl::Time now);
+    /// Adds entries of peers; returns those that were not known.
+    std::vector<CrashEntry> merge(const std::vector<CrashEntry> &entries, absl::Time now);
 
     CrashVerdict verdict(const std::string &bodyDigest, absl::Time now) const;
 
@@ -81,7 +89,7 @@
     /// Number of calls with this body that this instance has in flight.
     std::uint32_t copiesInFlight(const std::string &bodyDigest) const;
 
-    /// Entries within `retention`, newest first, at most `limit`; for gossip.
+    /// Entries within `retention`, at most `limit`: of refused bodies first, then newest first.
     std::vector<CrashEntry> entries(absl::Time now, std::size_t limit) const;
 
     void expire(absl::Time now);
@@ -92,13 +100,15 @@
     {
         base::EndpointId endpoint;
         absl::Time at;
+        std::vector<std::uint64_t> ids; ///< Of the reports about it.
     };
     struct Copies
     {
         std::uint32_t sent = 0;
         std::uint32_t accepted = 0; ///< At most `sent`.
     };
-    void add(const std::string &bodyDigest, const Crash &crash);
+    /// Returns whether the crash was not known.
+    bool add(const CrashEntry &entry, absl::Time at);
     void evictOne();
 
     CrashListOptions options_;
--- a/src/zinniadoor/gateway/peer_link.cpp
+++ b/src/zinniadoor/gateway/peer_link.cpp
@@ -47,14 +47,19 @@
 /// Shorter prefixes are recomputed in less time than it takes to advertise them.
 constexpr std::uint64_t MinAdvertisedTokens = 1024;
 constexpr std::size_t MaxPrefixesPerSums = 24;
-constexpr std::size_t MaxCrashesPerMessage = 8;
 
-/// Number of crashes that are sent again to a peer that may not know of them, and the time after
-/// which they are sent again in any case, for peers that were cut off.
+/// Number of crashes of parts that are sent again to a peer that may not know of them, and the time
+/// after which they are sent again in any case, for peers that were cut off.
 constexpr std::size_t MaxCrashesResent = 16;
 constexpr std::size_t MaxCrashesRepeated = 8;
 constexpr absl::Duration RepeatInterval = absl::Seconds(2);
 
+/// The same, of crashes of bodies, which have messages of their own. The first number allows for
+/// the sound bodies that were in flight beside harmful ones.
+constexpr std::size_t MaxBodyCrashesPerMessage = 12;
+constexpr std::size_t MaxBodyCrashesResent = 60;
+constexpr std::size_t MaxBodyCrashesRepeated = 12;
+
 /// Older queued updates are dropped: after this many messages they are out of date.
 constexpr std::size_t MaxPrefixesQueued = 4 * MaxPrefixesPerSums;
 
@@ -125,6 +130,9 @@
         , serving_(serving)
         , peers_(peers)
         , onPart_(std::move(onPart))
+        , crashes_([](const serving::CrashEntry &a, const serving::CrashEntry &b) {
+            return a.bodyDigest == b.bodyDigest && a.endpoint == b.endpoint && a.id == b.id;
+        })
     { }
 
     base::Status open(boost::asio::io_context &context, const std::string &address)
@@ -174,7 +182,8 @@
 
     void announceCrashes(const std::vector<serving::CrashEntry> &crashes) override
     {
-        crashes_.insert(crashes_.end(), crashes.begin(), crashes.end());
+        crashes_.push(crashes, now());
+        sendCrashReports(); // Each instance that does not know yet may lose two more endpoints.
     }
 
     void announcePartReports(const serving::PartReports &reports) override
@@ -356,6 +365,20 @@
         }
     }
 
+    void sendCrashReports()
+    {
+        CrashReportsMessage message;
+        message.sender = self_;
+        for (const serving::CrashEntry &entry : crashes_.take(MaxBodyCrashesPerMessage, now()))
+            message.crashes.push_back({ entry, entry.id });
+        if (message.crashes.empty())
+            return;
+        if (group_.hasLeaders() && !leader_)
+            sendToGroup(base::encode(message), now());
+        else
+            sendToReceivers(base::encode(message));
+    }
+
     /// Sends to the other leaders and to the members of the own data centre.
     void sendToGroup(const std::string &bytes, absl::Time time)
     {
@@ -406,7 +429,6 @@
         if (message.hasAllCounts)
             fullCountsSentAt_ = time;
         moveFirst(prefixes_, MaxPrefixesPerSums, message.prefixes);
-        moveFirst(crashes_, MaxCrashesPerMessage, message.crashes);
         message.partReports = partReports_.take(time);
         message.paused = pausedHere(time);
         const std::vector<base::EndpointId> engines = loadedEngines(time);
@@ -477,8 +499,6 @@
         message.reachable = reachableViaLeaders(time);
         const auto pausedElsewhere = pausedByOtherLeaders(time);
         message.paused.insert(pausedElsewhere.begin(), pausedElsewhere.end());
-        message.crashes.insert(message.crashes.end(), otherCrashes_.begin(), otherCrashes_.end());
-        otherCrashes_.clear();
         const serving::PartReports otherReports = otherPartReports_.take(time);
         append(message.partReports.crashes, otherReports.crashes);
         append(message.partReports.successes, otherReports.successes);
@@ -609,7 +629,6 @@
                 message.loads.push_back({ digestOf(endpoint->id), load });
         }
         moveFirst(prefixes_, MaxPrefixesPerMessage, message.prefixes);
-        moveFirst(crashes_, MaxCrashesPerMessage, message.crashes);
         message.partReports = partReports_.take(now);
         message.paused = pausedHere(now);
         if (now - countsSentAt_ >= std::max(MinCountsInterval, MessagesPerCounts * interval_)) {
@@ -658,6 +677,8 @@
             receiveUsageWritten(bytes, from);
         else if (formatOf(bytes) == LimitsMessage::CurrentFormat)
             receiveLimits(bytes, from);
+        else if (formatOf(bytes) == CrashReportsMessage::CurrentFormat)
+            receiveCrashReports(bytes, from);
         else
             receivePeerMessage(bytes, from);
     }
@@ -735,6 +756,31 @@
         }
     }
 
+    void receiveCrashReports(const std::string &bytes, const std::string &from)
+    {
+        const auto message = base::decode<CrashReportsMessage>(bytes);
+        if (!message) {
+            logRejected(from, message.lastReason().text);
+            return;
+        }
+        if (message->sender == self_)
+            return;
+        std::vector<serving::CrashEntry> entries;
+        for (const CrashReport &report : message->crashes) {
+            entries.push_back(report.entry);
+            entries.back().id = report.id;
+        }
+        mergeCrashes(entries);
+    }
+
+    void mergeCrashes(const std::vector<serving::CrashEntry> &entries)
+    {
+        const absl::Time time = now();
+        const std::vector<serving::CrashEntry> added = serving_.crashes.merge(entries, time);
+        if (group_.hasLeaders() && !leader_)
+            crashes_.push(added, time); // For those that the sender does not reach.
+    }
+
     void receiveSums(const std::string &bytes, const std::string &from)
     {
         const auto message = base::decode<LeaderMessage>(bytes);
@@ -791,10 +837,7 @@
             if (applyPrefixUpdate(update) && !message.toMember)
                 enqueueBounded(otherPrefixes_, update);
         }
-        serving_.crashes.merge(message.crashes, time);
-        if (!message.toMember)
-            otherCrashes_.insert(otherCrashes_.end(), message.crashes.begin(),
-                                 message.crashes.end());
+        mergeCrashes(message.crashes);
         partReports_.push(serving_.partCrashes.merge(message.partReports, time), time);
         if (!message.toMember)
             otherPartReports_.push(message.partReports, time);
@@ -896,9 +939,7 @@
             if (group_.hasLeaders())
                 paused_[endpoint] = std::max(paused_[endpoint], until);
         }
-        serving_.crashes.merge(message->crashes, now);
-        if (group_.hasLeaders())
-            crashes_.insert(crashes_.end(), message->crashes.begin(), message->crashes.end());
+        mergeCrashes(message->crashes);
         partReports_.push(serving_.partCrashes.merge(message->partReports, now), now);
         if (group_.hasLeaders())
             partReports_.push(message->partReports, now);
@@ -930,6 +971,7 @@
             peerFound = peerFound || change.reachable;
         }
         resendReports(peerFound, now);
+        sendCrashReports();
     }
 
     void updateLimits(absl::Time now)
@@ -940,21 +982,27 @@
         serving_.directory.limits().setInstances(self_.instance, std::move(instances), now);
     }
 
-    /// A peer that has started, or was cut off, has missed earlier reports.
+    /// A peer that has started, or was cut off, has missed earlier reports. If it is the leader,
+    /// its members are the only ones that know them.
     void resendReports(bool peerFound, absl::Time now)
     {
         serving_.partCrashes.expire(now);
+        serving_.crashes.expire(now);
         const std::uint64_t heard = peers_.heardProcesses();
         const bool isNew = peerFound || heard != heardProcesses_;
         heardProcesses_ = heard;
-        if (group_.hasLeaders() && leader_)
+        const bool isMember = group_.hasLeaders() && leader_;
+        if (isMember && !isNew)
             return; // The leader does it.
-        if (isNew)
+        if (isNew && !isMember) {
             partReports_.pushAgain(serving_.partCrashes.entries(now, MaxCrashesResent), now);
-        else if (now - repeatedAt_ >= RepeatInterval)
+            crashes_.pushAgain(serving_.crashes.entries(now, MaxBodyCrashesResent), now);
+        } else if (isNew || now - repeatedAt_ >= RepeatInterval) {
             partReports_.pushOnce(serving_.partCrashes.entries(now, MaxCrashesRepeated), now);
-        else
+            crashes_.push(serving_.crashes.entries(now, MaxBodyCrashesRepeated), 1, now);
+        } else {
             return;
+        }
         repeatedAt_ = now;
     }
 
@@ -1047,7 +1095,6 @@
     absl::Time loadsSentAt_ = absl::InfinitePast();
     absl::Time fullCountsSentAt_ = absl::InfinitePast();
     std::vector<PrefixUpdate> otherPrefixes_; ///< From other leaders, for the members.
-    std::vector<serving::CrashEntry> otherCrashes_; ///< From other leaders, for the members.
     PartReportQueue otherPartReports_; ///< From other leaders, for the members.
     std::map<std::string, absl::Time> otherPaused_; ///< From other leaders, for the members.
     ServingContext &serving_;
@@ -1061,7 +1108,7 @@
     absl::Time consumptionSentAt_ = absl::InfinitePast();
     ConsumedCounts sentCounts_;
     std::vector<PrefixUpdate> prefixes_;
-    std::vector<serving::CrashEntry> crashes_;
+    ReportQueue<serving::CrashEntry> crashes_; ///< Of bodies.
     PartReportQueue partReports_;
     std::uint64_t heardProcesses_ = 0; ///< When reports were last sent again.
     absl::Time repeatedAt_ = absl::InfinitePast();
--- a/src/zinniadoor/serving/crash_list.cpp
+++ b/src/zinniadoor/serving/crash_list.cpp
@@ -1,9 +1,24 @@
 #include "zinniadoor/serving/crash_list.hpp"
 
 #include <algorithm>
+#include <functional>
+#include <tuple>
 
 namespace zinniadoor::serving {
 
+namespace {
+
+/// Instances that observe one crash.
+constexpr std::size_t MaxIdsPerCrash = 16;
+
+/// Differs between the crashes that one instance observes, and most likely between instances.
+std::uint64_t crashId(const base::EndpointId &endpoint, absl::Time at)
+{
+    return std::hash<std::string>()(endpoint.str() + "/" + std::to_string(absl::ToUnixNanos(at)));
+}
+
+} // namespace
+
 CrashList::CrashList(const CrashListOptions &options)
     : options_(options)
 { }
@@ -49,34 +64,49 @@
         if (copies.accepted == 0)
             continue;
         copies.accepted = 0; // Counted once; `end` is still called for each copy.
-        add(bodyDigest, { endpoint, now });
-        reported.push_back({ bodyDigest, endpoint, absl::ZeroDuration() });
+        const CrashEntry entry { bodyDigest, endpoint, absl::ZeroDuration(),
+                                 crashId(endpoint, now) };
+        add(entry, now);
+        reported.push_back(entry);
     }
     return reported;
 }
 
-void CrashList::merge(const std::vector<CrashEntry> &entries, absl::Time now)
+std::vector<CrashEntry> CrashList::merge(const std::vector<CrashEntry> &entries, absl::Time now)
 {
+    std::vector<CrashEntry> added;
     for (const CrashEntry &entry : entries) {
         const absl::Duration age = std::max(entry.age, absl::ZeroDuration());
-        if (age < options_.retention)
-            add(entry.bodyDigest, { entry.endpoint, now - age });
+        if (age < options_.retention - options_.reportMargin && add(entry, now - age))
+            added.push_back(entry);
     }
+    return added;
 }
 
-void CrashList::add(const std::string &bodyDigest, const Crash &crash)
+bool CrashList::add(const CrashEntry &entry, absl::Time at)
 {
-    if (!crashes_.contains(bodyDigest) && crashes_.size() >= options_.capacity)
+    if (!crashes_.contains(entry.bodyDigest) && crashes_.size() >= options_.capacity)
         evictOne();
-    std::vector<Crash> &crashes = crashes_[bodyDigest];
-    for (const Crash &other : crashes) {
-        const absl::Duration apart = absl::AbsDuration(other.at - crash.at);
-        if (other.endpoint == crash.endpoint && apart < options_.duplicateWindow)
-            return;
+    std::vector<Crash> &crashes = crashes_[entry.bodyDigest];
+    for (Crash &other : crashes) {
+        if (other.endpoint != entry.endpoint)
+            continue;
+        // A report may be received late, and again; then it seems to be of a later crash.
+        if (std::find(other.ids.begin(), other.ids.end(), entry.id) != other.ids.end())
+            return false;
+        if (absl::AbsDuration(other.at - at) < options_.duplicateWindow) {
+            if (entry.id != 0 && other.ids.size() < MaxIdsPerCrash)
+                other.ids.push_back(entry.id);
+            return false;
+        }
     }
     // Further crashes don't change the verdict.
-    if (crashes.size() < options_.crashesToRefuse)
-        crashes.push_back(crash);
+    if (crashes.size() >= options_.crashesToRefuse)
+        return false;
+    crashes.push_back({ entry.endpoint, at, {} });
+    if (entry.id != 0)
+        crashes.back().ids.push_back(entry.id);
+    return true;
 }
 
 // Evicts suspect bodies before refused ones, which have crashed endpoints repeatedly.
@@ -129,18 +159,23 @@
 
 std::vector<CrashEntry> CrashList::entries(absl::Time now, std::size_t limit) const
 {
-    std::vector<CrashEntry> all;
+    using Ranked = std::pair<bool, CrashEntry>;
+    std::vector<Ranked> all;
     for (const auto &[bodyDigest, crashes] : crashes_) {
+        const bool isAccepted = verdict(bodyDigest, now) != CrashVerdict::Refused;
         for (const Crash &crash : crashes) {
+            const std::uint64_t id = crash.ids.empty() ? 0 : crash.ids.front();
             if (now - crash.at < options_.retention)
-                all.push_back({ bodyDigest, crash.endpoint, now - crash.at });
+                all.push_back({ isAccepted, { bodyDigest, crash.endpoint, now - crash.at, id } });
         }
     }
-    std::sort(all.begin(), all.end(),
-              [](const CrashEntry &a, const CrashEntry &b) { return a.age < b.age; });
-    if (all.size() > limit)
-        all.resize(limit);
-    return all;
+    std::sort(all.begin(), all.end(), [](const Ranked &a, const Ranked &b) {
+        return std::tie(a.first, a.second.age) < std::tie(b.first, b.second.age);
+    });
+    std::vector<CrashEntry> entries;
+    for (std::size_t i = 0; i < std::min(limit, all.size()); ++i)
+        entries.push_back(std::move(all[i].second));
+    return entries;
 }
 
 void CrashList::expire(absl::Time now)
--- a/src/zinniadoor/serving/crash_list_test.cpp
+++ b/src/zinniadoor/serving/crash_list_test.cpp
@@ -78,6 +78,55 @@
     BOOST_TEST((list.verdict("x", now) == CrashVerdict::Refused));
 }
 
+// A report that was received late, and again, seemed to be of a second crash.
+BOOST_AUTO_TEST_CASE(crash_reportedAgainMuchLater_countsOnce)
+{
+    crash("x", a);
+    const std::vector<CrashEntry> reports = list.entries(now, 10);
+    BOOST_REQUIRE(reports.size() == 1u);
+    CrashList other { CrashListOptions {} };
+    BOOST_TEST(other.merge(reports, now).size() == 1u);
+    BOOST_TEST(other.merge(reports, now + absl::Minutes(1)).empty());
+    BOOST_TEST((other.verdict("x", now) == CrashVerdict::Suspect));
+    BOOST_TEST(list.merge(other.entries(now, 10), now + absl::Minutes(1)).empty());
+    BOOST_TEST((list.verdict("x", now) == CrashVerdict::Suspect));
+}
+
+BOOST_AUTO_TEST_CASE(crash_observedByTwoInstancesAndReportedLate_countsOnce)
+{
+    CrashList other { CrashListOptions {} };
+    other.begin("x", a);
+    other.noteAccepted("x", a);
+    crash("x", a);
+    const auto reports = other.endpointCrashed(a, now + absl::Milliseconds(200));
+    BOOST_TEST(list.merge(reports, now + absl::Seconds(1)).empty());
+    BOOST_TEST(list.merge(reports, now + absl::Minutes(1)).empty());
+    BOOST_TEST((list.verdict("x", now) == CrashVerdict::Suspect));
+}
+
+// Instances told each other of a crash again and again, each time just before its end.
+BOOST_AUTO_TEST_CASE(report_closeToRetention_isIgnored)
+{
+    const CrashListOptions options;
+    const absl::Duration age = options.retention - options.reportMargin / 2;
+    BOOST_TEST(list.merge({ { "x", a, age, 1 }, { "x", b, age, 2 } }, now).empty());
+    BOOST_TEST((list.verdict("x", now) == CrashVerdict::Clear));
+}
+
+BOOST_AUTO_TEST_CASE(entries_moreThanLimit_areOfRefusedBodiesFirst)
+{
+    crash("bad", a);
+    crash("bad", b);
+    now += absl::Seconds(10);
+    for (int i = 0; i < 20; ++i)
+        crash("beside" + std::to_string(i), a);
+    const std::vector<CrashEntry> entries = list.entries(now, 4);
+    BOOST_REQUIRE(entries.size() == 4u);
+    BOOST_TEST(entries[0].bodyDigest == "bad");
+    BOOST_TEST(entries[1].bodyDigest == "bad");
+    BOOST_TEST(entries[2].bodyDigest != "bad");
+}
+
 BOOST_AUTO_TEST_CASE(sameEndpoint_crashedAgainLater_countsTwice)
 {
     crash("x", a);
