Bound the memory and the work for bytes that endpoints send without end

What operators saw: a faulty server sent bytes without end, the machine that had called it kept them all and ran out of memory, and the requests of others ended with it. Here: each answer is limited to 8 MiB, their sum was not.

Cause: answers of routes without a stream are held until they are whole, each up to its limit, at any number of requests. A length announced by a head was reserved at once. Each chunk was read by itself, and each piece of an event searched together with all bytes before it. A caller that took nothing kept its response in memory for as long as it liked.

Change: HeldAnswers counts the bytes held, over all requests. Above 24 MiB only the longest answer of each endpoint is read, the others wait (flow control); above 40 MiB the longest one of the endpoint with the most bytes is given up, so an endpoint that sends too much pays itself. A response counts until its caller has taken it, and a caller that accepts no byte for the idle timeout is closed. Bodies take the memory of what was received; reads grow to 16 KiB while they are full and parse all chunks in them at once; an event is searched once. Responses to calls of the instance itself are limited to 4 MiB (platform) and 64 KiB (endpoints), pending bytes of a stream to 64 KiB. A sound answer passes up to 8 MiB, as before, also beside endless ones.

--- a/include/zinniadoor/gateway/event_framer.hpp
+++ b/include/zinniadoor/gateway/event_framer.hpp
@@ -28,11 +28,16 @@
     /// Whether an incomplete event is buffered.
     bool hasPartialEvent() const { return !pending_.empty(); }
 
+    /// Size of the incomplete event.
+    std::size_t pendingBytes() const { return pending_.size(); }
+
     /// Discards an incomplete event before another stream is fed.
-    void reset() { pending_.clear(); }
+    void reset();
 
 private:
     std::string pending_;
+    std::size_t searched_ = 0; ///< Bytes of `pending_` known to end no further line.
+    std::size_t lineStart_ = 0; ///< Of the incomplete line, in `pending_`.
 };
 
 } // namespace zinniadoor::gateway
--- a/include/zinniadoor/gateway/serving_context.hpp
+++ b/include/zinniadoor/gateway/serving_context.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <memory>
+
 #include <boost/asio/io_context.hpp>
 
 #include "absl/container/flat_hash_map.h"
@@ -18,6 +20,7 @@
 #include "zinniadoor/net/http_client.hpp"
 #include "zinniadoor/serving/crash_list.hpp"
 #include "zinniadoor/serving/engine_view.hpp"
+#include "zinniadoor/serving/held_answers.hpp"
 #include "zinniadoor/serving/outlier_ejection.hpp"
 #include "zinniadoor/serving/part_crash_list.hpp"
 
@@ -69,6 +72,8 @@
     ClusterTime trueTime;
     SpeedEstimate speeds;
     ExchangeRegistry exchanges {};
+    std::shared_ptr<serving::HeldAnswers> heldAnswers
+        = std::make_shared<serving::HeldAnswers>(serving::HeldAnswersOptions {});
 };
 
 } // namespace zinniadoor::gateway
--- a/include/zinniadoor/net/fetch.hpp
+++ b/include/zinniadoor/net/fetch.hpp
@@ -27,6 +27,10 @@
     absl::Duration timeout; ///< For the whole exchange, connecting included.
     bool newConnection = false; ///< See `CallOptions::newConnection`.
 
+    /// The call fails if the body of the response is longer. The longest responses of the platform
+    /// are pages of a log, of a little over 1 MiB.
+    std::size_t maxBodyBytes = std::size_t { 4 } * 1024 * 1024;
+
     /// See `CallOptions::mayWrite`.
     std::function<bool()> mayWrite;
 
@@ -34,6 +38,9 @@
     std::function<bool(const ResponseHead &)> matchesCall;
 };
 
+/// `FetchOptions::maxBodyBytes` of calls to endpoints, whose responses to them are short.
+constexpr std::size_t MaxEndpointReplyBytes = std::size_t { 64 } * 1024;
+
 /// Sends a request once, without retries, and buffers the complete response. The call continues
 /// when the returned pointer is dropped; `Call::cancel` ends it without calling `done`.
 std::shared_ptr<Call> fetch(boost::asio::io_context &context, HttpClient &client,
--- a/include/zinniadoor/net/http_server.hpp
+++ b/include/zinniadoor/net/http_server.hpp
@@ -28,7 +28,9 @@
     std::size_t maxBodyBytes = std::size_t { 1024 } * 1024;
     absl::Duration requestTimeout
         = absl::Seconds(3); ///< From the first byte of a request to its last.
-    absl::Duration idleTimeout = absl::Seconds(15); ///< For a connection without a request.
+
+    /// For a connection without a request, and for a client that accepts no byte of a response.
+    absl::Duration idleTimeout = absl::Seconds(15);
 };
 
 /// Sends the response to one request. Used on the event thread only. After the client has
@@ -50,6 +52,9 @@
     /// response.
     virtual void abort() = 0;
 
+    /// Keeps an object until the response has been written or the connection closes.
+    virtual void keepUntilSent(std::shared_ptr<void>) { }
+
     /// Bytes queued but not yet written to the socket.
     virtual std::size_t pendingBytes() const = 0;
 
--- a/src/zinniadoor/gateway/event_framer.cpp
+++ b/src/zinniadoor/gateway/event_framer.cpp
@@ -12,22 +12,6 @@
 /// Size limit of one event; typical events of engines have a few hundred bytes.
 constexpr std::size_t MaxEventBytes = std::size_t { 256 } * 1024;
 
-/// End of the event starting at `from`, after its blank line; npos if it is incomplete.
-std::size_t endOfEvent(absl::string_view text, std::size_t from)
-{
-    std::size_t at = from;
-    while (true) {
-        const std::size_t newline = text.find('\n', at);
-        if (newline == absl::string_view::npos)
-            return absl::string_view::npos;
-        const std::size_t length = newline - at;
-        const bool blank = length == 0 || (length == 1 && text[at] == '\r');
-        if (blank && at > from)
-            return newline + 1;
-        at = newline + 1;
-    }
-}
-
 std::optional<std::uint64_t> idOf(absl::string_view event)
 {
     for (absl::string_view line : absl::StrSplit(event, '\n')) {
@@ -45,21 +29,40 @@
 {
     pending_.append(bytes.data(), bytes.size());
     std::vector<StreamEvent> events;
-    std::size_t at = 0;
+    std::size_t eventStart = 0;
     while (true) {
-        const std::size_t end = endOfEvent(pending_, at);
-        if (end == absl::string_view::npos)
+        // Bytes searched before are not searched again, however small the pieces are.
+        const std::size_t newline = pending_.find('\n', searched_);
+        if (newline == std::string::npos) {
+            searched_ = pending_.size();
             break;
+        }
+        const std::size_t length = newline - lineStart_;
+        const bool blank = length == 0 || (length == 1 && pending_[lineStart_] == '\r');
+        const bool endsEvent = blank && lineStart_ > eventStart;
+        searched_ = newline + 1;
+        lineStart_ = searched_;
+        if (!endsEvent)
+            continue;
         StreamEvent event;
-        event.bytes = pending_.substr(at, end - at);
+        event.bytes = pending_.substr(eventStart, lineStart_ - eventStart);
         event.id = idOf(event.bytes);
         events.push_back(std::move(event));
-        at = end;
+        eventStart = lineStart_;
     }
-    pending_.erase(0, at);
+    pending_.erase(0, eventStart);
+    searched_ -= eventStart;
+    lineStart_ -= eventStart;
     if (pending_.size() > MaxEventBytes)
         return std::nullopt;
     return events;
 }
 
+void EventFramer::reset()
+{
+    pending_.clear();
+    searched_ = 0;
+    lineStart_ = 0;
+}
+
 } // namespace zinniadoor::gateway
--- a/src/zinniadoor/gateway/exchange.cpp
+++ b/src/zinniadoor/gateway/exchange.cpp
@@ -313,6 +313,7 @@
     }
     answerHead_ = head;
     answerBody_.clear();
+    held_.reset();
     return true;
 }
 
@@ -367,6 +368,8 @@
 
 void Exchange::resumeReading()
 {
+    if (held_)
+        held_->resize(unsentBytes());
     call_->setPaused(false);
     if (std::exchange(paused_, false))
         armSilenceTimer(silenceTimeout());
@@ -374,7 +377,7 @@
 
 void Exchange::onRunBody(const std::string &bytes)
 {
-    constexpr std::size_t MaxPendingBytes = std::size_t { 256 } * 1024; // Per slow caller.
+    constexpr std::size_t MaxPendingBytes = std::size_t { 64 } * 1024; // Per slow caller.
     if (phase_ != Phase::Streaming) {
         noteSignOfLife();
         armSilenceTimer(silenceTimeout());
@@ -383,7 +386,9 @@
             CallOutcome outcome;
             outcome.reason = "answer_too_long";
             onRunFailed(outcome);
+            return;
         }
+        hold(answerBody_.size());
         return;
     }
     deliverEvents(bytes);
@@ -391,6 +396,55 @@
         paused_ = true;
         call_->setPaused(true);
     }
+    if (call_)
+        hold(unsentBytes());
+}
+
+std::size_t Exchange::unsentBytes() const
+{
+    return framer_.pendingBytes() + responder_->pendingBytes();
+}
+
+void Exchange::hold(std::size_t bytes)
+{
+    if (!held_ && bytes <= context_.heldAnswers->options().shortAnswer)
+        return;
+    if (!held_) {
+        held_ = std::make_shared<serving::HeldAnswer>(context_.heldAnswers, servingEndpoint_.id,
+                                                      heldActions());
+    }
+    const auto held = held_; // May be given up.
+    held->resize(bytes);
+}
+
+// A stream has its own flow control, which its caller sets the pace of.
+serving::HeldAnswerActions Exchange::heldActions()
+{
+    const std::weak_ptr<Exchange> weak = weak_from_this();
+    serving::HeldAnswerActions actions;
+    if (phase_ != Phase::Streaming) {
+        actions.setPaused = [weak](bool paused) {
+            if (const auto self = weak.lock())
+                self->setReadingPaused(paused);
+        };
+    }
+    actions.giveUp = [weak] {
+        CallOutcome outcome;
+        outcome.reason = "memory_limit";
+        if (const auto self = weak.lock())
+            self->onRunFailed(outcome);
+    };
+    return actions;
+}
+
+void Exchange::setReadingPaused(bool paused)
+{
+    if (!call_)
+        return;
+    paused_ = paused;
+    call_->setPaused(paused);
+    if (!paused)
+        armSilenceTimer(silenceTimeout());
 }
 
 void Exchange::deliverEvents(absl::string_view bytes)
@@ -464,6 +518,10 @@
     net::Response answer;
     answer.base() = context_.callerDialect.forwardedHead(answerHead_);
     answer.body() = std::move(answerBody_);
+    if (held_) { // Until the caller has taken it.
+        held_->setActions({ nullptr, [responder = responder_] { responder->abort(); } });
+        responder_->keepUntilSent(std::move(held_));
+    }
     responder_->answer(std::move(answer));
     end(ok ? "served" : "endpoint_error", "");
 }
@@ -473,6 +531,8 @@
     if (const auto call = std::move(call_))
         call->cancel();
     call_.reset();
+    held_.reset();
+    std::string().swap(answerBody_); // Frees its memory, unlike `clear` and an assignment.
     servingLoad_.release();
     releasePrompt();
     if (outcome.crashed) {
--- a/src/zinniadoor/gateway/exchange_calls.cpp
+++ b/src/zinniadoor/gateway/exchange_calls.cpp
@@ -5,7 +5,7 @@
 namespace {
 
 /// Size limit of a prefill answer, which normally has a few hundred bytes.
-constexpr std::size_t MaxHandleBytes = std::size_t { 64 } * 1024;
+constexpr std::size_t MaxHandleBytes = std::size_t { 16 } * 1024;
 
 CallOutcome outcomeOf(const net::CallFailure &failure)
 {
--- a/src/zinniadoor/gateway/exchange_end.cpp
+++ b/src/zinniadoor/gateway/exchange_end.cpp
@@ -98,6 +98,7 @@
     if (const auto call = std::move(call_))
         call->cancel();
     call_.reset();
+    held_.reset();
     discardStandby(false);
     prefillLoad_.release();
     servingLoad_.release();
@@ -117,6 +118,7 @@
     }
     net::FetchOptions options;
     options.timeout = ReleaseTimeout;
+    options.maxBodyBytes = net::MaxEndpointReplyBytes;
     options.matchesCall = [&dialect = context_.endpointDialect](const net::ResponseHead &head) {
         return dialect.answersOwnRequest(head);
     };
--- a/src/zinniadoor/gateway/exchange_standby.cpp
+++ b/src/zinniadoor/gateway/exchange_standby.cpp
@@ -86,9 +86,11 @@
         onStandbyFailed(outcome);
         return;
     }
-    if (standbyIsWhole())
+    if (standbyIsWhole()) {
+        holdStandby();
         return;
-    const auto events = EventFramer().feed(standby_->body);
+    }
+    const auto events = standby_->framer.feed(bytes);
     if (events && events->empty())
         return;
     const std::optional<std::uint64_t> first = events ? events->front().id : std::nullopt;
@@ -100,6 +102,33 @@
     onStandbyFailed(outcome);
 }
 
+void Exchange::holdStandby()
+{
+    if (!standby_->held) {
+        if (standby_->body.size() <= context_.heldAnswers->options().shortAnswer)
+            return;
+        const std::weak_ptr<Exchange> weak = weak_from_this();
+        const std::uint32_t attempt = standby_->attempt;
+        serving::HeldAnswerActions actions;
+        actions.setPaused = [weak, attempt](bool paused) {
+            const auto self = weak.lock();
+            if (self && self->isStandby(attempt))
+                self->standby_->call->setPaused(paused);
+        };
+        actions.giveUp = [weak, attempt] {
+            CallOutcome outcome;
+            outcome.reason = "memory_limit";
+            const auto self = weak.lock();
+            if (self && self->isStandby(attempt))
+                self->onStandbyFailed(outcome);
+        };
+        standby_->held = std::make_shared<serving::HeldAnswer>(
+            context_.heldAnswers, standby_->endpoint.id, std::move(actions));
+    }
+    const auto held = standby_->held; // May be given up.
+    held->resize(standby_->body.size());
+}
+
 bool Exchange::onStandbyEnd()
 {
     if (standbyIsWhole()) {
@@ -137,6 +166,8 @@
     mayHaveQueued_ = true; // The time until the switch says nothing about the engine's speed.
     phase_ = Phase::Running;
     armSilenceTimer(standby.head ? silenceTimeout() : firstByteTimeout());
+    standby.held.reset(); // Counted with the run from now on.
+    call_->setPaused(false);
     if (standby.head && onRunHead(*standby.head) && !standby.body.empty())
         onRunBody(standby.body);
 }
--- a/src/zinniadoor/gateway/exchange_state.hpp
+++ b/src/zinniadoor/gateway/exchange_state.hpp
@@ -40,7 +40,8 @@
 /// Retry-After of requests rejected because of a transient state.
 constexpr absl::Duration DefaultRetryAfter = absl::Milliseconds(300);
 
-/// Size limit of buffered answers; streams are forwarded event by event.
+/// Size limit of one buffered answer; streams are forwarded event by event. See
+/// `serving::HeldAnswers` for all answers together.
 constexpr std::size_t MaxAnswerBytes = std::size_t { 8 } * 1024 * 1024;
 
 /// Half of the time after which callers usually abandon a silent stream.
@@ -83,6 +84,8 @@
     std::shared_ptr<net::Call> call;
     std::optional<net::ResponseHead> head; ///< Held back, like `body`, until the standby is kept.
     std::string body;
+    EventFramer framer; ///< Of a stream.
+    std::shared_ptr<serving::HeldAnswer> held; ///< Null while `body` is short.
 };
 
 /// State machine of one HTTP exchange: admission, endpoint choice, prefill, run and retries.
@@ -160,6 +163,13 @@
     void noteCrash(const base::EndpointId &endpoint);
     void endCrashTracking(); ///< The serving endpoint no longer works on the body.
     void deliverEvents(absl::string_view bytes);
+
+    /// Counts the bytes held for the caller. May end the current call.
+    void hold(std::size_t bytes);
+    void holdStandby();
+    serving::HeldAnswerActions heldActions();
+    void setReadingPaused(bool paused);
+    std::size_t unsentBytes() const; ///< Of a stream.
     /// `time`: from the start of the run call to the first event.
     void noteFirstEvent(absl::Duration time);
     void startStream(const net::ResponseHead &head);
@@ -241,6 +251,7 @@
     std::optional<std::uint64_t> lastEventId_;
     net::ResponseHead answerHead_;
     std::string answerBody_;
+    std::shared_ptr<serving::HeldAnswer> held_; ///< Null while the bytes held are few.
     std::optional<absl::Time> executionStartedAt_;
     std::optional<absl::Time> firstByteAt_;
     bool streamStarted_ = false; ///< The head of the answer was sent to the caller.
--- a/src/zinniadoor/gateway/records_test.cpp
+++ b/src/zinniadoor/gateway/records_test.cpp
@@ -97,6 +97,27 @@
     }
 }
 
+// Each piece was searched together with all bytes of the event before it.
+BOOST_AUTO_TEST_CASE(eventFramer_longEventInSmallPieces_returnsSameEvents)
+{
+    constexpr std::size_t Lines = 20000;
+    std::string event = "id: 7\n";
+    for (std::size_t i = 0; i < Lines; ++i)
+        event += "data: x\r\n";
+    event += "\r\n";
+    EventFramer framer;
+    std::vector<StreamEvent> events;
+    for (const char byte : event + "id: 8\n\n" + event.substr(0, 20)) {
+        const auto completed = framer.feed(absl::string_view(&byte, 1));
+        BOOST_REQUIRE(completed.has_value());
+        events.insert(events.end(), completed->begin(), completed->end());
+    }
+    BOOST_REQUIRE(events.size() == 2u);
+    BOOST_TEST(events[0].bytes == event);
+    BOOST_TEST(events[1].bytes == "id: 8\n\n");
+    BOOST_TEST(framer.pendingBytes() == 20u);
+}
+
 BOOST_AUTO_TEST_CASE(eventFramer_streamEndsInsideEvent_reportsPartialEvent)
 {
     EventFramer framer;
--- a/src/zinniadoor/gateway/stage_duty.cpp
+++ b/src/zinniadoor/gateway/stage_duty.cpp
@@ -113,6 +113,7 @@
         net::Request request
             = parts_.serving.endpointDialect.changeStage(*endpoint, stage, holder_, number);
         net::FetchOptions options;
+        options.maxBodyBytes = net::MaxEndpointReplyBytes;
         options.timeout = std::min(OrderTimeout, permit->timeLeft());
         // Answers have no id: on a reused connection a repeated one could be taken for this
         // order's.
--- a/src/zinniadoor/net/client_connection.cpp
+++ b/src/zinniadoor/net/client_connection.cpp
@@ -345,6 +345,7 @@
         && !reader_.parser()->need_eof();
     hasServedCall_ = true;
     if (reusable) {
+        reader_.releaseMemory();
         watchIdleConnection();
         if (const auto owner = owner_.lock())
             owner->onReusable(shared_from_this());
--- a/src/zinniadoor/net/fetch.cpp
+++ b/src/zinniadoor/net/fetch.cpp
@@ -11,9 +11,6 @@
 using base::Reason;
 using base::ReasonCode;
 
-/// Limit of a buffered response body. Responses of the platform are far smaller.
-constexpr std::size_t MaxFetchedBytes = std::size_t { 8 } * 1024 * 1024;
-
 class Fetch : public CallHandler, public Call, public std::enable_shared_from_this<Fetch>
 {
 public:
@@ -28,6 +25,7 @@
     void start(Request request, FetchOptions fetchOptions)
     {
         auto self = shared_from_this();
+        maxBodyBytes_ = fetchOptions.maxBodyBytes;
         timer_.expires_after(absl::ToChronoMilliseconds(fetchOptions.timeout));
         timer_.async_wait([self](boost::system::error_code error) {
             if (!error)
@@ -60,7 +58,7 @@
     void onBody(std::string bytes) override
     {
         response_.body.append(bytes);
-        if (response_.body.size() > MaxFetchedBytes)
+        if (response_.body.size() > maxBodyBytes_)
             finish(Reason { ReasonCode::OutcomeUnknown, "the response is too long" });
     }
 
@@ -113,6 +111,7 @@
     FetchCallback done_;
     std::shared_ptr<Call> call_;
     FullResponse response_;
+    std::size_t maxBodyBytes_ = 0;
 };
 
 } // namespace
--- a/src/zinniadoor/net/http_client_test.cpp
+++ b/src/zinniadoor/net/http_client_test.cpp
@@ -1,4 +1,5 @@
 #include <array>
+#include <fstream>
 #include <stdexcept>
 
 #include <boost/test/unit_test.hpp>
@@ -21,13 +22,18 @@
 struct RecordingHandler : CallHandler
 {
     void onHead(const ResponseHead &head) override { status = head.result_int(); }
-    void onBody(std::string bytes) override { body += bytes; }
+    void onBody(std::string bytes) override
+    {
+        body += bytes;
+        ++pieces;
+    }
     void onEnd() override { ended = true; }
     void onFailure(const CallFailure &reason) override { failure = reason; }
     bool done() const { return ended || failure; }
 
     unsigned status = 0;
     std::string body;
+    std::size_t pieces = 0;
     bool ended = false;
     std::optional<CallFailure> failure;
 };
@@ -73,6 +79,17 @@
         return runUntil(io, [&] { return handler.done(); });
     }
 
+    /// Largest address space that this process has had.
+    static std::size_t peakVirtualKibiBytes()
+    {
+        std::ifstream status("/proc/self/status");
+        std::string name;
+        while (status >> name && name != "VmPeak:") { }
+        std::size_t kibiBytes = 0;
+        status >> kibiBytes;
+        return kibiBytes;
+    }
+
     /// Longer than what the HTTP library stores in one field.
     const std::string overlongField = "x: " + std::string(70000, 'x') + "\r\n";
     boost::asio::io_context io;
@@ -392,6 +409,47 @@
     BOOST_TEST(runUntil(io, [&] { return other->ended; }));
 }
 
+// The length that a head announces was reserved before the first byte came.
+BOOST_AUTO_TEST_CASE(response_hugeAnnouncedLength_takesMemoryOfReceivedBytesOnly)
+{
+    const auto call = start();
+    BOOST_REQUIRE(arrived(0));
+    const std::size_t before = peakVirtualKibiBytes();
+    listener.connection(0).write("HTTP/1.1 200 OK\r\nContent-Length: 4000000000\r\n\r\nfirst");
+    BOOST_REQUIRE(runUntil(io, [&] { return call->body == "first"; }));
+    BOOST_TEST(peakVirtualKibiBytes() < before + 512 * KibiByte);
+    BOOST_TEST(!call->done());
+}
+
+// Each chunk was read by itself, which took twenty times the processor time of longer ones.
+BOOST_AUTO_TEST_CASE(response_chunksOfOneByte_areReadTogether)
+{
+    constexpr std::size_t Bytes = 10000;
+    const auto call = start();
+    BOOST_REQUIRE(arrived(0));
+    std::string chunks;
+    for (std::size_t i = 0; i < Bytes; ++i)
+        chunks += "1\r\nx\r\n";
+    listener.connection(0).write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks
+                                 + "0\r\n\r\n");
+    BOOST_REQUIRE(runUntil(io, [&] { return call->done(); }));
+    BOOST_TEST(call->ended);
+    BOOST_TEST(call->body == std::string(Bytes, 'x'));
+    BOOST_TEST(call->pieces < Bytes / 100);
+}
+
+// Bytes before an error belong to the body.
+BOOST_AUTO_TEST_CASE(response_invalidChunkAfterOthers_deliversThoseBefore)
+{
+    const auto call = start();
+    BOOST_REQUIRE(arrived(0));
+    listener.connection(0).write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                 "4\r\nread\r\nthis is no chunk\r\n");
+    BOOST_REQUIRE(runUntil(io, [&] { return call->done(); }));
+    BOOST_TEST(call->failure.has_value());
+    BOOST_TEST(call->body == "read");
+}
+
 BOOST_AUTO_TEST_CASE(response_endlessAndToAnotherRequest_failsAtLimit)
 {
     CallOptions options;
--- a/src/zinniadoor/net/http_server.cpp
+++ b/src/zinniadoor/net/http_server.cpp
@@ -1,5 +1,7 @@
 #include "zinniadoor/net/http_server.hpp"
 
+#include <vector>
+
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
@@ -16,6 +18,9 @@
 using tcp = boost::asio::ip::tcp;
 using ErrorCode = boost::system::error_code;
 
+/// Interval between checks for clients that don't accept their responses.
+constexpr std::chrono::seconds StallCheckInterval(1);
+
 /// Delay before accepting again after an error such as EMFILE.
 constexpr std::chrono::milliseconds AcceptRetryDelay(20);
 
@@ -25,6 +30,7 @@
     Server(boost::asio::io_context &context, const ServerLimits &limits, RequestHandler &handler)
         : acceptor_(context)
         , acceptRetryTimer_(context)
+        , stallTimer_(context)
         , limits_(limits)
         , handler_(&handler)
     { }
@@ -48,6 +54,7 @@
                                                error.message()) };
         }
         accept();
+        checkForStalls();
         return base::Done {};
     }
 
@@ -69,6 +76,7 @@
         ErrorCode ignored;
         acceptor_.close(ignored);
         acceptRetryTimer_.cancel();
+        stallTimer_.cancel();
         const auto connections = std::move(connections_);
         connections_.clear();
         for (const auto &[raw, connection] : connections)
@@ -106,6 +114,23 @@
         });
     }
 
+    void checkForStalls()
+    {
+        const std::weak_ptr<Server> weak = weak_from_this();
+        stallTimer_.expires_after(StallCheckInterval);
+        stallTimer_.async_wait([weak](ErrorCode error) {
+            const auto self = weak.lock();
+            if (!self || error || !self->handler_)
+                return;
+            std::vector<std::shared_ptr<ServerConnection>> connections;
+            for (const auto &[raw, connection] : self->connections_)
+                connections.push_back(connection);
+            for (const auto &connection : connections)
+                connection->closeIfStalled(self->limits_.idleTimeout);
+            self->checkForStalls();
+        });
+    }
+
     void scheduleAccept()
     {
         const std::weak_ptr<Server> weak = weak_from_this();
@@ -119,6 +144,7 @@
 
     tcp::acceptor acceptor_;
     boost::asio::steady_timer acceptRetryTimer_;
+    boost::asio::steady_timer stallTimer_;
     ServerLimits limits_;
     RequestHandler *handler_;
     bool draining_ = false;
--- a/src/zinniadoor/net/http_server_test.cpp
+++ b/src/zinniadoor/net/http_server_test.cpp
@@ -166,6 +166,36 @@
     BOOST_TEST(runUntil(io, [&] { return other->has("hello"); }));
 }
 
+// A client that accepted nothing kept its response in memory for as long as it liked.
+BOOST_AUTO_TEST_CASE(client_acceptsNoByteOfResponse_isClosedAtIdleTimeout)
+{
+    setIdleTimeout(absl::Seconds(1));
+    boost::asio::ip::tcp::socket client(io);
+    client.connect({ boost::asio::ip::address_v4::loopback(), server->port() });
+    boost::asio::write(client, boost::asio::buffer(get));
+    BOOST_REQUIRE(receivesRequests(1));
+    const auto kept = std::make_shared<int>();
+    handler.responders.back()->keepUntilSent(kept);
+    handler.responders.back()->answer(answer(std::string(std::size_t { 64 } * 1024 * 1024, 'x')));
+    runBriefly(io);
+    BOOST_TEST(kept.use_count() == 2);
+    BOOST_TEST(runUntil(io, [&] { return kept.use_count() == 1; }));
+    BOOST_TEST(server->activeRequests() == 0u);
+}
+
+BOOST_AUTO_TEST_CASE(client_takesResponse_objectIsKeptUntilThen)
+{
+    const auto client = connect();
+    client->write(get);
+    BOOST_REQUIRE(receivesRequests(1));
+    const auto kept = std::make_shared<int>();
+    handler.responders.back()->keepUntilSent(kept);
+    handler.responders.back()->answer(answer(longBody));
+    BOOST_TEST(kept.use_count() == 2);
+    BOOST_TEST(runUntil(io, [&] { return kept.use_count() == 1; }));
+    BOOST_TEST(client->ended() == false);
+}
+
 BOOST_AUTO_TEST_CASE(request_followedByBytes_isTheOnlyOneParsed)
 {
     const auto client = connect();
--- a/src/zinniadoor/net/message_reader.hpp
+++ b/src/zinniadoor/net/message_reader.hpp
@@ -14,16 +14,57 @@
 #include <boost/asio/error.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/beast/core/buffer_traits.hpp>
+#include <boost/beast/core/buffers_range.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 namespace zinniadoor::net {
 
 namespace http = boost::beast::http;
 
+namespace detail {
+
+/// Body that takes the memory of the bytes received, not of the length that the head announces.
+struct ReceivedBody
+{
+    using value_type = std::string; // NOLINT(readability-identifier-naming)
+
+    static std::uint64_t size(const std::string &body) { return body.size(); }
+
+    class reader // NOLINT(readability-identifier-naming)
+    {
+    public:
+        template <bool IsRequest, typename Fields>
+        reader(http::header<IsRequest, Fields> &, std::string &body)
+            : body_(body)
+        { }
+        void init(const boost::optional<std::uint64_t> &, boost::system::error_code &error)
+        {
+            error = {};
+        }
+        template <typename Buffers>
+        std::size_t put(const Buffers &buffers, boost::system::error_code &error)
+        {
+            error = {};
+            std::size_t size = 0;
+            for (const auto buffer : boost::beast::buffers_range_ref(buffers)) {
+                body_.append(static_cast<const char *>(buffer.data()), buffer.size());
+                size += buffer.size();
+            }
+            return size;
+        }
+        void finish(boost::system::error_code &error) { error = {}; }
+
+    private:
+        std::string &body_;
+    };
+};
+
+} // namespace detail
+
 /// Size limits of one message.
 struct MessageLimits
 {
@@ -39,7 +80,7 @@
 {
 public:
     using ErrorCode = boost::system::error_code;
-    using Parser = http::parser<IsRequest, http::string_body>;
+    using Parser = http::parser<IsRequest, detail::ReceivedBody>;
 
     explicit MessageReader(boost::asio::ip::tcp::socket &socket)
         : socket_(socket)
@@ -73,6 +114,15 @@
     /// Number of bytes received and not parsed.
     std::size_t bufferedBytes() const { return buffer_.size(); }
 
+    /// Frees the memory that large messages have needed.
+    void releaseMemory()
+    {
+        if (buffer_.size() == 0 && buffer_.capacity() > MinReadBytes) {
+            buffer_.shrink_to_fit();
+            readBytes_ = MinReadBytes;
+        }
+    }
+
     /// Reads until the head is complete. `handler` is called with the error.
     template <typename Handler>
     void readHead(Handler handler)
@@ -97,7 +147,10 @@
 private:
     enum class Goal : std::uint8_t { Head, SomeBody, Message };
 
+    /// Bytes of one read. It grows while the reads are full, as for long bodies.
+    static constexpr std::size_t MinReadBytes = 512;
     static constexpr std::size_t MaxReadBytes = std::size_t { 16 } * 1024;
+    static constexpr std::size_t ReadGrowth = 2;
 
     template <typename Handler>
     void read(Goal goal, Handler handler)
@@ -122,14 +175,17 @@
             });
             return;
         }
-        const std::size_t size = std::min(room, MaxReadBytes);
+        const std::size_t size = std::min(room, readBytes_);
         const auto space = buffer_.prepare(size);
         socket_.async_read_some(
             space,
-            [this, goal, handler = std::move(handler)](ErrorCode error,
-                                                       std::size_t received) mutable {
-                if (!error)
+            [this, goal, size, handler = std::move(handler)](ErrorCode error,
+                                                             std::size_t received) mutable {
+                if (!error) {
                     buffer_.commit(received);
+                    if (received == size)
+                        readBytes_ = std::min(ReadGrowth * readBytes_, MaxReadBytes);
+                }
                 const auto parsed = error ? std::optional<ErrorCode>(endOf(error)) : parse(goal);
                 if (parsed)
                     handler(*parsed);
@@ -188,6 +244,7 @@
     boost::beast::flat_buffer buffer_;
     std::optional<Parser> parser_;
     ErrorCode error_; ///< Of the message; reported after its body bytes.
+    std::size_t readBytes_ = MinReadBytes;
 };
 
 } // namespace zinniadoor::net
--- a/src/zinniadoor/net/server_connection.cpp
+++ b/src/zinniadoor/net/server_connection.cpp
@@ -87,6 +87,11 @@
         const auto connection = connection_.lock();
         return connection ? connection->pendingBytes() : 0;
     }
+    void keepUntilSent(std::shared_ptr<void> kept) override
+    {
+        if (const auto connection = connection_.lock())
+            connection->keepUntilSent(number_, std::move(kept));
+    }
     void onClosed(std::function<void()> closed) override
     {
         if (const auto connection = connection_.lock())
@@ -267,6 +272,7 @@
 {
     try {
         auto message = reader_.release();
+        reader_.releaseMemory();
         handler.onRequest(Request(std::move(message.base()), std::move(message.body())),
                           std::make_shared<ConnectionResponder>(weak_from_this(), number_));
     } catch (const std::exception &error) {
@@ -402,6 +408,12 @@
     close();
 }
 
+void ServerConnection::keepUntilSent(std::uint64_t number, std::shared_ptr<void> kept)
+{
+    if (isCurrent(number))
+        kept_ = std::move(kept);
+}
+
 void ServerConnection::onClosed(std::uint64_t number, std::function<void()> closed)
 {
     if (isCurrent(number))
@@ -435,11 +447,19 @@
     }
     writing_ = true;
     auto self = shared_from_this();
-    auto text = std::make_shared<std::string>();
-    for (std::string &part : writeQueue_)
+    auto text = std::make_shared<std::string>(std::move(writeQueue_.front()));
+    writeQueue_.pop_front();
+    for (const std::string &part : writeQueue_)
         text->append(part);
     writeQueue_.clear();
-    boost::asio::async_write(socket_, boost::asio::buffer(*text),
+    writeProgressAt_ = std::chrono::steady_clock::now();
+    const auto noteProgress = [self, rest = boost::asio::transfer_all()](
+                                  const ErrorCode &error, std::size_t written) mutable {
+        if (written > 0)
+            self->writeProgressAt_ = std::chrono::steady_clock::now();
+        return rest(error, written);
+    };
+    boost::asio::async_write(socket_, boost::asio::buffer(*text), noteProgress,
                              [self, text](ErrorCode error, std::size_t) {
                                  self->writing_ = false;
                                  if (self->closed_)
@@ -457,6 +477,7 @@
     awaitingResponse_ = false;
     responseComplete_ = false;
     requestStarted_ = false;
+    kept_.reset();
     closedCallback_ = nullptr;
     drainedCallback_ = nullptr;
     if (!keepAlive_) {
@@ -506,6 +527,13 @@
         setTimer(idleGrace);
 }
 
+void ServerConnection::closeIfStalled(absl::Duration limit)
+{
+    const auto stalled = std::chrono::steady_clock::now() - writeProgressAt_;
+    if (writing_ && stalled >= absl::ToChronoMilliseconds(limit))
+        close();
+}
+
 void ServerConnection::close()
 {
     if (closed_)
@@ -517,6 +545,7 @@
     const auto closed = std::move(closedCallback_);
     closedCallback_ = nullptr;
     drainedCallback_ = nullptr;
+    kept_.reset();
     if (const auto host = host_.lock())
         host->onClosed(this);
     if (closed)
--- a/src/zinniadoor/net/server_connection.hpp
+++ b/src/zinniadoor/net/server_connection.hpp
@@ -40,6 +40,9 @@
     /// Closes the connection after `idleGrace` unless a request starts before.
     void drain(absl::Duration idleGrace);
 
+    /// Closes the connection if the client has accepted no byte of a response for `limit`.
+    void closeIfStalled(absl::Duration limit);
+
     /// Whether a request has arrived, read or not, whose response is not complete.
     bool hasRequest();
 
@@ -50,6 +53,7 @@
     void finish(std::uint64_t number);
     void abort(std::uint64_t number);
     std::size_t pendingBytes() const { return pendingBytes_; }
+    void keepUntilSent(std::uint64_t number, std::shared_ptr<void> kept);
     void onClosed(std::uint64_t number, std::function<void()> closed);
     void onDrained(std::uint64_t number, std::function<void()> drained);
 
@@ -97,6 +101,8 @@
     bool rejected_ = false; ///< A request was rejected; further input is discarded.
     bool lingering_ = false; ///< The last response was sent; further input is discarded.
     bool closed_ = false;
+    std::chrono::steady_clock::time_point writeProgressAt_;
+    std::shared_ptr<void> kept_; ///< Until the current response has been written.
     std::function<void()> closedCallback_;
     std::function<void()> drainedCallback_;
 };
