Count a broken connection as a crash only if the endpoint does not answer then

Cause: a connection that is lost after the endpoint has accepted the request counted as a crash of the endpoint, alive or not.

Change: an endpoint that broke a connection is asked for its health, on a new connection, once for all connections lost at that time. If it answers, the crash is dropped. A process that has ended refuses the connection, so a crash counts, and is told to peers, about a round trip later than before; without any answer after one second, which is below the time of a restart.

Crashes of parts of prompts keep their own rule: answers refute them.

--- a/include/zinniadoor/base/events.hpp
+++ b/include/zinniadoor/base/events.hpp
@@ -54,6 +54,7 @@
     EndpointSilent = 734,
     EndpointSilenceEnded = 735,
     EndpointCrashed = 736,
+    EndpointCrashRefuted = 737,
     DutyLeaseGained = 740,
     DutyLeaseLost = 741,
     UsageReported = 742,
--- a/include/zinniadoor/gateway/serving_context.hpp
+++ b/include/zinniadoor/gateway/serving_context.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <memory>
 
 #include <boost/asio/io_context.hpp>
@@ -48,6 +49,16 @@
     virtual void announcePause(const base::EndpointId &endpoint, absl::Duration time) = 0;
 };
 
+/// Tells endpoints that have crashed from those that have only broken a connection.
+class CrashCheck
+{
+public:
+    virtual ~CrashCheck() = default;
+
+    /// Calls `crashed` unless the endpoint proves to be alive; at once or within about a second.
+    virtual void start(const EndpointRecord &endpoint, std::function<void()> crashed) = 0;
+};
+
 /// State shared by all requests; owned by the event thread.
 struct ServingContext
 {
@@ -72,6 +83,7 @@
     ClusterTime trueTime;
     SpeedEstimate speeds;
     ExchangeRegistry exchanges {};
+    CrashCheck *crashCheck = nullptr; ///< Null: each broken connection counts as a crash.
     std::shared_ptr<serving::HeldAnswers> heldAnswers
         = std::make_shared<serving::HeldAnswers>(serving::HeldAnswersOptions {});
 };
--- a/include/zinniadoor/serving/crash_list.hpp
+++ b/include/zinniadoor/serving/crash_list.hpp
@@ -74,6 +74,10 @@
     /// Records the end of the call; `accepted` if `noteAccepted` was called for it.
     void end(const std::string &bodyDigest, const base::EndpointId &endpoint, bool accepted);
 
+    /// Crashes that count if the endpoint proves to have crashed now: of each body that it had
+    /// accepted, once each. `merge` records them.
+    std::vector<CrashEntry> suspectedCrashes(const base::EndpointId &endpoint, absl::Time now);
+
     /// Records a crash against each body that the endpoint had accepted. Returns the entries to
     /// send to peers immediately.
     std::vector<CrashEntry> endpointCrashed(const base::EndpointId &endpoint, absl::Time now);
--- a/src/zinniadoor/base/events.cpp
+++ b/src/zinniadoor/base/events.cpp
@@ -245,6 +245,8 @@
           "A silent call has received data again." },
         { EventId::EndpointCrashed, EventLevel::Warning, "endpoint_crashed",
           "An endpoint broke the connection while it worked on a request." },
+        { EventId::EndpointCrashRefuted, EventLevel::Info, "endpoint_crash_refuted",
+          "An endpoint that broke a connection answers its health check: it has not crashed." },
         { EventId::DutyLeaseGained, EventLevel::Info, "duty_lease_gained",
           "This instance now holds the lease for platform duties." },
         { EventId::DutyLeaseLost, EventLevel::Warning, "duty_lease_lost",
--- a/src/zinniadoor/gateway/exchange_retry.cpp
+++ b/src/zinniadoor/gateway/exchange_retry.cpp
@@ -136,11 +136,32 @@
     const absl::Time now = context_.clock.now();
     context_.crashes.expire(now);
     context_.partCrashes.expire(now);
-    context_.updates.announceCrashes(context_.crashes.endpointCrashed(endpoint, now));
+    countCrashOfBodies(endpoint, now);
     context_.updates.announcePartReports(context_.partCrashes.noteCrash(
         sharedParts_, serving::stableDigest(bodyDigest_), endpoint, now));
 }
 
+// An answer that is cut is no crash: counted as one, two of them would refuse a sound body.
+void Exchange::countCrashOfBodies(const base::EndpointId &endpoint, absl::Time at)
+{
+    const auto entries = context_.crashes.suspectedCrashes(endpoint, at);
+    if (entries.empty())
+        return;
+    const EndpointRecord *record = context_.directory.find(endpoint);
+    const auto count = [&context = context_, entries, at] {
+        const absl::Time now = context.clock.now();
+        std::vector<serving::CrashEntry> aged = entries;
+        for (serving::CrashEntry &entry : aged)
+            entry.age = now - at;
+        context.crashes.merge(aged, now);
+        context.updates.announceCrashes(aged);
+    };
+    if (context_.crashCheck && record)
+        context_.crashCheck->start(*record, count);
+    else
+        count();
+}
+
 void Exchange::endCrashTracking()
 {
     if (std::exchange(bodyTracked_, false))
--- a/src/zinniadoor/gateway/exchange_state.hpp
+++ b/src/zinniadoor/gateway/exchange_state.hpp
@@ -161,6 +161,7 @@
     void noteExecutionStarted();
     void noteBodyAccepted();
     void noteCrash(const base::EndpointId &endpoint);
+    void countCrashOfBodies(const base::EndpointId &endpoint, absl::Time at);
     void endCrashTracking(); ///< The serving endpoint no longer works on the body.
     void deliverEvents(absl::string_view bytes);
 
--- a/src/zinniadoor/serving/crash_list.cpp
+++ b/src/zinniadoor/serving/crash_list.cpp
@@ -55,6 +55,15 @@
 }
 
 std::vector<CrashEntry> CrashList::endpointCrashed(const base::EndpointId &endpoint, absl::Time now)
+{
+    std::vector<CrashEntry> reported = suspectedCrashes(endpoint, now);
+    for (const CrashEntry &entry : reported)
+        add(entry, now);
+    return reported;
+}
+
+std::vector<CrashEntry> CrashList::suspectedCrashes(const base::EndpointId &endpoint,
+                                                    absl::Time now)
 {
     std::vector<CrashEntry> reported;
     const auto bodies = inFlight_.find(endpoint);
@@ -66,7 +75,6 @@
         copies.accepted = 0; // Counted once; `end` is still called for each copy.
         const CrashEntry entry { bodyDigest, endpoint, absl::ZeroDuration(),
                                  crashId(endpoint, now) };
-        add(entry, now);
         reported.push_back(entry);
     }
     return reported;
