--- a/include/zinniadoor/net/http_server.hpp
+++ b/include/zinniadoor/net/http_server.hpp
@@ -53,7 +53,7 @@
     virtual void abort() = 0;
 
     /// Keeps an object until the response has been written or the connection closes.
-    virtual void keepUntilSent(std::shared_ptr<void>) { }
+    virtual void keepUntilSent(const std::shared_ptr<void> &) { }
 
     /// Bytes queued but not yet written to the socket.
     virtual std::size_t pendingBytes() const = 0;
--- a/src/zinniadoor/gateway/exchange.cpp
+++ b/src/zinniadoor/gateway/exchange.cpp
@@ -520,7 +520,8 @@
     answer.body() = std::move(answerBody_);
     if (held_) { // Until the caller has taken it.
         held_->setActions({ nullptr, [responder = responder_] { responder->abort(); } });
-        responder_->keepUntilSent(std::move(held_));
+        responder_->keepUntilSent(held_);
+        held_.reset();
     }
     responder_->answer(std::move(answer));
     end(ok ? "served" : "endpoint_error", "");
--- a/src/zinniadoor/net/message_reader.hpp
+++ b/src/zinniadoor/net/message_reader.hpp
@@ -4,7 +4,6 @@
 #include <cstdint>
 #include <exception>
 #include <limits>
-#include <new>
 #include <optional>
 #include <stdexcept>
 #include <string>
--- a/src/zinniadoor/net/server_connection.cpp
+++ b/src/zinniadoor/net/server_connection.cpp
@@ -87,10 +87,10 @@
         const auto connection = connection_.lock();
         return connection ? connection->pendingBytes() : 0;
     }
-    void keepUntilSent(std::shared_ptr<void> kept) override
+    void keepUntilSent(const std::shared_ptr<void> &kept) override
     {
         if (const auto connection = connection_.lock())
-            connection->keepUntilSent(number_, std::move(kept));
+            connection->keepUntilSent(number_, kept);
     }
     void onClosed(std::function<void()> closed) override
     {
@@ -408,10 +408,10 @@
     close();
 }
 
-void ServerConnection::keepUntilSent(std::uint64_t number, std::shared_ptr<void> kept)
+void ServerConnection::keepUntilSent(std::uint64_t number, const std::shared_ptr<void> &kept)
 {
     if (isCurrent(number))
-        kept_ = std::move(kept);
+        kept_ = kept;
 }
 
 void ServerConnection::onClosed(std::uint64_t number, std::function<void()> closed)
--- a/src/zinniadoor/net/server_connection.hpp
+++ b/src/zinniadoor/net/server_connection.hpp
@@ -53,7 +53,7 @@
     void finish(std::uint64_t number);
     void abort(std::uint64_t number);
     std::size_t pendingBytes() const { return pendingBytes_; }
-    void keepUntilSent(std::uint64_t number, std::shared_ptr<void> kept);
+    void keepUntilSent(std::uint64_t number, const std::shared_ptr<void> &kept);
     void onClosed(std::uint64_t number, std::function<void()> closed);
     void onDrained(std::uint64_t number, std::function<void()> drained);
 
