--- a/src/zinniadoor/gateway/gateway.cpp
+++ b/src/zinniadoor/gateway/gateway.cpp
@@ -5,7 +5,6 @@
 #include "absl/strings/str_cat.h"
 
 #include "zinniadoor/base/events.hpp"
-#include "zinniadoor/gateway/crash_check.hpp"
 #include "zinniadoor/gateway/endpoint_feed.hpp"
 #include "zinniadoor/gateway/engine_list.hpp"
 #include "zinniadoor/gateway/exchange.hpp"
@@ -153,11 +152,8 @@
         , configurationHandler_(*this)
         , endpointsHandler_(*this)
         , readinessHandler_(*this)
-        , crashCheck_(makeCrashCheck(serving_))
         , stopTimer_(context)
-    {
-        serving_.crashCheck = crashCheck_.get();
-    }
+    { }
 
     base::Status start()
     {
@@ -511,7 +507,6 @@
     std::unique_ptr<UsageDuty> usageDuty_;
     std::unique_ptr<FleetDuty> fleetDuty_;
     std::unique_ptr<StageDuty> stageDuty_;
-    std::unique_ptr<CrashCheck> crashCheck_;
     boost::asio::steady_timer stopTimer_;
     bool stopping_ = false;
     bool readyLogged_ = false;
