Start where a deployment leaves optional settings empty

Cause: a template that is filled in from fields that a deployment lacks leaves null values (quota: {slack_tokens: }) and units without a number (ms). Both were faults, so no process started on deployments without quota bounds.

A null value is now an absent one: optional settings take their default, required ones report that they are empty, with the line of the key. The lease, the stop time and the retry budget, which deployments may not bound, have defaults. Texts that the template quotes are reported if they are empty; they were accepted before.

--- a/include/zinniadoor/base/yaml_reader.hpp
+++ b/include/zinniadoor/base/yaml_reader.hpp
@@ -49,8 +49,8 @@
 
     bool has(const char *key) const;
 
-    /// Required keys. A missing key is a fault; the result is then `low`, or empty or false for
-    /// types without a range.
+    /// Required keys. A missing key or an empty value is a fault; the result is then `low`, or
+    /// empty or false for types without a range.
     std::string string(const char *key);
     std::int64_t integer(const char *key, std::int64_t low, std::int64_t high);
     double number(const char *key, double low, double high);
@@ -58,7 +58,8 @@
     absl::Duration duration(const char *key, absl::Duration low, absl::Duration high);
     std::vector<std::string> strings(const char *key);
 
-    /// Optional keys. The result is `fallback`, or an empty list, if the key is absent.
+    /// Optional keys. The result is `fallback`, or an empty list, if the key is absent or its value
+    /// is empty.
     std::string stringOr(const char *key, const std::string &fallback);
     std::int64_t integerOr(const char *key, std::int64_t low, std::int64_t high,
                            std::int64_t fallback);
--- a/src/zinniadoor/base/yaml_reader.cpp
+++ b/src/zinniadoor/base/yaml_reader.cpp
@@ -55,13 +55,30 @@
         faults.add(line != 0 ? line : lineOf(node), fullKey(key), what);
     }
 
+    // A template that is filled in from fields that a deployment lacks leaves values empty.
+    static bool isAbsent(const YAML::Node &value) { return !value.IsDefined() || value.IsNull(); }
+
+    // An empty value has no position of its own, so its key's line is reported.
+    void faultAbsent(const char *key) const
+    {
+        if (node.IsDefined() && node.IsMap()) {
+            for (const auto &pair : node) {
+                if (pair.first.IsScalar() && pair.first.Scalar() == key) {
+                    fault(pair.first, key, "is empty");
+                    return;
+                }
+            }
+        }
+        fault(node, key, "is missing");
+    }
+
     template <typename T>
     std::optional<T> scalar(const char *key, bool required, const char *typeName) const
     {
         const YAML::Node value = find(key);
-        if (!value.IsDefined()) {
+        if (isAbsent(value)) {
             if (required)
-                fault(node, key, "is missing");
+                faultAbsent(key);
             return std::nullopt;
         }
         T result {};
@@ -109,9 +126,9 @@
     {
         std::vector<std::string> result;
         const YAML::Node value = find(key);
-        if (!value.IsDefined()) {
+        if (isAbsent(value)) {
             if (required)
-                fault(node, key, "is missing");
+                faultAbsent(key);
             return result;
         }
         if (!value.IsSequence()) {
@@ -137,7 +154,7 @@
 
 bool YamlReader::has(const char *key) const
 {
-    return impl_->find(key).IsDefined();
+    return !Impl::isAbsent(impl_->find(key));
 }
 
 std::string YamlReader::string(const char *key)
@@ -209,9 +226,10 @@
 YamlReader YamlReader::mapping(const char *key, bool required)
 {
     const YAML::Node value = impl_->find(key);
-    if (!value.IsDefined() && required)
-        impl_->fault(impl_->node, key, "is missing");
-    if (value.IsDefined() && !value.IsMap())
+    const bool absent = Impl::isAbsent(value);
+    if (absent && required)
+        impl_->faultAbsent(key);
+    if (!absent && !value.IsMap())
         impl_->fault(value, key, "is not a mapping");
     return YamlReader(value, impl_->fullKey(key), impl_->faults);
 }
@@ -220,7 +238,7 @@
 {
     std::vector<YamlReader> result;
     const YAML::Node value = impl_->find(key);
-    if (!value.IsDefined())
+    if (Impl::isAbsent(value))
         return result;
     if (!value.IsSequence()) {
         impl_->fault(value, key, "is not a list");
--- a/src/zinniadoor/base/yaml_reader_test.cpp
+++ b/src/zinniadoor/base/yaml_reader_test.cpp
@@ -43,6 +43,31 @@
     BOOST_TEST(text.find("name: is missing") != std::string::npos);
 }
 
+// Guards against instances that do not start where a deployment leaves an optional field out.
+BOOST_AUTO_TEST_CASE(yamlReader_emptyOptionalValues_returnsFallbacks)
+{
+    auto root = parseYaml("a:\nb:\nc:\nd:\ne:\nf:\ng:\nh: {i: }\n", faults);
+    BOOST_REQUIRE(root.has_value());
+    BOOST_TEST(root->numberOr("a", 0, 1, 0.5) == 0.5);
+    BOOST_TEST(root->integerOr("b", 1, 9, 3) == 3);
+    BOOST_TEST(root->stringOr("c", "x") == "x");
+    BOOST_TEST((root->durationOr("d", absl::ZeroDuration(), absl::Seconds(9), absl::Seconds(2))
+                == absl::Seconds(2)));
+    BOOST_TEST(root->booleanOr("e", true));
+    BOOST_TEST(root->stringsOr("f").empty());
+    BOOST_TEST(root->mapping("g", false).numberOr("x", 0, 1, 1) == 1);
+    BOOST_TEST(root->mapping("h").numberOr("i", 0, 1, 1) == 1);
+    BOOST_TEST(faults.text() == "");
+}
+
+BOOST_AUTO_TEST_CASE(yamlReader_emptyRequiredValue_reportsLineAndKey)
+{
+    auto root = parseYaml("a: 1\nb:\n", faults);
+    BOOST_REQUIRE(root.has_value());
+    root->number("b", 0, 1);
+    BOOST_TEST(faults.text() == "settings.yaml:2: b: is empty");
+}
+
 BOOST_AUTO_TEST_CASE(parseYaml_malformedDocument_reportsFault)
 {
     BOOST_TEST(!parseYaml("a: [1, 2", faults).has_value());
--- a/src/zinniadoor/gateway/gateway_settings.cpp
+++ b/src/zinniadoor/gateway/gateway_settings.cpp
@@ -14,9 +14,18 @@
 
 using base::YamlReader;
 
-std::string readAddress(YamlReader &reader, const char *key)
+// The filled template quotes its texts, so a field that is missing leaves an empty one.
+std::string readText(YamlReader &reader, const char *key)
 {
     std::string text = reader.string(key);
+    if (reader.has(key) && text.empty())
+        reader.fault(key, "is empty");
+    return text;
+}
+
+std::string readAddress(YamlReader &reader, const char *key)
+{
+    std::string text = readText(reader, key);
     const auto address = net::parseEndpoint(text);
     if (!text.empty() && !address)
         reader.fault(key, address.lastReason().text);
@@ -44,8 +53,8 @@
     GatewaySettings settings;
     if (std::optional<YamlReader> root = base::parseYaml(yaml, faults)) {
         YamlReader instance = root->mapping("instance");
-        settings.instance = base::InstanceId(instance.string("id"));
-        settings.dataCentre = base::DataCentreId(instance.string("data_centre"));
+        settings.instance = base::InstanceId(readText(instance, "id"));
+        settings.dataCentre = base::DataCentreId(readText(instance, "data_centre"));
         YamlReader listen = root->mapping("listen");
         settings.callers = readAddress(listen, "callers");
         settings.readiness = readAddress(listen, "readiness");
@@ -59,15 +68,18 @@
                                                   absl::Minutes(1), absl::Seconds(2));
         YamlReader duties = root->mapping("duties");
         settings.duties = readAddress(duties, "address");
-        settings.lease = duties.duration("lease", absl::Milliseconds(200), absl::Minutes(10));
+        settings.lease = duties.durationOr("lease", absl::Milliseconds(200), absl::Minutes(10),
+                                           absl::Seconds(3));
         settings.usageWindow = duties.duration("usage_window", absl::Seconds(1), absl::Hours(24));
         settings.usageDue = duties.duration("usage_due", absl::Seconds(1), absl::Hours(24));
-        YamlReader stop = root->mapping("stop");
-        settings.stopTime = stop.duration("time", absl::Seconds(1), absl::Hours(1));
-        YamlReader retries = root->mapping("retries");
-        settings.retryRatio = retries.number("ratio", 0, 10);
-        settings.retrySlack = retries.number("slack", 0, 1e9);
-        settings.retryWindow = retries.duration("window", absl::Seconds(1), absl::Hours(1));
+        YamlReader stop = root->mapping("stop", false);
+        settings.stopTime
+            = stop.durationOr("time", absl::Seconds(1), absl::Hours(1), absl::Seconds(8));
+        YamlReader retries = root->mapping("retries", false);
+        settings.retryRatio = retries.numberOr("ratio", 0, 10, 0.1);
+        settings.retrySlack = retries.numberOr("slack", 0, 1e9, 0);
+        settings.retryWindow
+            = retries.durationOr("window", absl::Seconds(1), absl::Hours(1), absl::Seconds(10));
         YamlReader quota = root->mapping("quota", false);
         settings.quotaSlack = quota.numberOr("slack_tokens", 0, 1e12, 0);
         YamlReader fleet = root->mapping("fleet", false);
