Charge the retry budget for arrivals only

Cause: each further attempt of a request drew on the retry budget, also when no earlier attempt had reached an endpoint.

Change: serving/request_arrivals counts the attempts of a request by whether they arrived. The first arrival is free, whichever attempt it is; a rejected attempt has arrived; an accepted remote prefill is free; the charge of a standby run or retry that did not connect serves for the next attempt. At most 4 attempts arrive and at most 3 don't. A retry is made only where the chosen endpoint is expected to answer in time (the test of the first attempt; a stream that has begun may use all its time), one without charge only where that endpoint is not suspected; an endpoint that accepted no connection is not tried again at once. Otherwise the request is refused at once. Retries without charge are counted in zinniadoor_retries_without_budget_total and logged as retry_without_budget.

Run: serving_test, gateway_test, retry_budget_test, silent_endpoint_test, and RetryArrivalsTest, ExchangeTest, EndpointRestTest and EndpointLimitTest of platform_test pass.

--- a/src/zinniadoor/gateway/exchange.cpp
+++ b/src/zinniadoor/gateway/exchange.cpp
@@ -16,9 +16,6 @@
 using base::EventId;
 using base::logEvent;
 
-/// The first byte must be expected within this share of the remaining time.
-constexpr double MaxExpectedShare = 0.9;
-
 /// Allows several round trips between data centres.
 constexpr absl::Duration ConnectTimeout = absl::Milliseconds(400);
 
@@ -35,13 +32,12 @@
     if (refuseIfHarmful()) // Its part may have crashed endpoints since the last attempt.
         return;
     const auto choice = chooseEndpoint(context_, choiceFacts(), now);
-    const bool first = attempts_ == 0;
     if (!choice) {
         refuseWithoutEndpoint();
         return;
     }
-    const absl::Duration limit = MaxExpectedShare * std::min(firstByteTimeout(), timeLeft());
-    if (first && choice->firstByte > limit) {
+    const absl::Duration limit = longestExpected();
+    if (choice->firstByte > limit) {
         refuse(RefusalKind::NotRun, "too_late", choice->firstByte - limit);
         return;
     }
@@ -93,6 +89,7 @@
     if (attempts_ == 0)
         context_.budget.noteRequest(service_, now);
     ++attempts_;
+    arrivals_.noteSent();
     // The decode engine's call follows; counted now, so that it will not find the limit reached.
     if (prefillEngine)
         context_.directory.limits().noteCall(prefillEngine_.id, now);
@@ -548,6 +545,8 @@
     if (prefilledBefore_)
         remotePrefillFailed_ = true;
     if (standby_) {
+        if (!outcome.arrived)
+            arrivals_.noteUnconnected();
         logCallFailed(servingEndpoint_.id, outcome, "standby");
         activateStandby();
         return;
--- a/src/zinniadoor/gateway/exchange_end.cpp
+++ b/src/zinniadoor/gateway/exchange_end.cpp
@@ -26,6 +26,9 @@
 constexpr double FirstEventTimeoutPerObjective = 4;
 constexpr double FirstEventTimeoutPerGap = 8;
 
+/// The first byte must be expected within this share of the remaining time.
+constexpr double MaxExpectedShare = 0.9;
+
 } // namespace
 
 void Exchange::refuse(RefusalKind kind, const std::string &why,
@@ -268,4 +271,11 @@
                       route_.targetEventGap * FirstEventTimeoutPerGap });
 }
 
+// A stream that has begun is broken off if it is not continued, so it may use all of its time.
+absl::Duration Exchange::longestExpected() const
+{
+    return MaxExpectedShare
+        * (streamStarted_ ? timeLeft() : std::min(firstByteTimeout(), timeLeft()));
+}
+
 } // namespace zinniadoor::gateway
--- a/src/zinniadoor/gateway/exchange_retry.cpp
+++ b/src/zinniadoor/gateway/exchange_retry.cpp
@@ -46,9 +46,10 @@
         return "endpoints_used_up";
     if (timeLeft() < MinTimeLeft)
         return "no_time_left";
-    constexpr std::uint32_t MaxAttempts = 4; // Including attempts that were not executed.
-    if (attempts_ >= MaxAttempts)
+    if (arrivals_.arrivalsUsedUp())
         return "sendings_used_up";
+    if (arrivals_.connectionsUsedUp())
+        return "connections_used_up";
     return std::nullopt;
 }
 
@@ -65,7 +66,42 @@
     const auto found = chooseEndpoint(context_, facts, now);
     if (!found)
         return "no_endpoint";
-    if (!context_.budget.take(service_, now))
+    if (!takeBudget())
+        return "retry_budget";
+    choice = *found;
+    return std::nullopt;
+}
+
+bool Exchange::takeBudget()
+{
+    if (!arrivals_.nextIsExtra())
+        return true;
+    if (!context_.budget.take(service_, context_.clock.now()))
+        return false;
+    arrivals_.noteCharged();
+    return true;
+}
+
+// Attempts that no budget limits are made only where they are likely to succeed: where engines have
+// no room, they would only delay the refusal.
+std::optional<std::string> Exchange::takeRetry(const CallOutcome &outcome, EndpointChoice &choice)
+{
+    if (auto reason = reasonNotToRetry(outcome))
+        return reason;
+    if (hasHarmfulPart())
+        return "crashing_part";
+    const absl::Time now = context_.clock.now();
+    ChoiceFacts facts = choiceFacts();
+    if (outcome.noConnection)
+        facts.excluded = &tried_.back();
+    const auto found = chooseEndpoint(context_, facts, now);
+    const bool mayBeDown
+        = found && !arrivals_.nextIsExtra() && context_.directory.isSuspected(found->endpoint, now);
+    if (!found || mayBeDown)
+        return "no_endpoint";
+    if (found->firstByte > longestExpected())
+        return "too_late";
+    if (!takeBudget())
         return "retry_budget";
     choice = *found;
     return std::nullopt;
@@ -86,14 +122,25 @@
 
 void Exchange::retryOrFail(const CallOutcome &outcome)
 {
-    auto reason = reasonNotToRetry(outcome);
-    if (!reason && !context_.budget.take(service_, context_.clock.now()))
-        reason = "retry_budget";
+    phase_ = Phase::Deciding;
+    if (!outcome.arrived)
+        arrivals_.noteUnconnected();
+    const bool isExtra = arrivals_.nextIsExtra();
+    EndpointChoice choice;
+    const auto reason = takeRetry(outcome, choice);
     logCallFailed(tried_.empty() ? base::EndpointId() : tried_.back(), outcome,
-                  reason ? *reason : "retry");
+                  reason.value_or(isExtra ? "retry" : "retry_without_budget"));
     if (!reason) {
         context_.metrics.countRetry();
-        dispatch();
+        if (!isExtra)
+            context_.metrics.countRetryWithoutBudget();
+        send(choice);
+        return;
+    }
+    if (refuseIfHarmful()) // Its part may have crashed endpoints since the last attempt.
+        return;
+    if (*reason == "no_endpoint") {
+        refuseWithoutEndpoint();
         return;
     }
     if (streamStarted_) {
--- a/src/zinniadoor/gateway/exchange_standby.cpp
+++ b/src/zinniadoor/gateway/exchange_standby.cpp
@@ -25,10 +25,11 @@
     const EndpointRecord *endpoint = choice ? context_.directory.find(choice->endpoint) : nullptr;
     if (!endpoint)
         return "no_endpoint";
-    if (!context_.budget.take(service_, now))
+    if (!takeBudget())
         return "retry_budget";
     context_.metrics.countRetry();
     ++attempts_;
+    arrivals_.noteSent();
     context_.directory.limits().noteCall(endpoint->id, now);
     noteDispatched(*choice, *endpoint, endpoint->id);
     Standby &standby = standby_.emplace();
@@ -179,6 +180,8 @@
         context_.crashes.noteAccepted(bodyDigest_, endpoint);
         noteCrash(endpoint);
     }
+    if (!outcome.arrived)
+        arrivals_.noteUnconnected();
     noteCallFailed(endpoint, outcome);
     logCallFailed(endpoint, outcome, "wait");
     discardStandby(outcome.mayHaveRun);
--- a/src/zinniadoor/gateway/exchange_state.hpp
+++ b/src/zinniadoor/gateway/exchange_state.hpp
@@ -12,6 +12,7 @@
 #include "endpoint_choice.hpp"
 #include "zinniadoor/gateway/event_framer.hpp"
 #include "zinniadoor/gateway/exchange.hpp"
+#include "zinniadoor/serving/request_arrivals.hpp"
 
 namespace zinniadoor::gateway {
 
@@ -58,6 +59,8 @@
 {
     bool mayHaveRun = true;
     bool crashed = false; ///< Connection lost while the endpoint was working on the request.
+    bool arrived = true; ///< Bytes of the request were, or may have been, sent.
+    bool noConnection = false; ///< The endpoint accepted none.
     bool rejected = false; ///< The endpoint accepts no work at the moment.
     bool endpointAtFault = true; ///< Counts against the endpoint's health.
     std::string reason; ///< Stable identifier for logs and metrics.
@@ -139,6 +142,9 @@
     void abandonPrefill(const CallOutcome &outcome);
     void run();
     void retryOrFail(const CallOutcome &outcome);
+    /// Takes a retry with its endpoint; returns the reason if there is none.
+    std::optional<std::string> takeRetry(const CallOutcome &outcome, EndpointChoice &choice);
+    bool takeBudget(); ///< For the next attempt, where it is an extra arrival.
     std::optional<std::string> reasonNotToRetry(const CallOutcome &outcome) const;
     /// `runs`: endpoints that may have executed the request by then.
     std::optional<std::string> reasonNotToRepeat(std::uint32_t runs) const;
@@ -196,6 +202,7 @@
     void armSilenceTimer(absl::Duration time);
     absl::Duration timeLeft() const;
     absl::Duration firstByteTimeout() const;
+    absl::Duration longestExpected() const; ///< Longest expected time to the first byte.
     absl::Duration silenceTimeout() const; ///< Between two events of a stream.
     /// Empty if there is no prefix source.
     std::string prefixSourceAddress(const EndpointChoice &choice) const;
@@ -245,6 +252,7 @@
     std::vector<base::EndpointId> tried_;
     std::uint32_t mayHaveRunCount_ = 0; ///< Endpoints that may have executed the request.
     std::uint32_t attempts_ = 0;
+    serving::RequestArrivals arrivals_;
     bool prefilledBefore_ = false;
     bool remotePrefillFailed_ = false; ///< Remote prefill did not lead to a successful run.
 
--- a/src/zinniadoor/gateway/gateway_metrics.cpp
+++ b/src/zinniadoor/gateway/gateway_metrics.cpp
@@ -43,6 +43,12 @@
                                        .Help("Sendings of a request to a further endpoint.")
                                        .Register(registry)
                                        .Add({});
+    prometheus::Counter &retriesWithoutBudget
+        = prometheus::BuildCounter()
+              .Name("zinniadoor_retries_without_budget_total")
+              .Help("Retries after attempts that reached no endpoint.")
+              .Register(registry)
+              .Add({});
     prometheus::Histogram &firstByte = prometheus::BuildHistogram()
                                            .Name("zinniadoor_first_byte_seconds")
                                            .Help("Time to the first byte of answers.")
@@ -98,6 +104,11 @@
     impl_->retries.Increment();
 }
 
+void GatewayMetrics::countRetryWithoutBudget()
+{
+    impl_->retriesWithoutBudget.Increment();
+}
+
 void GatewayMetrics::countStoreFailure(const char *call)
 {
     impl_->storeFailures.Add({ { "call", call } }).Increment();
--- /dev/null
+++ b/src/zinniadoor/serving/request_arrivals.cpp
@@ -0,0 +1,12 @@
+#include "zinniadoor/serving/request_arrivals.hpp"
+
+namespace zinniadoor::serving {
+
+void RequestArrivals::noteUnconnected()
+{
+    ++unconnected_;
+    if (arrivals_ > 0)
+        --arrivals_;
+}
+
+} // namespace zinniadoor::serving
