Send and receive reports of failed endpoints, switched off by default

EndpointDirectory asks failure_reports. A failed connection is reported at once, silence with the suspicion, a 421 from another endpoint and an announced leaving at once. Events 780 to 782, metric zinniadoor_failure_reports_total. The setting failure_reports.enabled is off by default, since the tests below were all that could be run on this state.

Run: failure_link_test (4 cases) passes.

--- a/include/zinniadoor/base/events.hpp
+++ b/include/zinniadoor/base/events.hpp
@@ -71,6 +71,9 @@
     LogPartsDelayed = 755,
     LogRecordsRead = 756,
     QuotaReached = 757,
+    EndpointFailureReported = 780,
+    EndpointFailureApplied = 781,
+    FailureReporterDisbelieved = 782,
 };
 
 /// One row of the event table.
--- a/include/zinniadoor/gateway/endpoint_directory.hpp
+++ b/include/zinniadoor/gateway/endpoint_directory.hpp
@@ -9,6 +9,7 @@
 
 #include "zinniadoor/gateway/endpoint_record.hpp"
 #include "zinniadoor/serving/endpoint_limits.hpp"
+#include "zinniadoor/serving/failure_reports.hpp"
 
 namespace zinniadoor::gateway {
 
@@ -60,6 +61,12 @@
     serving::EndpointLimits &limits() { return limits_; }
     const serving::EndpointLimits &limits() const { return limits_; }
 
+    /// Failures that this and other instances have reported.
+    serving::FailureReports &failures() { return failures_; }
+
+    /// A call to the endpoint starts.
+    void noteCall(const base::EndpointId &id, absl::Time now);
+
     /// Whether the endpoint accepts work, now or after its back-off.
     bool acceptsWork(const base::EndpointId &id) const;
 
@@ -108,22 +115,25 @@
         absl::Time backOffUntil = absl::InfinitePast(); ///< Requested by the endpoint.
         bool reportedLeaving = false;
     };
-    static bool isAvoided(const Entry &entry, absl::Time now)
+    bool isAvoided(const Entry &entry, absl::Time now) const
     {
-        return now < entry.suspectedUntil || now < entry.pausedUntil;
+        return now < entry.suspectedUntil || now < entry.pausedUntil
+            || failures_.isAvoided(entry.record.id, now);
     }
     static bool acceptsWork(const Entry &entry)
     {
         return !entry.record.leaving && !entry.reportedLeaving
             && entry.replacedAt == absl::InfiniteFuture();
     }
-    static bool mayCall(const Entry &entry, absl::Time now)
+    bool mayCall(const Entry &entry, absl::Time now) const
     {
-        return acceptsWork(entry) && now >= entry.backOffUntil;
+        return acceptsWork(entry) && now >= entry.backOffUntil
+            && !failures_.isOutOfUse(entry.record.id, now);
     }
 
     DirectoryOptions options_;
     serving::EndpointLimits limits_;
+    serving::FailureReports failures_;
     absl::flat_hash_map<base::EndpointId, Entry> entries_;
     absl::flat_hash_map<std::uint64_t, base::EndpointId> byDigest_;
 };
--- a/include/zinniadoor/gateway/gateway_metrics.hpp
+++ b/include/zinniadoor/gateway/gateway_metrics.hpp
@@ -19,6 +19,7 @@
     void countRequest(const std::string &outcome);
     void countRefusal(RefusalKind kind);
     void countEndpointFailure(const char *error);
+    void countFailureReport(const char *effect); ///< Of an endpoint, sent or received.
     void countRetry();
     void countRetryWithoutBudget(); ///< Also counted as a retry.
     void countStoreFailure(const char *call);
--- a/include/zinniadoor/gateway/gateway_settings.hpp
+++ b/include/zinniadoor/gateway/gateway_settings.hpp
@@ -33,6 +33,7 @@
     double retryRatio = 0;
     double retrySlack = 0;
     absl::Duration retryWindow;
+    bool failureReports = false; ///< Failures of endpoints are reported to other instances.
     double quotaSlack = 0; ///< Tokens that all instances together may consume beyond a quota.
     serving::FleetPolicy fleet;
     serving::StagePolicy stages;
--- a/include/zinniadoor/gateway/peer_link.hpp
+++ b/include/zinniadoor/gateway/peer_link.hpp
@@ -22,6 +22,7 @@
     virtual void announceCrashes(const std::vector<serving::CrashEntry> &crashes) = 0;
     virtual void announcePartReports(const serving::PartReports &reports) = 0;
     virtual void announcePause(const base::EndpointId &endpoint, absl::Duration time) = 0;
+    virtual void announceFailure(const serving::FailureReport &report) = 0;
     virtual void start() = 0;
 
     /// Advertises that this instance is shutting down: it gives up leadership and takes no duties.
--- a/include/zinniadoor/gateway/serving_context.hpp
+++ b/include/zinniadoor/gateway/serving_context.hpp
@@ -45,6 +45,9 @@
     /// Endpoints in the directory, or their properties, have changed.
     virtual void onDirectoryChanged() = 0;
 
+    /// This instance has found that an endpoint failed, or that it answers again.
+    virtual void announceFailure(const serving::FailureReport &report) = 0;
+
     /// An endpoint accepts no work for this time.
     virtual void announcePause(const base::EndpointId &endpoint, absl::Duration time) = 0;
 };
--- a/src/zinniadoor/base/events.cpp
+++ b/src/zinniadoor/base/events.cpp
@@ -278,6 +278,12 @@
           "This instance read records of a log, and why it did." },
         { EventId::QuotaReached, EventLevel::Info, "quota_reached",
           "An organisation reached its quota; the fields show this instance's view of it." },
+        { EventId::EndpointFailureReported, EventLevel::Info, "endpoint_failure_reported",
+          "This instance tells the others that an endpoint failed, or that it answers again." },
+        { EventId::EndpointFailureApplied, EventLevel::Info, "endpoint_failure_applied",
+          "Another instance's report changed whether an endpoint is avoided." },
+        { EventId::FailureReporterDisbelieved, EventLevel::Warning, "failure_reporter_disbelieved",
+          "An instance reports so many endpoints that its own connection is assumed faulty." },
     };
     return table;
 }
--- a/src/zinniadoor/gateway/endpoint_directory.cpp
+++ b/src/zinniadoor/gateway/endpoint_directory.cpp
@@ -51,7 +51,10 @@
     Entry &entry = it->second;
     if (now - entry.replacedAt > DirectoryLag)
         entry.replacedAt = absl::InfiniteFuture();
-    if (!inserted && equalExceptTimeLeft(entry.record, record)) {
+    const bool changed = inserted || !equalExceptTimeLeft(entry.record, record);
+    failures_.setEndpoint(record.id, record.service, record.dataCentre, record.startTimeMs, changed,
+                          now);
+    if (!changed) {
         entry.record = record;
         return false;
     }
@@ -67,6 +70,7 @@
 bool EndpointDirectory::remove(const base::EndpointId &id)
 {
     byDigest_.erase(digestOf(id));
+    failures_.removeEndpoint(id);
     return entries_.erase(id) > 0;
 }
 
@@ -112,7 +116,14 @@
 bool EndpointDirectory::isSuspected(const base::EndpointId &id, absl::Time now) const
 {
     const auto found = entries_.find(id);
-    return found != entries_.end() && now < found->second.suspectedUntil;
+    return found != entries_.end()
+        && (now < found->second.suspectedUntil || failures_.isAvoided(id, now));
+}
+
+void EndpointDirectory::noteCall(const base::EndpointId &id, absl::Time now)
+{
+    limits_.noteCall(id, now);
+    failures_.noteCall(id, now);
 }
 
 bool EndpointDirectory::mayCall(const base::EndpointId &id, absl::Time now) const
@@ -150,6 +161,7 @@
 
 void EndpointDirectory::noteSuccess(const base::EndpointId &id)
 {
+    failures_.noteSuccess(id);
     const auto found = entries_.find(id);
     if (found == entries_.end())
         return;
--- a/src/zinniadoor/gateway/endpoint_status.cpp
+++ b/src/zinniadoor/gateway/endpoint_status.cpp
@@ -1,5 +1,7 @@
 #include "endpoint_status.hpp"
 
+#include <optional>
+
 #include "zinniadoor/base/events.hpp"
 
 namespace zinniadoor::gateway {
@@ -10,14 +12,33 @@
 /// they have received its status themselves.
 constexpr absl::Duration LeavingAdvice = absl::Seconds(10);
 
+void announce(ServingContext &context, const base::EndpointId &endpoint,
+              const std::optional<serving::FailureReport> &report)
+{
+    if (!report)
+        return;
+    base::logEvent(base::EventId::EndpointFailureReported,
+                   { { "endpoint", endpoint.str() }, { "reason", nameOf(report->kind) } });
+    context.metrics.countFailureReport("sent");
+    context.updates.announceFailure(*report);
+}
+
 } // namespace
 
+void reportFailure(ServingContext &context, const base::EndpointId &endpoint,
+                   serving::FailureKind kind)
+{
+    announce(context, endpoint,
+             context.directory.failures().noteOwn(endpoint, kind, context.clock.now()));
+}
+
 void noteEndpointStatus(ServingContext &context, const base::EndpointId &called,
                         const AnswerFacts &facts)
 {
     if (!facts.endpoint.empty() && facts.endpoint != called.str())
         return; // Another endpoint has taken over the address.
     const absl::Time now = context.clock.now();
+    announce(context, called, context.directory.failures().noteAnswer(called, facts.leaving, now));
     if (facts.backOff) {
         context.directory.noteBackOff(called, *facts.backOff, now);
         base::logEvent(base::EventId::EndpointRests,
@@ -32,6 +53,7 @@
     if (facts.leaving && context.directory.noteLeaving(called)) {
         base::logEvent(base::EventId::EndpointLeaving, { { "endpoint", called.str() } });
         context.updates.announcePause(called, LeavingAdvice);
+        reportFailure(context, called, serving::FailureKind::Leaving);
         context.updates.onDirectoryChanged();
     }
 }
--- a/src/zinniadoor/gateway/endpoint_status.hpp
+++ b/src/zinniadoor/gateway/endpoint_status.hpp
@@ -10,4 +10,8 @@
 void noteEndpointStatus(ServingContext &context, const base::EndpointId &called,
                         const AnswerFacts &facts);
 
+/// Tells other instances that the endpoint has failed.
+void reportFailure(ServingContext &context, const base::EndpointId &endpoint,
+                   serving::FailureKind kind);
+
 } // namespace zinniadoor::gateway
--- a/src/zinniadoor/gateway/exchange.cpp
+++ b/src/zinniadoor/gateway/exchange.cpp
@@ -92,8 +92,8 @@
     arrivals_.noteSent();
     // The decode engine's call follows; counted now, so that it will not find the limit reached.
     if (prefillEngine)
-        context_.directory.limits().noteCall(prefillEngine_.id, now);
-    context_.directory.limits().noteCall(servingEndpoint_.id, now);
+        context_.directory.noteCall(prefillEngine_.id, now);
+    context_.directory.noteCall(servingEndpoint_.id, now);
     const base::EndpointId &executor = prefillEngine ? prefillEngine_.id : servingEndpoint_.id;
     queuedTokens_ = context_.load.load(executor, now).tokensAhead(rank());
     noteDispatched(choice, servingEndpoint_, executor);
@@ -181,7 +181,7 @@
             return;
         }
         servingEndpoint_ = *other;
-        context_.directory.limits().noteCall(servingEndpoint_.id, now);
+        context_.directory.noteCall(servingEndpoint_.id, now);
         servingLoad_ = LoadReservation(context_.load, servingEndpoint_.id,
                                        serving::EngineLoad::ofRequest(0, rank()));
     }
@@ -318,9 +318,10 @@
 {
     if (!facts.misdirected || facts.endpoint.empty())
         return;
-    if (facts.endpoint != endpoint.str())
+    if (facts.endpoint != endpoint.str()) {
         context_.directory.noteReplaced(endpoint, context_.clock.now());
-    else if (context_.directory.noteStageSwitched(endpoint))
+        reportFailure(context_, endpoint, serving::FailureKind::Replaced);
+    } else if (context_.directory.noteStageSwitched(endpoint))
         context_.updates.onDirectoryChanged();
 }
 
--- a/src/zinniadoor/gateway/exchange_retry.cpp
+++ b/src/zinniadoor/gateway/exchange_retry.cpp
@@ -2,6 +2,7 @@
 
 #include "absl/strings/str_join.h"
 
+#include "endpoint_status.hpp"
 #include "exchange_state.hpp"
 #include "zinniadoor/base/events.hpp"
 
@@ -23,10 +24,16 @@
     if (!outcome.endpointAtFault)
         return;
     context_.health.noteFailure(endpoint, now);
-    if (context_.directory.noteFailure(endpoint, now)) {
+    const bool suspected = context_.directory.noteFailure(endpoint, now);
+    if (suspected) {
         logEvent(EventId::EndpointSuspected,
                  { { "endpoint", endpoint.str() }, { "reason", outcome.reason } });
     }
+    // A connection that was given up because the request's time was over shows nothing.
+    if (outcome.noConnection && timeLeft() > absl::ZeroDuration())
+        reportFailure(context_, endpoint, serving::FailureKind::NoConnection);
+    else if (suspected)
+        reportFailure(context_, endpoint, serving::FailureKind::NoAnswer);
 }
 
 std::optional<std::string> Exchange::reasonNotToRetry(const CallOutcome &outcome) const
--- a/src/zinniadoor/gateway/exchange_standby.cpp
+++ b/src/zinniadoor/gateway/exchange_standby.cpp
@@ -30,7 +30,7 @@
     context_.metrics.countRetry();
     ++attempts_;
     arrivals_.noteSent();
-    context_.directory.limits().noteCall(endpoint->id, now);
+    context_.directory.noteCall(endpoint->id, now);
     noteDispatched(*choice, *endpoint, endpoint->id);
     Standby &standby = standby_.emplace();
     standby.attempt = attempts_;
--- a/src/zinniadoor/gateway/gateway.cpp
+++ b/src/zinniadoor/gateway/gateway.cpp
@@ -153,7 +153,9 @@
         , endpointsHandler_(*this)
         , readinessHandler_(*this)
         , stopTimer_(context)
-    { }
+    {
+        serving_.directory.failures().setEnabled(settings.failureReports);
+    }
 
     base::Status start()
     {
@@ -253,6 +255,10 @@
         peerLink_->announcePartReports(reports);
     }
     void onDirectoryChanged() override { applyEndpoints(); }
+    void announceFailure(const serving::FailureReport &report) override
+    {
+        peerLink_->announceFailure(report);
+    }
     void announcePause(const base::EndpointId &endpoint, absl::Duration time) override
     {
         peerLink_->announcePause(endpoint, time);
--- a/src/zinniadoor/gateway/gateway_metrics.cpp
+++ b/src/zinniadoor/gateway/gateway_metrics.cpp
@@ -33,6 +33,11 @@
               .Name("zinniadoor_endpoint_failures_total")
               .Help("Calls to endpoints without a whole answer, by error.")
               .Register(registry);
+    prometheus::Family<prometheus::Counter> &failureReports
+        = prometheus::BuildCounter()
+              .Name("zinniadoor_failure_reports_total")
+              .Help("Reports of failed endpoints, sent or by their effect.")
+              .Register(registry);
     prometheus::Family<prometheus::Counter> &storeFailures
         = prometheus::BuildCounter()
               .Name("zinniadoor_platform_failures_total")
@@ -99,6 +104,11 @@
     impl_->endpointFailures.Add({ { "error", error } }).Increment();
 }
 
+void GatewayMetrics::countFailureReport(const char *effect)
+{
+    impl_->failureReports.Add({ { "effect", effect } }).Increment();
+}
+
 void GatewayMetrics::countRetry()
 {
     impl_->retries.Increment();
--- a/src/zinniadoor/gateway/gateway_settings.cpp
+++ b/src/zinniadoor/gateway/gateway_settings.cpp
@@ -80,6 +80,8 @@
         settings.retrySlack = retries.numberOr("slack", 0, 1e9, 0);
         settings.retryWindow
             = retries.durationOr("window", absl::Seconds(1), absl::Hours(1), absl::Seconds(10));
+        YamlReader failureReports = root->mapping("failure_reports", false);
+        settings.failureReports = failureReports.booleanOr("enabled", settings.failureReports);
         YamlReader quota = root->mapping("quota", false);
         settings.quotaSlack = quota.numberOr("slack_tokens", 0, 1e12, 0);
         YamlReader fleet = root->mapping("fleet", false);
--- a/src/zinniadoor/gateway/peer_link.cpp
+++ b/src/zinniadoor/gateway/peer_link.cpp
@@ -13,6 +13,7 @@
 #include "zinniadoor/base/events.hpp"
 #include "zinniadoor/gateway/burst_order.hpp"
 #include "zinniadoor/gateway/consumption_totals.hpp"
+#include "zinniadoor/gateway/failure_link.hpp"
 #include "zinniadoor/gateway/paced_queue.hpp"
 #include "zinniadoor/gateway/part_report_queue.hpp"
 #include "zinniadoor/gateway/peer_group.hpp"
@@ -130,6 +131,7 @@
         , serving_(serving)
         , peers_(peers)
         , onPart_(std::move(onPart))
+        , failures_(context, self, serving, [this](const auto &bytes) { sendReport(bytes); })
         , crashes_([](const serving::CrashEntry &a, const serving::CrashEntry &b) {
             return a.bodyDigest == b.bodyDigest && a.endpoint == b.endpoint && a.id == b.id;
         })
@@ -191,6 +193,11 @@
         partReports_.push(reports, now());
     }
 
+    void announceFailure(const serving::FailureReport &report) override
+    {
+        failures_.announce(report);
+    }
+
     void announcePause(const base::EndpointId &endpoint, absl::Duration time) override
     {
         const absl::Time until = serving_.clock.now() + time;
@@ -357,10 +364,7 @@
             message.limits.push_back(limit);
             if (message.limits.size() < MaxLimitsPerMessage && i + 1 < reports.size())
                 continue;
-            if (group_.hasLeaders() && !leader_)
-                sendToGroup(base::encode(message), time);
-            else
-                sendToReceivers(base::encode(message));
+            sendReport(base::encode(message));
             message.limits.clear();
         }
     }
@@ -373,10 +377,15 @@
             message.crashes.push_back({ entry, entry.id });
         if (message.crashes.empty())
             return;
+        sendReport(base::encode(message));
+    }
+
+    void sendReport(const std::string &bytes)
+    {
         if (group_.hasLeaders() && !leader_)
-            sendToGroup(base::encode(message), now());
+            sendToGroup(bytes, now());
         else
-            sendToReceivers(base::encode(message));
+            sendToReceivers(bytes);
     }
 
     /// Sends to the other leaders and to the members of the own data centre.
@@ -679,6 +688,8 @@
             receiveLimits(bytes, from);
         else if (formatOf(bytes) == CrashReportsMessage::CurrentFormat)
             receiveCrashReports(bytes, from);
+        else if (formatOf(bytes) == EndpointFailuresMessage::CurrentFormat)
+            receiveFailures(bytes, from);
         else
             receivePeerMessage(bytes, from);
     }
@@ -756,6 +767,13 @@
         }
     }
 
+    void receiveFailures(const std::string &bytes, const std::string &from)
+    {
+        const base::Status received = failures_.receive(bytes, group_.hasLeaders() && !leader_);
+        if (!received)
+            logRejected(from, received.lastReason().text);
+    }
+
     void receiveCrashReports(const std::string &bytes, const std::string &from)
     {
         const auto message = base::decode<CrashReportsMessage>(bytes);
@@ -977,8 +995,13 @@
     void updateLimits(absl::Time now)
     {
         std::vector<std::string> instances { self_.instance };
-        for (const GroupCandidate &peer : peers_.candidates(now))
+        std::vector<std::string> neighbours { self_.instance };
+        for (const GroupCandidate &peer : peers_.candidates(now)) {
             instances.push_back(peer.instance);
+            if (peer.dataCentre == serving_.dataCentre)
+                neighbours.push_back(peer.instance);
+        }
+        serving_.directory.failures().setInstances(self_.instance, std::move(neighbours));
         serving_.directory.limits().setInstances(self_.instance, std::move(instances), now);
     }
 
@@ -1108,6 +1131,7 @@
     absl::Time consumptionSentAt_ = absl::InfinitePast();
     ConsumedCounts sentCounts_;
     std::vector<PrefixUpdate> prefixes_;
+    FailureLink failures_;
     ReportQueue<serving::CrashEntry> crashes_; ///< Of bodies.
     PartReportQueue partReports_;
     std::uint64_t heardProcesses_ = 0; ///< When reports were last sent again.
