--- a/include/zinniadoor/gateway/gateway_metrics.hpp
+++ b/include/zinniadoor/gateway/gateway_metrics.hpp
@@ -19,7 +19,9 @@
     void countRequest(const std::string &outcome);
     void countRefusal(RefusalKind kind);
     void countEndpointFailure(const char *error);
+    void countFailureReport(const char *effect); ///< Of an endpoint, sent or received.
     void countRetry();
+    void countRetryWithoutBudget(); ///< Also counted as a retry.
     void countStoreFailure(const char *call);
     void observeFirstByte(absl::Duration time);
     void observeDuration(absl::Duration time);
--- a/src/zinniadoor/gateway/exchange_standby.cpp
+++ b/src/zinniadoor/gateway/exchange_standby.cpp
@@ -25,11 +25,12 @@
     const EndpointRecord *endpoint = choice ? context_.directory.find(choice->endpoint) : nullptr;
     if (!endpoint)
         return "no_endpoint";
-    if (!context_.budget.take(service_, now))
+    if (!takeBudget())
         return "retry_budget";
     context_.metrics.countRetry();
     ++attempts_;
-    context_.directory.limits().noteCall(endpoint->id, now);
+    arrivals_.noteSent();
+    context_.directory.noteCall(endpoint->id, now);
     noteDispatched(*choice, *endpoint, endpoint->id);
     Standby &standby = standby_.emplace();
     standby.attempt = attempts_;
@@ -179,6 +180,8 @@
         context_.crashes.noteAccepted(bodyDigest_, endpoint);
         noteCrash(endpoint);
     }
+    if (!outcome.arrived)
+        arrivals_.noteUnconnected();
     noteCallFailed(endpoint, outcome);
     logCallFailed(endpoint, outcome, "wait");
     discardStandby(outcome.mayHaveRun);
--- a/src/zinniadoor/gateway/gateway_metrics.cpp
+++ b/src/zinniadoor/gateway/gateway_metrics.cpp
@@ -33,6 +33,11 @@
               .Name("zinniadoor_endpoint_failures_total")
               .Help("Calls to endpoints without a whole answer, by error.")
               .Register(registry);
+    prometheus::Family<prometheus::Counter> &failureReports
+        = prometheus::BuildCounter()
+              .Name("zinniadoor_failure_reports_total")
+              .Help("Reports of failed endpoints, sent or by their effect.")
+              .Register(registry);
     prometheus::Family<prometheus::Counter> &storeFailures
         = prometheus::BuildCounter()
               .Name("zinniadoor_platform_failures_total")
@@ -43,6 +48,12 @@
                                        .Help("Sendings of a request to a further endpoint.")
                                        .Register(registry)
                                        .Add({});
+    prometheus::Counter &retriesWithoutBudget
+        = prometheus::BuildCounter()
+              .Name("zinniadoor_retries_without_budget_total")
+              .Help("Retries after attempts that reached no endpoint.")
+              .Register(registry)
+              .Add({});
     prometheus::Histogram &firstByte = prometheus::BuildHistogram()
                                            .Name("zinniadoor_first_byte_seconds")
                                            .Help("Time to the first byte of answers.")
@@ -93,11 +104,21 @@
     impl_->endpointFailures.Add({ { "error", error } }).Increment();
 }
 
+void GatewayMetrics::countFailureReport(const char *effect)
+{
+    impl_->failureReports.Add({ { "effect", effect } }).Increment();
+}
+
 void GatewayMetrics::countRetry()
 {
     impl_->retries.Increment();
 }
 
+void GatewayMetrics::countRetryWithoutBudget()
+{
+    impl_->retriesWithoutBudget.Increment();
+}
+
 void GatewayMetrics::countStoreFailure(const char *call)
 {
     impl_->storeFailures.Add({ { "call", call } }).Increment();
