Choose plain endpoints by expected answer time

Cause: all instances compared the reported load of a plain service's endpoints, 0.1 to 0.5 s old, and did not see that an endpoint is slow for a moment. Under bursts they chose the same endpoint, whose queue filled.

Change: serving/plain_choice estimates the answer time of each endpoint from this instance's recent answers, weighted by age, from calls that are still open, and from own and peers' outstanding requests; old reports count as the average load. The faster of two endpoints drawn by the request's hash is taken.

--- a/include/zinniadoor/gateway/serving_context.hpp
+++ b/include/zinniadoor/gateway/serving_context.hpp
@@ -24,6 +24,7 @@
 #include "zinniadoor/serving/held_answers.hpp"
 #include "zinniadoor/serving/outlier_ejection.hpp"
 #include "zinniadoor/serving/part_crash_list.hpp"
+#include "zinniadoor/serving/plain_choice.hpp"
 
 namespace zinniadoor::gateway {
 
@@ -82,6 +83,7 @@
     UsageWindowCounter usage;
     ClusterTime trueTime;
     SpeedEstimate speeds;
+    serving::PlainChoice plainChoice {};
     ExchangeRegistry exchanges {};
     CrashCheck *crashCheck = nullptr; ///< Null: each broken connection counts as a crash.
     std::shared_ptr<serving::HeldAnswers> heldAnswers
--- a/include/zinniadoor/serving/engine_view.hpp
+++ b/include/zinniadoor/serving/engine_view.hpp
@@ -93,6 +93,9 @@
     EngineLoad peerLoad(const base::InstanceId &peer, const base::EndpointId &engine,
                         absl::Time now) const;
 
+    /// Time since the load of peers on this engine was received, weighted by their requests.
+    absl::Duration peerLoadAge(const base::EndpointId &engine, absl::Time now) const;
+
     /// Load of all instances.
     EngineLoad load(const base::EndpointId &engine, absl::Time now) const;
 
--- a/src/zinniadoor/gateway/endpoint_choice.cpp
+++ b/src/zinniadoor/gateway/endpoint_choice.cpp
@@ -1,8 +1,7 @@
 #include "endpoint_choice.hpp"
 
 #include <algorithm>
-
-#include "absl/strings/str_cat.h"
+#include <utility>
 
 #include "zinniadoor/serving/placement.hpp"
 
@@ -15,53 +14,32 @@
     return std::find(list.begin(), list.end(), id) != list.end();
 }
 
-/// Cost of an endpoint in another data centre, as a share of full utilisation.
-constexpr double OtherDataCentreCost = 0.05;
-
-/// Largest random cost per request, as a share of full utilisation. Other instances choose by the
-/// same load updates; without it they would all choose the same endpoint.
-constexpr double PlainJitter = 0.3;
-
-/// Deterministic pseudo-random number in [0, 1] for a request and an endpoint.
-double jitterOf(const std::string &request, const base::EndpointId &endpoint)
-{
-    constexpr double Range = 18446744073709551616.0;
-    const std::uint64_t digest = serving::stableDigest(absl::StrCat(request, "#", endpoint.str()));
-    return static_cast<double>(digest) / Range;
-}
-
 std::optional<EndpointChoice> choosePlain(const ServingContext &context, const ChoiceFacts &facts,
                                           absl::Time now)
 {
-    const EndpointRecord *best = nullptr;
-    double bestCost = 0;
-    double bestLoad = 0;
-    for (const bool allowTried : { false, true }) {
-        for (const EndpointRecord *endpoint :
-             context.directory.usable(facts.service, now, facts.excluded)) {
-            if (!allowTried && contains(*facts.tried, endpoint->id))
-                continue;
-            const double load = static_cast<double>(context.load.load(endpoint->id, now).requests)
-                / std::max<std::uint32_t>(endpoint->slots, 1);
-            double cost = load + PlainJitter * jitterOf(facts.request, endpoint->id);
-            if (endpoint->dataCentre != context.dataCentre)
-                cost += OtherDataCentreCost;
-            if (context.health.weight(endpoint->id, now) <= 0)
-                cost += 1000; // Ejected: the last resort.
-            if (!best || cost < bestCost) {
-                best = endpoint;
-                bestCost = cost;
-                bestLoad = load;
-            }
-        }
-        if (best)
-            break;
+    std::vector<serving::PlainCandidate> candidates;
+    for (const EndpointRecord *endpoint :
+         context.directory.usable(facts.service, now, facts.excluded)) {
+        serving::PlainCandidate candidate;
+        candidate.id = endpoint->id;
+        candidate.slots = endpoint->slots;
+        candidate.ownRequests = context.load.ownLoad(endpoint->id).requests;
+        candidate.peerRequests
+            = context.load.load(endpoint->id, now).requests - candidate.ownRequests;
+        candidate.peerAge = context.load.peerLoadAge(endpoint->id, now);
+        candidate.isElsewhere = endpoint->dataCentre != context.dataCentre;
+        candidate.isLastResort
+            = context.health.weight(endpoint->id, now) <= 0 || contains(*facts.tried, endpoint->id);
+        candidates.push_back(std::move(candidate));
     }
-    if (!best)
+    const auto pick = context.plainChoice.choose(candidates, facts.request,
+                                                 context.speeds.answerTime(facts.service), now);
+    if (!pick)
         return std::nullopt;
     EndpointChoice choice;
-    choice.endpoint = best->id;
-    choice.firstByte = context.speeds.answerTime(facts.service) * std::max(1.0, bestLoad);
+    choice.endpoint = candidates[pick->index].id;
+    choice.firstByte = pick->expected;
+    choice.queueFactor = pick->queueFactor;
     return choice;
 }
 
--- a/src/zinniadoor/gateway/endpoint_choice.hpp
+++ b/src/zinniadoor/gateway/endpoint_choice.hpp
@@ -16,6 +16,7 @@
         prefixSource; ///< Caches the shared prefix, which is copied from it.
     std::uint64_t tokensToPrefill = 0;
     absl::Duration firstByte; ///< Expected time to first byte.
+    double queueFactor = 1; ///< Of a plain endpoint; see `serving::PlainPick`.
 };
 
 struct ChoiceFacts
--- a/src/zinniadoor/gateway/exchange.cpp
+++ b/src/zinniadoor/gateway/exchange.cpp
@@ -108,6 +108,8 @@
     servingLoad_ = LoadReservation(
         context_.load, servingEndpoint_.id,
         serving::EngineLoad::ofRequest(static_cast<std::uint32_t>(choice.tokensToPrefill), rank()));
+    if (!route_.carriesPrompt)
+        servingLoad_.measure(context_, choice);
     run();
 }
 
@@ -514,6 +516,8 @@
         context_.health.noteSuccess(servingEndpoint_.id, now - callStartedAt_, now);
     context_.directory.noteSuccess(servingEndpoint_.id);
     context_.speeds.noteAnswer(service_, now - callStartedAt_);
+    if (ok) // An error says little about the endpoint's speed.
+        servingLoad_.noteAnswered();
     context_.metrics.observeFirstByte(now - arrivedAt_);
     net::Response answer;
     answer.base() = context_.callerDialect.forwardedHead(answerHead_);
--- a/src/zinniadoor/gateway/exchange_calls.cpp
+++ b/src/zinniadoor/gateway/exchange_calls.cpp
@@ -172,6 +172,8 @@
     : view_(std::exchange(other.view_, nullptr))
     , endpoint_(std::move(other.endpoint_))
     , load_(other.load_)
+    , measuredIn_(std::exchange(other.measuredIn_, nullptr))
+    , plainCall_(other.plainCall_)
 { }
 
 LoadReservation &LoadReservation::operator=(LoadReservation &&other) noexcept
@@ -181,6 +183,8 @@
         view_ = std::exchange(other.view_, nullptr);
         endpoint_ = std::move(other.endpoint_);
         load_ = other.load_;
+        measuredIn_ = std::exchange(other.measuredIn_, nullptr);
+        plainCall_ = other.plainCall_;
     }
     return *this;
 }
@@ -201,6 +205,21 @@
         return;
     view_->removeLoad(endpoint_, load_);
     view_ = nullptr;
+    if (ServingContext *context = std::exchange(measuredIn_, nullptr))
+        context->plainChoice.noteAbandoned(plainCall_, context->clock.now());
+}
+
+void LoadReservation::measure(ServingContext &context, const EndpointChoice &choice)
+{
+    measuredIn_ = &context;
+    plainCall_
+        = context.plainChoice.noteStart(choice.endpoint, choice.queueFactor, context.clock.now());
+}
+
+void LoadReservation::noteAnswered()
+{
+    if (ServingContext *context = std::exchange(measuredIn_, nullptr))
+        context->plainChoice.noteAnswer(plainCall_, context->clock.now());
 }
 
 std::shared_ptr<net::CallHandler> makePrefillHandler(std::shared_ptr<Exchange> exchange,
--- a/src/zinniadoor/gateway/exchange_standby.cpp
+++ b/src/zinniadoor/gateway/exchange_standby.cpp
@@ -40,6 +40,8 @@
         = LoadReservation(context_.load, endpoint->id,
                           serving::EngineLoad::ofRequest(
                               static_cast<std::uint32_t>(choice->tokensToPrefill), rank()));
+    if (!route_.carriesPrompt)
+        standby.load.measure(context_, *choice);
     Dispatch dispatch = dispatchTo(standby.endpoint);
     dispatch.prefixSource = prefixSourceAddress(*choice);
     if (streamStarted_)
--- a/src/zinniadoor/gateway/exchange_state.hpp
+++ b/src/zinniadoor/gateway/exchange_state.hpp
@@ -31,10 +31,16 @@
     void releaseTokens();
     void release();
 
+    /// The call goes to a plain endpoint, whose answer time is measured.
+    void measure(ServingContext &context, const EndpointChoice &choice);
+    void noteAnswered();
+
 private:
     serving::EngineView *view_ = nullptr;
     base::EndpointId endpoint_;
     serving::EngineLoad load_;
+    ServingContext *measuredIn_ = nullptr;
+    std::uint64_t plainCall_ = 0; ///< While `measuredIn_` is set.
 };
 
 /// Retry-After of requests rejected because of a transient state.
--- a/src/zinniadoor/gateway/gateway.cpp
+++ b/src/zinniadoor/gateway/gateway.cpp
@@ -444,6 +444,7 @@
         const std::vector<serving::EngineInfo> engines = enginesOf(serving_);
         serving_.load.setEngines(engines);
         serving_.health.setEndpoints(ids);
+        serving_.plainChoice.setEndpoints(ids);
         serving_.directory.limits().setEndpoints(ids);
         metrics_.setEndpoints(ids.size());
         logEvent(EventId::EndpointsChanged,
--- a/src/zinniadoor/serving/engine_view.cpp
+++ b/src/zinniadoor/serving/engine_view.cpp
@@ -149,6 +149,20 @@
     }
 }
 
+absl::Duration EngineView::peerLoadAge(const base::EndpointId &engine, absl::Time now) const
+{
+    absl::Duration ages;
+    std::uint32_t requests = 0;
+    for (const auto &[peer, reported] : peers_) {
+        const auto found = reported.loads.find(engine);
+        if (found == reported.loads.end() || now - reported.receivedAt > PeerLoadTimeout)
+            continue;
+        ages += (now - reported.receivedAt) * found->second.requests;
+        requests += found->second.requests;
+    }
+    return requests > 0 ? ages / requests : absl::ZeroDuration();
+}
+
 // Called for each engine and request, so the loads of all peers are kept as a sum per engine.
 EngineLoad EngineView::load(const base::EndpointId &engine, absl::Time now) const
 {
