--- a/tests/standins/fleet_standin.cpp
+++ b/tests/standins/fleet_standin.cpp
@@ -341,10 +341,17 @@
 
 namespace {
 
+/// Limits above those of the gateways under test, which are the ones that apply.
+constexpr std::size_t MaxBodyBytes = std::size_t { 16 } * 1024 * 1024;
+constexpr absl::Duration RequestTimeout = absl::Minutes(1);
+
 std::unique_ptr<net::HttpServer> listenOrAbort(boost::asio::io_context &io,
                                                net::RequestHandler &handler)
 {
-    auto server = net::listenHttp(io, "127.0.0.1:0", net::ServerLimits {}, handler);
+    net::ServerLimits limits;
+    limits.maxBodyBytes = MaxBodyBytes;
+    limits.requestTimeout = RequestTimeout;
+    auto server = net::listenHttp(io, "127.0.0.1:0", limits, handler);
     if (!server)
         std::abort();
     return std::move(*server);
