Bound the bodies of all callers together

Cause: each body was limited, their sum was not; a body grew by doubling, and a refused one was read on and kept until its connection closed. Freed bodies return to the system.

--- a/include/zinniadoor/base/events.hpp
+++ b/include/zinniadoor/base/events.hpp
@@ -36,6 +36,7 @@
     SettingsReloaded = 704,
     SettingsReloadFailed = 705,
     GatewayFailed = 706,
+    CallerBytesRefused = 707,
     ConfigurationApplied = 710,
     ConfigurationRejected = 711,
     EndpointsChanged = 712,
--- a/include/zinniadoor/gateway/gateway_metrics.hpp
+++ b/include/zinniadoor/gateway/gateway_metrics.hpp
@@ -20,6 +20,7 @@
     void countRefusal(RefusalKind kind);
     void countEndpointFailure(const char *error);
     void countRetry();
+    void countInboundRefusal(const char *reason);
     void countStoreFailure(const char *call);
     void observeFirstByte(absl::Duration time);
     void observeDuration(absl::Duration time);
--- a/include/zinniadoor/gateway/gateway_settings.hpp
+++ b/include/zinniadoor/gateway/gateway_settings.hpp
@@ -34,6 +34,7 @@
     double retrySlack = 0;
     absl::Duration retryWindow;
     double quotaSlack = 0; ///< Tokens that all instances together may consume beyond a quota.
+    std::size_t memoryBytes = 0; ///< That the process may use; 0: what it can read itself.
     serving::FleetPolicy fleet;
     serving::StagePolicy stages;
     base::LogOptions log;
--- a/include/zinniadoor/net/http_server.hpp
+++ b/include/zinniadoor/net/http_server.hpp
@@ -12,6 +12,7 @@
 #include "absl/time/time.h"
 
 #include "zinniadoor/base/outcome.hpp"
+#include "zinniadoor/net/inbound_bytes.hpp"
 
 namespace zinniadoor::net {
 
@@ -31,6 +32,10 @@
 
     /// For a connection without a request, and for a client that accepts no byte of a response.
     absl::Duration idleTimeout = absl::Seconds(15);
+
+    /// Connections at the same time; 0: any number. Beyond it an idle one is closed for a new one,
+    /// or the new one if none is idle.
+    std::size_t maxConnections = 0;
 };
 
 /// Sends the response to one request. Used on the event thread only. After the client has
@@ -96,10 +101,11 @@
     virtual std::size_t activeRequests() const = 0;
 };
 
-/// Listens on `address` (IP:port; port 0 selects a free port). `handler` must outlive the server.
-base::Outcome<std::unique_ptr<HttpServer>> listenHttp(boost::asio::io_context &context,
-                                                      const std::string &address,
-                                                      const ServerLimits &limits,
-                                                      RequestHandler &handler);
+/// Listens on `address` (IP:port; port 0 selects a free port). `handler` and `inbound` must outlive
+/// the server. `inbound` owns the memory of the requests' bodies; null: they are limited one by
+/// one.
+base::Outcome<std::unique_ptr<HttpServer>>
+listenHttp(boost::asio::io_context &context, const std::string &address, const ServerLimits &limits,
+           RequestHandler &handler, InboundBytes *inbound = nullptr);
 
 } // namespace zinniadoor::net
--- a/src/zinniadoor/base/events.cpp
+++ b/src/zinniadoor/base/events.cpp
@@ -208,6 +208,8 @@
           "The changed settings file is invalid; the current settings stay in effect." },
         { EventId::GatewayFailed, EventLevel::Error, "gateway_failed",
           "The gateway could not start; the process exits." },
+        { EventId::CallerBytesRefused, EventLevel::Warning, "caller_bytes_refused",
+          "Requests were refused or connections closed to save memory or descriptors." },
         { EventId::ConfigurationApplied, EventLevel::Info, "configuration_applied",
           "A version of the operators' configuration was applied." },
         { EventId::ConfigurationRejected, EventLevel::Warning, "configuration_rejected",
--- a/src/zinniadoor/daemon/gateway_main.cpp
+++ b/src/zinniadoor/daemon/gateway_main.cpp
@@ -3,6 +3,8 @@
 #include <csignal>
 #include <iostream>
 
+#include <malloc.h>
+
 #include <boost/asio/signal_set.hpp>
 #include <sodium.h>
 
@@ -31,6 +33,9 @@
 
 /// Connections idle for longer are not reused; the platform may announce a shorter idle timeout.
 constexpr absl::Duration IdleLimit = absl::Seconds(5);
+/// Larger allocations return to the system when freed. glibc would raise its limit with the first
+/// large body and keep the memory of later ones.
+constexpr int MapThreshold = 128 * 1024;
 constexpr std::size_t MaxResponseHeadBytes = std::size_t { 32 } * 1024;
 
 void watchSignals(boost::asio::signal_set &signals, gateway::Gateway &gateway,
@@ -95,6 +100,7 @@
     if (checkOnly)
         return ExitOk;
     std::signal(SIGPIPE, SIG_IGN);
+    mallopt(M_MMAP_THRESHOLD, MapThreshold);
     if (sodium_init() < 0)
         return ExitFailed;
     base::startLogging(settings->log);
--- a/src/zinniadoor/gateway/gateway.cpp
+++ b/src/zinniadoor/gateway/gateway.cpp
@@ -9,9 +9,11 @@
 #include "zinniadoor/gateway/engine_list.hpp"
 #include "zinniadoor/gateway/exchange.hpp"
 #include "zinniadoor/gateway/fleet_duty.hpp"
+#include "zinniadoor/gateway/inbound_memory.hpp"
 #include "zinniadoor/gateway/lease_runner.hpp"
 #include "zinniadoor/gateway/log_follower.hpp"
 #include "zinniadoor/gateway/peer_link.hpp"
+#include "zinniadoor/gateway/process_limits.hpp"
 #include "zinniadoor/gateway/stage_duty.hpp"
 #include "zinniadoor/gateway/stop_plan.hpp"
 #include "zinniadoor/gateway/usage_duty.hpp"
@@ -58,9 +60,18 @@
 /// Share of the quotas that a new instance may use until it has discovered its peers.
 constexpr double InitialQuotaShare = 0.25;
 
-net::ServerLimits serverLimits(const CallerLimits &limits)
+net::ServerLimits serverLimits(const CallerLimits &limits, std::size_t maxConnections)
 {
-    return { limits.maxHeadBytes, limits.maxBodyBytes, limits.requestTimeout, limits.idleTimeout };
+    return { limits.maxHeadBytes, limits.maxBodyBytes, limits.requestTimeout, limits.idleTimeout,
+             maxConnections };
+}
+
+ProcessShares processShares(const GatewaySettings &settings)
+{
+    ProcessLimits limits = readProcessLimits();
+    if (settings.memoryBytes > 0)
+        limits.memoryBytes = settings.memoryBytes;
+    return shareOut(limits);
 }
 
 QuotaOptions quotaOptions(const GatewaySettings &settings, const ProcessStart &start)
@@ -146,6 +157,8 @@
                      UsageWindowCounter(settings.usageWindow),
                      ClusterTime(ports.clock->now(), ports.clock->wallTime()),
                      SpeedEstimate() }
+        , shares_(processShares(settings))
+        , inbound_(makeInboundMemory(context, *ports.clock, metrics_, shares_.bodies))
         , self_ { settings.instance.str(), start_.incarnation }
         , peers_(self_)
         , feed_(serving_.directory, *ports.decoder)
@@ -153,11 +166,15 @@
         , endpointsHandler_(*this)
         , readinessHandler_(*this)
         , stopTimer_(context)
-    { }
+    {
+        serving_.heldAnswers = std::make_shared<serving::HeldAnswers>(shares_.answers);
+    }
 
     base::Status start()
     {
-        auto callers = net::listenHttp(io_, settings_.callers, net::ServerLimits {}, *this);
+        auto callers = net::listenHttp(io_, settings_.callers,
+                                       serverLimits(CallerLimits {}, shares_.connections), *this,
+                                       inbound_.get());
         if (!callers)
             return callers.lastReason();
         auto readiness
@@ -425,7 +442,8 @@
         configurationText_ = text;
         serving_.configuration = std::make_shared<const Configuration>(std::move(*parts));
         serving_.quota.configure(*serving_.configuration);
-        callerServer_->setLimits(serverLimits(serving_.configuration->parts().limits));
+        callerServer_->setLimits(
+            serverLimits(serving_.configuration->parts().limits, shares_.connections));
         metrics_.setConfigurationVersion(version);
         logEvent(EventId::ConfigurationApplied,
                  { { "version", std::to_string(version) },
@@ -488,6 +506,8 @@
     ProcessStart start_;
     GatewayMetrics metrics_;
     ServingContext serving_;
+    ProcessShares shares_;
+    std::unique_ptr<net::InboundBytes> inbound_; ///< Used by `callerServer_`.
     ProcessName self_;
     PeerTable peers_;
     EndpointFeed feed_;
--- a/src/zinniadoor/gateway/gateway_metrics.cpp
+++ b/src/zinniadoor/gateway/gateway_metrics.cpp
@@ -38,6 +38,11 @@
               .Name("zinniadoor_platform_failures_total")
               .Help("Calls to the platform that failed, by call.")
               .Register(registry);
+    prometheus::Family<prometheus::Counter> &inboundRefusals
+        = prometheus::BuildCounter()
+              .Name("zinniadoor_inbound_refusals_total")
+              .Help("Requests refused and connections closed to save memory or descriptors.")
+              .Register(registry);
     prometheus::Counter &retries = prometheus::BuildCounter()
                                        .Name("zinniadoor_retries_total")
                                        .Help("Sendings of a request to a further endpoint.")
@@ -98,6 +103,11 @@
     impl_->retries.Increment();
 }
 
+void GatewayMetrics::countInboundRefusal(const char *reason)
+{
+    impl_->inboundRefusals.Add({ { "reason", reason } }).Increment();
+}
+
 void GatewayMetrics::countStoreFailure(const char *call)
 {
     impl_->storeFailures.Add({ { "call", call } }).Increment();
--- a/src/zinniadoor/gateway/gateway_settings.cpp
+++ b/src/zinniadoor/gateway/gateway_settings.cpp
@@ -14,6 +14,11 @@
 
 using base::YamlReader;
 
+/// Range of `memory.limit`.
+constexpr std::int64_t MinMemoryMb = 16;
+constexpr std::int64_t MaxMemoryMb = 1024 * 1024;
+constexpr std::int64_t BytesPerMb = 1000 * 1000;
+
 // The filled template quotes its texts, so a field that is missing leaves an empty one.
 std::string readText(YamlReader &reader, const char *key)
 {
@@ -82,6 +87,9 @@
             = retries.durationOr("window", absl::Seconds(1), absl::Hours(1), absl::Seconds(10));
         YamlReader quota = root->mapping("quota", false);
         settings.quotaSlack = quota.numberOr("slack_tokens", 0, 1e12, 0);
+        YamlReader memory = root->mapping("memory", false);
+        settings.memoryBytes = static_cast<std::size_t>(
+            memory.integerOr("limit", MinMemoryMb, MaxMemoryMb, 0) * BytesPerMb);
         YamlReader fleet = root->mapping("fleet", false);
         const serving::FleetPolicy usual;
         settings.fleet.regularShare = fleet.numberOr("regular_share", 0, 1, usual.regularShare);
--- a/src/zinniadoor/net/http_server.cpp
+++ b/src/zinniadoor/net/http_server.cpp
@@ -1,5 +1,6 @@
 #include "zinniadoor/net/http_server.hpp"
 
+#include <algorithm>
 #include <vector>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -27,12 +28,14 @@
 class Server : public HttpServer, public ConnectionHost, public std::enable_shared_from_this<Server>
 {
 public:
-    Server(boost::asio::io_context &context, const ServerLimits &limits, RequestHandler &handler)
+    Server(boost::asio::io_context &context, const ServerLimits &limits, RequestHandler &handler,
+           InboundBytes *inbound)
         : acceptor_(context)
         , acceptRetryTimer_(context)
         , stallTimer_(context)
         , limits_(limits)
         , handler_(&handler)
+        , inbound_(inbound)
     { }
 
     base::Status listen(const std::string &address)
@@ -107,13 +110,37 @@
                 self->scheduleAccept();
                 return;
             }
-            auto connection = std::make_shared<ServerConnection>(std::move(socket), weak);
-            self->connections_[connection.get()] = connection;
-            connection->start();
+            if (self->makeRoom()) {
+                auto connection
+                    = std::make_shared<ServerConnection>(std::move(socket), weak, self->inbound_);
+                self->connections_[connection.get()] = connection;
+                connection->start();
+            }
             self->accept();
         });
     }
 
+    /// Whether there may be another connection; closes an idle one for it.
+    bool makeRoom()
+    {
+        if (limits_.maxConnections == 0 || connections_.size() < limits_.maxConnections)
+            return true;
+        const auto found
+            = std::find_if(connections_.begin(), connections_.end(), [](const auto &entry) {
+                  return entry.second->isIdle() && !entry.second->hasRequest();
+              });
+        const bool hasIdle = found != connections_.end();
+        if (inbound_) {
+            inbound_->noteRefusal(hasIdle ? InboundRefusal::IdleConnection
+                                          : InboundRefusal::Connection);
+        }
+        if (hasIdle) {
+            const auto idle = found->second;
+            idle->close();
+        }
+        return hasIdle;
+    }
+
     void checkForStalls()
     {
         const std::weak_ptr<Server> weak = weak_from_this();
@@ -147,6 +174,7 @@
     boost::asio::steady_timer stallTimer_;
     ServerLimits limits_;
     RequestHandler *handler_;
+    InboundBytes *inbound_;
     bool draining_ = false;
     absl::flat_hash_map<ServerConnection *, std::shared_ptr<ServerConnection>> connections_;
 };
@@ -171,12 +199,11 @@
 
 } // namespace
 
-base::Outcome<std::unique_ptr<HttpServer>> listenHttp(boost::asio::io_context &context,
-                                                      const std::string &address,
-                                                      const ServerLimits &limits,
-                                                      RequestHandler &handler)
+base::Outcome<std::unique_ptr<HttpServer>>
+listenHttp(boost::asio::io_context &context, const std::string &address, const ServerLimits &limits,
+           RequestHandler &handler, InboundBytes *inbound)
 {
-    auto server = std::make_shared<Server>(context, limits, handler);
+    auto server = std::make_shared<Server>(context, limits, handler, inbound);
     const base::Status listening = server->listen(address);
     if (!listening)
         return listening.lastReason();
--- a/src/zinniadoor/net/message_reader.hpp
+++ b/src/zinniadoor/net/message_reader.hpp
@@ -89,6 +89,7 @@
     void begin(const MessageLimits &limits)
     {
         error_ = {};
+        stopped_ = false;
         buffer_.max_size(limits.maxHeadBytes + MaxReadBytes);
         parser_.emplace();
         parser_->header_limit(static_cast<std::uint32_t>(
@@ -136,6 +137,26 @@
         read(Goal::SomeBody, std::move(handler));
     }
 
+    /// Reads until there are `bytes` bytes of the body or the message is complete.
+    template <typename Handler>
+    void readBodyUpTo(std::size_t bytes, Handler handler)
+    {
+        bodyTarget_ = bytes;
+        read(Goal::BodyUpToTarget, std::move(handler));
+    }
+
+    /// Allocates memory for a body of `bytes` bytes at once: growth by doubling would take up to
+    /// three times the size while a part is copied.
+    void reserveBody(std::size_t bytes) { parser_->get().body().reserve(bytes); }
+
+    /// Frees the body and reads no further: a read in progress ends with an error.
+    void stop()
+    {
+        stopped_ = true;
+        if (parser_)
+            std::string().swap(parser_->get().body());
+    }
+
     /// Reads the rest of the message.
     template <typename Handler>
     void readMessage(Handler handler)
@@ -144,7 +165,7 @@
     }
 
 private:
-    enum class Goal : std::uint8_t { Head, SomeBody, Message };
+    enum class Goal : std::uint8_t { Head, SomeBody, BodyUpToTarget, Message };
 
     /// Bytes of one read. It grows while the reads are full, as for long bodies.
     static constexpr std::size_t MinReadBytes = 512;
@@ -180,6 +201,10 @@
             space,
             [this, goal, size, handler = std::move(handler)](ErrorCode error,
                                                              std::size_t received) mutable {
+                if (stopped_) {
+                    handler(ErrorCode(boost::asio::error::operation_aborted));
+                    return;
+                }
                 if (!error) {
                     buffer_.commit(received);
                     if (received == size)
@@ -224,6 +249,8 @@
     {
         if (goal == Goal::Head)
             return parser_->is_header_done();
+        if (goal == Goal::BodyUpToTarget && parser_->get().body().size() >= bodyTarget_)
+            return true;
         return parser_->is_done() || (goal == Goal::SomeBody && !parser_->get().body().empty());
     }
 
@@ -244,6 +271,8 @@
     std::optional<Parser> parser_;
     ErrorCode error_; ///< Of the message; reported after its body bytes.
     std::size_t readBytes_ = MinReadBytes;
+    std::size_t bodyTarget_ = 0;
+    bool stopped_ = false;
 };
 
 } // namespace zinniadoor::net
--- a/src/zinniadoor/net/server_connection.cpp
+++ b/src/zinniadoor/net/server_connection.cpp
@@ -110,10 +110,12 @@
 
 } // namespace
 
-ServerConnection::ServerConnection(tcp::socket socket, std::weak_ptr<ConnectionHost> host)
+ServerConnection::ServerConnection(tcp::socket socket, std::weak_ptr<ConnectionHost> host,
+                                   InboundBytes *inbound)
     : socket_(std::move(socket))
     , timer_(socket_.get_executor())
     , reader_(socket_)
+    , inbound_(inbound)
     , host_(std::move(host))
 { }
 
@@ -139,7 +141,9 @@
         if (error || self->closed_ || self->awaitingResponse_
             || std::chrono::steady_clock::now() < self->timer_.expiry())
             return;
-        if (self->requestStarted_)
+        if (self->inbound_.isWaiting())
+            self->refuseForMemory(InboundRefusal::NoRoom);
+        else if (self->requestStarted_)
             self->reject(boost::beast::error::timeout);
         else
             self->onIdleTimeout();
@@ -229,10 +233,60 @@
     readBody();
 }
 
+// Reads no byte of the body for which there is no room: the client has to wait.
 void ServerConnection::readBody()
 {
     auto self = shared_from_this();
-    reader_.readMessage([self](ErrorCode error) { self->onBodyRead(error); });
+    if (!inbound_.hasOwner() || reader_.parser()->is_done())
+        reader_.readMessage([self](ErrorCode error) { self->onBodyRead(error); });
+    else if (reserveBody())
+        reader_.readBodyUpTo(bodyTarget_, [self](ErrorCode error) { self->onBodyRead(error); });
+}
+
+bool ServerConnection::reserveBody()
+{
+    const auto host = host_.lock();
+    if (!host)
+        return true; // Ends with the server.
+    const auto length = reader_.parser()->content_length();
+    bodyTarget_ = length ? static_cast<std::size_t>(*length)
+                         : InboundBody::nextTarget(reader_.parser()->get().body().size(),
+                                                   host->limits().maxBodyBytes);
+    const std::weak_ptr<ServerConnection> weak = weak_from_this();
+    const auto actions = [weak] {
+        const auto call = [weak](void (*action)(ServerConnection &)) {
+            const auto self = weak.lock();
+            if (self && !self->closed_)
+                action(*self);
+        };
+        return InboundActions {
+            [call] { call([](ServerConnection &self) { self.readBody(); }); },
+            [call] {
+                call([](ServerConnection &self) { self.refuseForMemory(InboundRefusal::Memory); });
+            },
+            [weak] {
+                const auto self = weak.lock();
+                const auto *parser = self ? self->reader_.parser() : nullptr;
+                return parser ? parser->get().body().size() : 0;
+            },
+        };
+    };
+    if (!inbound_.reserve(bodyTarget_, actions))
+        return false;
+    reader_.reserveBody(bodyTarget_);
+    return true;
+}
+
+// A body that is not whole has not reached the handler: the request was not run.
+void ServerConnection::refuseForMemory(InboundRefusal refusal)
+{
+    if (awaitingResponse_ || rejected_)
+        return;
+    inbound_.noteRefusal(refusal);
+    Response answer = textResponse(http::status::service_unavailable,
+                                   "there is no memory for the body of the request");
+    answer.set(http::field::retry_after, "1");
+    rejectWith(std::move(answer));
 }
 
 void ServerConnection::onBodyRead(ErrorCode error)
@@ -243,6 +297,11 @@
         reject(error);
         return;
     }
+    if (!reader_.parser()->is_done()) {
+        readBody();
+        return;
+    }
+    inbound_.noteComplete();
     const auto host = host_.lock();
     if (!host || !host->handler()) {
         close();
@@ -310,6 +369,8 @@
     keepAlive_ = false;
     awaitingResponse_ = true;
     rejected_ = true;
+    reader_.stop();
+    inbound_.reset();
     this->answer(number_, std::move(answer));
 }
 
@@ -478,6 +539,7 @@
     responseComplete_ = false;
     requestStarted_ = false;
     kept_.reset();
+    inbound_.reset();
     closedCallback_ = nullptr;
     drainedCallback_ = nullptr;
     if (!keepAlive_) {
@@ -546,6 +608,7 @@
     closedCallback_ = nullptr;
     drainedCallback_ = nullptr;
     kept_.reset();
+    inbound_.reset();
     if (const auto host = host_.lock())
         host->onClosed(this);
     if (closed)
--- a/src/zinniadoor/net/server_connection.hpp
+++ b/src/zinniadoor/net/server_connection.hpp
@@ -10,6 +10,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "inbound_body.hpp"
 #include "message_reader.hpp"
 #include "zinniadoor/net/http_server.hpp"
 
@@ -32,7 +33,8 @@
 class ServerConnection : public std::enable_shared_from_this<ServerConnection>
 {
 public:
-    ServerConnection(boost::asio::ip::tcp::socket socket, std::weak_ptr<ConnectionHost> host);
+    ServerConnection(boost::asio::ip::tcp::socket socket, std::weak_ptr<ConnectionHost> host,
+                     InboundBytes *inbound = nullptr);
 
     void start();
     void close();
@@ -46,6 +48,9 @@
     /// Whether a request has arrived, read or not, whose response is not complete.
     bool hasRequest();
 
+    /// Whether it waits for a request of which no byte has been read.
+    bool isIdle() const { return !requestStarted_ && !lingering_; }
+
     /// Called by the responder of request `number`; calls for earlier requests are ignored.
     void answer(std::uint64_t number, Response answer);
     void begin(std::uint64_t number, const ResponseHead &head);
@@ -63,6 +68,8 @@
     void readHead();
     void onHeadRead(boost::system::error_code error);
     void readBody();
+    bool reserveBody();
+    void refuseForMemory(InboundRefusal refusal);
     void onBodyRead(boost::system::error_code error);
     void handleRequest(RequestHandler &handler);
     void reject(boost::system::error_code error);
@@ -85,10 +92,12 @@
     boost::asio::ip::tcp::socket socket_;
     boost::asio::steady_timer timer_;
     MessageReader<true> reader_;
+    InboundBody inbound_;
     std::weak_ptr<ConnectionHost> host_;
     std::chrono::steady_clock::time_point idleSince_;
     std::deque<std::string> writeQueue_;
     std::size_t pendingBytes_ = 0;
+    std::size_t bodyTarget_ = 0; ///< Bytes of the body for which there is room.
     std::uint64_t number_ = 0; ///< Number of the current request on this connection.
     bool requestStarted_ = false;
     bool awaitingResponse_
--- a/tests/e2e/settings_template_test.cpp
+++ b/tests/e2e/settings_template_test.cpp
@@ -66,12 +66,11 @@
                        { "Cloud.Address", "127.0.0.1:8006" },
                        { "Bounds.UsageWindowS", "5" },
                        { "Bounds.UsageLateS", "10" } };
-    const Fields optional {
-        { "Bounds.ConfigApplyMs", "2000" },   { "Bounds.DrainMs", "2000" },
-        { "Bounds.LeaseMs", "3000" },         { "Bounds.GraceS", "8" },
-        { "Bounds.RetryBudgetRatio", "0.2" }, { "Bounds.BudgetSlack", "56" },
-        { "Bounds.BudgetWindowS", "10" },     { "Bounds.QuotaSlack", "190000" }
-    };
+    const Fields optional { { "Bounds.ConfigApplyMs", "2000" },   { "Bounds.DrainMs", "2000" },
+                            { "Bounds.LeaseMs", "3000" },         { "Bounds.GraceS", "8" },
+                            { "Bounds.RetryBudgetRatio", "0.2" }, { "Bounds.BudgetSlack", "56" },
+                            { "Bounds.BudgetWindowS", "10" },     { "Bounds.QuotaSlack", "190000" },
+                            { "Limits.MemoryMb", "112" } };
 };
 
 BOOST_FIXTURE_TEST_SUITE(SettingsTemplateTest, SettingsTemplateFixture)
