--- a/include/zinniadoor/gateway/gateway_metrics.hpp
+++ b/include/zinniadoor/gateway/gateway_metrics.hpp
@@ -22,6 +22,7 @@
     void countFailureReport(const char *effect); ///< Of an endpoint, sent or received.
     void countRetry();
     void countRetryWithoutBudget(); ///< Also counted as a retry.
+    void countInboundRefusal(const char *reason);
     void countStoreFailure(const char *call);
     void observeFirstByte(absl::Duration time);
     void observeDuration(absl::Duration time);
--- a/include/zinniadoor/gateway/gateway_settings.hpp
+++ b/include/zinniadoor/gateway/gateway_settings.hpp
@@ -35,6 +35,7 @@
     absl::Duration retryWindow;
     bool failureReports = true; ///< Failures of endpoints are reported to other instances.
     double quotaSlack = 0; ///< Tokens that all instances together may consume beyond a quota.
+    std::size_t memoryBytes = 0; ///< That the process may use; 0: what it can read itself.
     serving::FleetPolicy fleet;
     serving::StagePolicy stages;
     base::LogOptions log;
