Limit calls to cold endpoints; evacuate data centres; allowed regions

Cause: an endpoint that has just started crashes at the usual rate of calls, operators cannot take a data centre out of use, and routes and organisations cannot be limited to regions.

Runs after remote prefills are counted when they are sent and go to another engine if the chosen one has no room. Nothing changes without ColdPerS, evacuation records and AllowedRegions.

--- a/include/zinniadoor/base/events.hpp
+++ b/include/zinniadoor/base/events.hpp
@@ -71,6 +71,8 @@
     LogPartsDelayed = 755,
     LogRecordsRead = 756,
     QuotaReached = 757,
+    EndpointColdnessChanged = 770,
+    EvacuationsChanged = 771,
 };
 
 /// One row of the event table.
--- a/include/zinniadoor/base/yaml_reader.hpp
+++ b/include/zinniadoor/base/yaml_reader.hpp
@@ -49,6 +49,9 @@
 
     bool has(const char *key) const;
 
+    /// All keys of this mapping, in order.
+    std::vector<std::string> keys() const;
+
     /// Required keys. A missing key or an empty value is a fault; the result is then `low`, or
     /// empty or false for types without a range.
     std::string string(const char *key);
--- a/include/zinniadoor/gateway/configuration.hpp
+++ b/include/zinniadoor/gateway/configuration.hpp
@@ -11,6 +11,7 @@
 #include "absl/time/time.h"
 
 #include "zinniadoor/base/ids.hpp"
+#include "zinniadoor/serving/cold_endpoints.hpp"
 
 namespace zinniadoor::gateway {
 
@@ -46,6 +47,7 @@
     int priority = 0; ///< 0 is the most urgent.
     std::uint32_t maxEndpoints = 1; ///< Limit of endpoints that may execute one request.
     std::vector<WeightedService> services;
+    std::vector<std::string> allowedRegions; ///< Of the endpoints; empty: all.
 };
 
 enum class QuotaUnit : std::uint8_t { Requests, Tokens };
@@ -59,6 +61,7 @@
     std::uint32_t defaultRequestTokens = 1; ///< Charged when a request has no token count.
     double ratePerSecond = 0; ///< In `unit`; 0 disables the limit.
     double burst = 0;
+    std::vector<std::string> allowedRegions; ///< Of the endpoints; empty: all.
 };
 
 /// Properties shared by all engines of a service.
@@ -85,6 +88,7 @@
     std::string name;
     std::string healthPath;
     std::uint32_t maxConnections = 0; ///< To one endpoint, over all instances.
+    serving::ColdTraits cold;
     std::optional<EngineTraits> engine;
     std::optional<ScalingTraits> scaling;
 };
--- a/include/zinniadoor/gateway/dialects.hpp
+++ b/include/zinniadoor/gateway/dialects.hpp
@@ -85,6 +85,9 @@
     /// Requests per second that the endpoint accepts from all instances together, for as long as
     /// its answers say so.
     std::optional<double> limit;
+
+    /// For how long the endpoint stays cold; not positive: warm; empty: not stated.
+    std::optional<absl::Duration> coldLeft;
 };
 
 /// Translates between the gateway's types and HTTP messages of endpoints.
--- a/include/zinniadoor/gateway/endpoint_directory.hpp
+++ b/include/zinniadoor/gateway/endpoint_directory.hpp
@@ -4,10 +4,13 @@
 #include <string>
 #include <vector>
 
+#include "absl/container/btree_set.h"
 #include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
 
+#include "zinniadoor/gateway/allowed_regions.hpp"
 #include "zinniadoor/gateway/endpoint_record.hpp"
+#include "zinniadoor/serving/cold_endpoints.hpp"
 #include "zinniadoor/serving/endpoint_limits.hpp"
 
 namespace zinniadoor::gateway {
@@ -40,10 +43,12 @@
     /// The endpoint whose id has this digest; null if there is none.
     const base::EndpointId *findByDigest(std::uint64_t digest) const;
 
-    /// Endpoints of a service that may be called within their limits, except `excluded`, if set;
-    /// suspected and paused ones only if there are no others.
+    /// Endpoints of a service that may be called within their limits, except `excluded`, if set,
+    /// and those outside of `regions`, if set; suspected and paused ones only if there are no
+    /// others.
     std::vector<const EndpointRecord *> usable(const std::string &service, absl::Time now,
-                                               const base::EndpointId *excluded = nullptr) const;
+                                               const base::EndpointId *excluded = nullptr,
+                                               const AllowedRegions *regions = nullptr) const;
     bool isUsable(const base::EndpointId &id, absl::Time now) const;
 
     /// Whether recent calls to the endpoint failed; rejected requests do not count.
@@ -60,12 +65,25 @@
     serving::EndpointLimits &limits() { return limits_; }
     const serving::EndpointLimits &limits() const { return limits_; }
 
+    /// The endpoints that tolerate few calls since they are cold.
+    serving::ColdEndpoints &cold() { return cold_; }
+    const serving::ColdEndpoints &cold() const { return cold_; }
+
+    /// Nothing may be sent to endpoints of these data centres. Those of data centres that are no
+    /// longer in the set count as cold.
+    void setEvacuated(const absl::btree_set<base::DataCentreId> &dataCentres, absl::Time now);
+    bool isEvacuated(const base::DataCentreId &dataCentre) const
+    {
+        return evacuated_.contains(dataCentre);
+    }
+
     /// Whether the endpoint accepts work, now or after its back-off.
     bool acceptsWork(const base::EndpointId &id) const;
 
     /// Earliest time at which an endpoint of the service may be called; nothing if none accepts
     /// work.
-    std::optional<absl::Time> availableFrom(const std::string &service, absl::Time now) const;
+    std::optional<absl::Time> availableFrom(const std::string &service, absl::Time now,
+                                            const AllowedRegions *regions = nullptr) const;
 
     std::vector<const EndpointRecord *> all() const;
     bool empty() const { return entries_.empty(); }
@@ -112,18 +130,20 @@
     {
         return now < entry.suspectedUntil || now < entry.pausedUntil;
     }
-    static bool acceptsWork(const Entry &entry)
+    bool acceptsWork(const Entry &entry) const
     {
         return !entry.record.leaving && !entry.reportedLeaving
-            && entry.replacedAt == absl::InfiniteFuture();
+            && entry.replacedAt == absl::InfiniteFuture() && !isEvacuated(entry.record.dataCentre);
     }
-    static bool mayCall(const Entry &entry, absl::Time now)
+    bool mayCall(const Entry &entry, absl::Time now) const
     {
         return acceptsWork(entry) && now >= entry.backOffUntil;
     }
 
     DirectoryOptions options_;
     serving::EndpointLimits limits_;
+    serving::ColdEndpoints cold_;
+    absl::btree_set<base::DataCentreId> evacuated_;
     absl::flat_hash_map<base::EndpointId, Entry> entries_;
     absl::flat_hash_map<std::uint64_t, base::EndpointId> byDigest_;
 };
--- a/include/zinniadoor/gateway/endpoint_feed.hpp
+++ b/include/zinniadoor/gateway/endpoint_feed.hpp
@@ -39,6 +39,9 @@
 
 private:
     Change set(const KeyedRecord &record, absl::Time now);
+
+    /// Returns whether the endpoint has become cold or warm.
+    bool noteColdness(const EndpointRecord &record, bool started, absl::Time now);
     bool remove(const base::EndpointId &id, absl::Time now);
     bool removeNow(const base::EndpointId &id, absl::Time now);
 
@@ -65,6 +68,7 @@
     absl::Time lastCurrent_ = absl::InfiniteFuture();
     absl::Time graceUntil_ = absl::InfinitePast(); ///< Removals are deferred until then.
     bool failing_ = false;
+    bool firstListing_ = true; ///< Endpoints listed first have not just started.
 };
 
 } // namespace zinniadoor::gateway
--- a/include/zinniadoor/gateway/endpoint_record.hpp
+++ b/include/zinniadoor/gateway/endpoint_record.hpp
@@ -32,13 +32,15 @@
     bool leaving = false; ///< Shutting down; accepts no new work.
     bool reclaimable = false; ///< Spot capacity: may be revoked at short notice.
     std::optional<absl::Duration> timeLeft; ///< Until a leaving endpoint stops, if known.
+    std::optional<absl::Duration> coldLeft; ///< Not positive: warm; empty: not stated.
     std::uint64_t startTimeMs = 0; ///< Process start, Unix milliseconds; 0 if unknown.
 };
 
 /// Stable digest that identifies an endpoint in messages between instances.
 std::uint64_t digestOf(const base::EndpointId &endpoint);
 
-/// Compares all fields but `id` and `timeLeft`.
-bool equalExceptTimeLeft(const EndpointRecord &a, const EndpointRecord &b);
+/// Compares all fields but `id` and `timeLeft`; of `coldLeft`, whether `after` states coldness or
+/// warmth that `before` does not imply.
+bool equalExceptTimeLeft(const EndpointRecord &before, const EndpointRecord &after);
 
 } // namespace zinniadoor::gateway
--- a/include/zinniadoor/gateway/gateway_metrics.hpp
+++ b/include/zinniadoor/gateway/gateway_metrics.hpp
@@ -27,6 +27,8 @@
     void setReady(bool ready);
     void setConfigurationVersion(std::uint64_t version);
     void setEndpoints(std::size_t count);
+    void setColdEndpoints(std::size_t count);
+    void setEvacuations(std::size_t dataCentres);
     void setDroppedLogLines(std::uint64_t count);
 
     /// Exposition text for a scrape.
--- a/include/zinniadoor/gateway/gateway_settings.hpp
+++ b/include/zinniadoor/gateway/gateway_settings.hpp
@@ -8,6 +8,8 @@
 #include "zinniadoor/base/events.hpp"
 #include "zinniadoor/base/ids.hpp"
 #include "zinniadoor/base/outcome.hpp"
+#include "zinniadoor/gateway/allowed_regions.hpp"
+#include "zinniadoor/serving/cold_endpoints.hpp"
 #include "zinniadoor/serving/fleet_plan.hpp"
 #include "zinniadoor/serving/stage_plan.hpp"
 
@@ -34,6 +36,8 @@
     double retrySlack = 0;
     absl::Duration retryWindow;
     double quotaSlack = 0; ///< Tokens that all instances together may consume beyond a quota.
+    RegionTable regions;
+    serving::ColdBounds cold;
     serving::FleetPolicy fleet;
     serving::StagePolicy stages;
     base::LogOptions log;
--- a/include/zinniadoor/gateway/platform_ports.hpp
+++ b/include/zinniadoor/gateway/platform_ports.hpp
@@ -92,6 +92,13 @@
 
     /// Key of the configuration in its log.
     virtual std::string configurationKey() const = 0;
+
+    /// The data centre that a record of the configuration log with this key evacuates; nothing if
+    /// it is another record.
+    virtual std::optional<base::DataCentreId> evacuatedDataCentre(const std::string &) const
+    {
+        return std::nullopt;
+    }
     virtual base::Outcome<Configuration::Parts> configuration(const std::string &value) const = 0;
     virtual base::Outcome<EndpointRecord> endpoint(const std::string &key,
                                                    const std::string &value) const = 0;
--- a/include/zinniadoor/gateway/serving_context.hpp
+++ b/include/zinniadoor/gateway/serving_context.hpp
@@ -82,6 +82,7 @@
     UsageWindowCounter usage;
     ClusterTime trueTime;
     SpeedEstimate speeds;
+    RegionTable regions {};
     ExchangeRegistry exchanges {};
     CrashCheck *crashCheck = nullptr; ///< Null: each broken connection counts as a crash.
     std::shared_ptr<serving::HeldAnswers> heldAnswers
--- a/include/zinniadoor/serving/stage_plan.hpp
+++ b/include/zinniadoor/serving/stage_plan.hpp
@@ -21,6 +21,10 @@
     double minDecodeShare = 0.25; ///< Of all engines; the others are prefill engines.
     double maxDecodeShare = 0.65;
 
+    /// In place of `minDecodeShare` for services with cold endpoints: a decode engine whose usual
+    /// rate is low tolerates it for the seconds until instances learn that it is cold.
+    double minDecodeShareIfCold = 0.4;
+
     /// Target number of decode slots per engine of the service.
     double decodeSlotsPerEngine = 8;
     std::uint32_t minDecodeEnginesPerDataCentre = 2; ///< As far as there are engines.
--- a/src/zinniadoor/base/events.cpp
+++ b/src/zinniadoor/base/events.cpp
@@ -278,6 +278,10 @@
           "This instance read records of a log, and why it did." },
         { EventId::QuotaReached, EventLevel::Info, "quota_reached",
           "An organisation reached its quota; the fields show this instance's view of it." },
+        { EventId::EndpointColdnessChanged, EventLevel::Info, "endpoint_coldness_changed",
+          "An endpoint became cold, so that it gets few calls, or warm again." },
+        { EventId::EvacuationsChanged, EventLevel::Warning, "evacuations_changed",
+          "The data centres whose endpoints may not be called changed." },
     };
     return table;
 }
--- a/src/zinniadoor/base/yaml_reader.cpp
+++ b/src/zinniadoor/base/yaml_reader.cpp
@@ -157,6 +157,18 @@
     return !Impl::isAbsent(impl_->find(key));
 }
 
+std::vector<std::string> YamlReader::keys() const
+{
+    std::vector<std::string> keys;
+    if (!impl_->node.IsDefined() || !impl_->node.IsMap())
+        return keys;
+    for (const auto &pair : impl_->node) {
+        if (pair.first.IsScalar())
+            keys.push_back(pair.first.Scalar());
+    }
+    return keys;
+}
+
 std::string YamlReader::string(const char *key)
 {
     return impl_->scalar<std::string>(key, true, "a string").value_or("");
--- a/src/zinniadoor/gateway/endpoint_choice.cpp
+++ b/src/zinniadoor/gateway/endpoint_choice.cpp
@@ -38,7 +38,7 @@
     double bestLoad = 0;
     for (const bool allowTried : { false, true }) {
         for (const EndpointRecord *endpoint :
-             context.directory.usable(facts.service, now, facts.excluded)) {
+             context.directory.usable(facts.service, now, facts.excluded, facts.regions)) {
             if (!allowTried && contains(*facts.tried, endpoint->id))
                 continue;
             const double load = static_cast<double>(context.load.load(endpoint->id, now).requests)
@@ -84,6 +84,8 @@
                 return false;
             if (facts.excluded && *facts.excluded == engine.id)
                 return false;
+            if (facts.regions && !facts.regions->allows(engine.dataCentre))
+                return false;
             if (!context.directory.hasRoom(engine.id, now))
                 return false;
             if (eligibility == Eligibility::Any)
--- a/src/zinniadoor/gateway/endpoint_choice.hpp
+++ b/src/zinniadoor/gateway/endpoint_choice.hpp
@@ -28,6 +28,7 @@
     std::size_t rank = 0; ///< Priority of the route.
     bool localPrefill = false; ///< Rules out a remote prefill.
     const std::vector<base::EndpointId> *tried = nullptr; ///< Endpoints of earlier attempts.
+    const AllowedRegions *regions = nullptr; ///< Also of the sources of copies.
     const base::EndpointId *excluded = nullptr; ///< Never chosen, even if there is no other.
 };
 
--- a/src/zinniadoor/gateway/endpoint_directory.cpp
+++ b/src/zinniadoor/gateway/endpoint_directory.cpp
@@ -12,6 +12,17 @@
 /// Records published before an endpoint was found to be replaced may arrive for this long.
 constexpr absl::Duration DirectoryLag = absl::Seconds(3);
 
+/// A remaining time that shrinks continues the same cold period.
+bool impliesColdness(const std::optional<absl::Duration> &before,
+                     const std::optional<absl::Duration> &after)
+{
+    if (!before || !after)
+        return before.has_value() == after.has_value();
+    const bool wasCold = *before > absl::ZeroDuration();
+    const bool isCold = *after > absl::ZeroDuration();
+    return wasCold == isCold && (!isCold || *after < *before);
+}
+
 } // namespace
 
 std::uint64_t digestOf(const base::EndpointId &endpoint)
@@ -19,11 +30,13 @@
     return serving::stableDigest(endpoint.str());
 }
 
-bool equalExceptTimeLeft(const EndpointRecord &a, const EndpointRecord &b)
+bool equalExceptTimeLeft(const EndpointRecord &before, const EndpointRecord &after)
 {
-    return a.service == b.service && a.address == b.address && a.dataCentre == b.dataCentre
-        && a.slots == b.slots && a.stage == b.stage && a.leaving == b.leaving
-        && a.reclaimable == b.reclaimable && a.startTimeMs == b.startTimeMs;
+    return before.service == after.service && before.address == after.address
+        && before.dataCentre == after.dataCentre && before.slots == after.slots
+        && before.stage == after.stage && before.leaving == after.leaving
+        && before.reclaimable == after.reclaimable && before.startTimeMs == after.startTimeMs
+        && impliesColdness(before.coldLeft, after.coldLeft);
 }
 
 const char *nameOf(Stage stage)
@@ -60,6 +73,8 @@
         entry = Entry {};
         limits_.forget(record.id);
     }
+    if (restarted)
+        cold_.forget(record.id);
     entry.record = record;
     return true;
 }
@@ -67,6 +82,7 @@
 bool EndpointDirectory::remove(const base::EndpointId &id)
 {
     byDigest_.erase(digestOf(id));
+    cold_.forget(id);
     return entries_.erase(id) > 0;
 }
 
@@ -82,15 +98,18 @@
     return found == entries_.end() ? nullptr : &found->second.record;
 }
 
-std::vector<const EndpointRecord *>
-EndpointDirectory::usable(const std::string &service, absl::Time now,
-                          const base::EndpointId *excluded) const
+std::vector<const EndpointRecord *> EndpointDirectory::usable(const std::string &service,
+                                                              absl::Time now,
+                                                              const base::EndpointId *excluded,
+                                                              const AllowedRegions *regions) const
 {
     std::vector<const EndpointRecord *> preferred;
     std::vector<const EndpointRecord *> avoided;
     for (const auto &[id, entry] : entries_) {
         if (entry.record.service != service || !mayCall(entry, now) || !limits_.mayCall(id, now))
             continue;
+        if (!cold_.mayCall(id, now) || (regions && !regions->allows(entry.record.dataCentre)))
+            continue;
         if (excluded && *excluded == id)
             continue;
         (isAvoided(entry, now) ? avoided : preferred).push_back(&entry.record);
@@ -106,7 +125,7 @@
 
 bool EndpointDirectory::hasRoom(const base::EndpointId &id, absl::Time now) const
 {
-    return mayCall(id, now) && limits_.mayCall(id, now);
+    return mayCall(id, now) && limits_.mayCall(id, now) && cold_.mayCall(id, now);
 }
 
 bool EndpointDirectory::isSuspected(const base::EndpointId &id, absl::Time now) const
@@ -128,18 +147,32 @@
 }
 
 std::optional<absl::Time> EndpointDirectory::availableFrom(const std::string &service,
-                                                           absl::Time now) const
+                                                           absl::Time now,
+                                                           const AllowedRegions *regions) const
 {
     std::optional<absl::Time> first;
     for (const auto &[id, entry] : entries_) {
         if (entry.record.service != service || !acceptsWork(entry))
             continue;
-        const absl::Time from = std::max(entry.backOffUntil, limits_.availableFrom(id, now));
+        if (regions && !regions->allows(entry.record.dataCentre))
+            continue;
+        const absl::Time from = std::max(
+            { entry.backOffUntil, limits_.availableFrom(id, now), cold_.availableFrom(id, now) });
         first = std::min(first.value_or(from), from);
     }
     return first;
 }
 
+void EndpointDirectory::setEvacuated(const absl::btree_set<base::DataCentreId> &dataCentres,
+                                     absl::Time now)
+{
+    for (const auto &[id, entry] : entries_) {
+        if (isEvacuated(entry.record.dataCentre) && !dataCentres.contains(entry.record.dataCentre))
+            cold_.noteReturned(id, entry.record.service, now);
+    }
+    evacuated_ = dataCentres;
+}
+
 std::vector<const EndpointRecord *> EndpointDirectory::all() const
 {
     std::vector<const EndpointRecord *> records;
--- a/src/zinniadoor/gateway/endpoint_feed.cpp
+++ b/src/zinniadoor/gateway/endpoint_feed.cpp
@@ -58,6 +58,7 @@
     }
     for (const base::EndpointId &id : missing)
         changed |= remove(id, now);
+    firstListing_ = false;
     return changed;
 }
 
@@ -87,7 +88,35 @@
     const auto [before, isNew] = listed_.try_emplace(record.key, *decoded);
     const bool changed = isNew || !equalExceptTimeLeft(before->second, *decoded);
     before->second = *decoded;
-    return { directory_.set(*decoded, now), changed };
+    const EndpointRecord *known = directory_.find(decoded->id);
+    const bool started = known ? known->startTimeMs != decoded->startTimeMs : !firstListing_;
+    const bool directoryChanged = directory_.set(*decoded, now);
+    // An endpoint that is warm again is relayed, since its earlier records may have said the same.
+    const bool coldnessChanged = noteColdness(*decoded, started, now);
+    const bool repeated = decoded->coldLeft && directory_.cold().isSettling(decoded->id, now);
+    return { directoryChanged, changed || coldnessChanged || repeated };
+}
+
+bool EndpointFeed::noteColdness(const EndpointRecord &record, bool started, absl::Time now)
+{
+    serving::ColdEndpoints &cold = directory_.cold();
+    const bool wasCold = cold.isCold(record.id, now);
+    const bool statesWarm = record.coldLeft && *record.coldLeft <= absl::ZeroDuration();
+    if (started && !statesWarm)
+        cold.noteStarted(record.id, record.service, now);
+    if (record.coldLeft)
+        cold.noteRecord(record.id, record.service, *record.coldLeft, now);
+    const bool isCold = cold.isCold(record.id, now);
+    if (wasCold == isCold)
+        return false;
+    base::logEvent(
+        base::EventId::EndpointColdnessChanged,
+        { { "endpoint", record.id.str() },
+          { "cold", isCold ? "yes" : "no" },
+          { "source", started ? "start" : "record" },
+          { "for_ms",
+            record.coldLeft ? std::to_string(absl::ToInt64Milliseconds(*record.coldLeft)) : "" } });
+    return true;
 }
 
 bool EndpointFeed::remove(const base::EndpointId &id, absl::Time now)
--- a/src/zinniadoor/gateway/endpoint_status.cpp
+++ b/src/zinniadoor/gateway/endpoint_status.cpp
@@ -29,6 +29,16 @@
                        { { "endpoint", called.str() },
                          { "per_second", facts.limit ? std::to_string(*facts.limit) : "" } });
     }
+    const EndpointRecord *record = context.directory.find(called);
+    if (facts.coldLeft && record
+        && context.directory.cold().noteAnswer(called, record->service, *facts.coldLeft, now)) {
+        base::logEvent(
+            base::EventId::EndpointColdnessChanged,
+            { { "endpoint", called.str() },
+              { "cold", *facts.coldLeft > absl::ZeroDuration() ? "yes" : "no" },
+              { "source", "answer" },
+              { "for_ms", std::to_string(absl::ToInt64Milliseconds(*facts.coldLeft)) } });
+    }
     if (facts.leaving && context.directory.noteLeaving(called)) {
         base::logEvent(base::EventId::EndpointLeaving, { { "endpoint", called.str() } });
         context.updates.announcePause(called, LeavingAdvice);
--- a/src/zinniadoor/gateway/exchange.cpp
+++ b/src/zinniadoor/gateway/exchange.cpp
@@ -59,13 +59,14 @@
     facts.rank = rank();
     facts.localPrefill = remotePrefillFailed_ || lastEventId_.has_value();
     facts.tried = &tried_;
+    facts.regions = &regions_;
     return facts;
 }
 
 void Exchange::refuseWithoutEndpoint()
 {
     const absl::Time now = context_.clock.now();
-    const auto from = context_.directory.availableFrom(service_, now);
+    const auto from = context_.directory.availableFrom(service_, now, &regions_);
     if (from && *from > now && *from < absl::InfiniteFuture())
         refuseWithExactRetryAfter(RefusalKind::NotRun, "all_resting", *from - now);
     else
@@ -98,6 +99,7 @@
         context_.directory.limits().noteCall(prefillEngine_.id, now);
     context_.directory.limits().noteCall(servingEndpoint_.id, now);
     const base::EndpointId &executor = prefillEngine ? prefillEngine_.id : servingEndpoint_.id;
+    context_.directory.cold().noteCall(executor, now);
     queuedTokens_ = context_.load.load(executor, now).tokensAhead(rank());
     noteDispatched(choice, servingEndpoint_, executor);
     armSilenceTimer(firstByteTimeout());
@@ -165,10 +167,19 @@
     prefilledBefore_ = true;
     if (refuseIfHarmful())
         return;
+    if (context_.directory.isEvacuated(prefillEngine_.dataCentre)) { // No source of copies.
+        prompt_.reset();
+        CallOutcome outcome;
+        outcome.endpointAtFault = false;
+        outcome.reason = "evacuated";
+        onPrefillFailed(outcome);
+        return;
+    }
     // The decode engine may have moved, changed its stage or left since it was chosen.
     const EndpointRecord *chosen = context_.directory.find(servingEndpoint_.id);
     if (chosen && chosen->service == service_ && chosen->stage != Stage::Prefill
-        && context_.directory.mayCall(chosen->id, now)) {
+        && context_.directory.mayCall(chosen->id, now)
+        && context_.directory.cold().mayCall(chosen->id, now)) {
         servingEndpoint_ = *chosen;
     } else { // Fails over to another one.
         ChoiceFacts facts;
@@ -177,6 +188,7 @@
         facts.carriesPrompt = true;
         facts.localPrefill = true;
         facts.tried = &tried_;
+        facts.regions = &regions_;
         const auto choice = chooseEndpoint(context_, facts, now);
         const EndpointRecord *other = choice ? context_.directory.find(choice->endpoint) : nullptr;
         if (!other) {
@@ -188,6 +200,7 @@
         servingLoad_ = LoadReservation(context_.load, servingEndpoint_.id,
                                        serving::EngineLoad::ofRequest(0, rank()));
     }
+    context_.directory.cold().noteCall(servingEndpoint_.id, now);
     run();
     // The time of the prefill is not the decode engine's silence.
     armSilenceTimer(std::max(silenceTimeout(), firstByteTimeout() - *prefillTime_));
--- a/src/zinniadoor/gateway/exchange_admission.cpp
+++ b/src/zinniadoor/gateway/exchange_admission.cpp
@@ -107,6 +107,7 @@
     deadline_ = arrivedAt_ + longest;
     if (!authenticate(*configuration_))
         return false;
+    regions_ = AllowedRegions(route_, organisation_, context_.regions);
     if (service_.empty()) {
         refuse(RefusalKind::NotRun, "no_service", DefaultRetryAfter);
         return false;
--- a/src/zinniadoor/gateway/exchange_standby.cpp
+++ b/src/zinniadoor/gateway/exchange_standby.cpp
@@ -30,6 +30,7 @@
     context_.metrics.countRetry();
     ++attempts_;
     context_.directory.limits().noteCall(endpoint->id, now);
+    context_.directory.cold().noteCall(endpoint->id, now);
     noteDispatched(*choice, *endpoint, endpoint->id);
     Standby &standby = standby_.emplace();
     standby.attempt = attempts_;
--- a/src/zinniadoor/gateway/exchange_state.hpp
+++ b/src/zinniadoor/gateway/exchange_state.hpp
@@ -213,6 +213,7 @@
     RequestFacts facts_;
     Route route_;
     std::string service_;
+    AllowedRegions regions_;
     const Organisation *organisation_ = nullptr; ///< In `configuration_`.
     std::vector<serving::KeyedSegment> parts_;
     std::vector<serving::PartKey> sharedParts_;
--- a/src/zinniadoor/gateway/gateway.cpp
+++ b/src/zinniadoor/gateway/gateway.cpp
@@ -3,10 +3,12 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
 
 #include "zinniadoor/base/events.hpp"
 #include "zinniadoor/gateway/endpoint_feed.hpp"
 #include "zinniadoor/gateway/engine_list.hpp"
+#include "zinniadoor/gateway/evacuations.hpp"
 #include "zinniadoor/gateway/exchange.hpp"
 #include "zinniadoor/gateway/fleet_duty.hpp"
 #include "zinniadoor/gateway/lease_runner.hpp"
@@ -149,11 +151,15 @@
         , self_ { settings.instance.str(), start_.incarnation }
         , peers_(self_)
         , feed_(serving_.directory, *ports.decoder)
+        , evacuations_(*ports.decoder)
         , configurationHandler_(*this)
         , endpointsHandler_(*this)
         , readinessHandler_(*this)
         , stopTimer_(context)
-    { }
+    {
+        serving_.directory.cold().setBounds(settings.cold);
+        serving_.regions = settings.regions;
+    }
 
     base::Status start()
     {
@@ -271,6 +277,8 @@
             using net::http::status;
             if (request.target() == "/metrics") {
                 gateway_.metrics_.setDroppedLogLines(base::droppedLogLines());
+                gateway_.metrics_.setColdEndpoints(
+                    gateway_.serving_.directory.cold().coldCount(gateway_.ports_.clock->now()));
                 responder->answer(textAnswer(status::ok, gateway_.metrics_.text()));
             } else if (request.target() == "/ready") {
                 const bool ready = gateway_.isReady();
@@ -294,12 +302,15 @@
         void onNewest(const NewestRecords &newest) override
         {
             for (const KeyedRecord &record : newest.records)
-                onRecord(record);
+                applyConfigurationRecord(record);
+            if (gateway_.evacuations_.applyNewest(newest))
+                gateway_.applyEvacuations();
         }
         bool onRecord(const KeyedRecord &record) override
         {
-            if (record.value && record.key == gateway_.ports_.decoder->configurationKey())
-                gateway_.applyConfiguration(*record.value);
+            applyConfigurationRecord(record);
+            if (gateway_.evacuations_.applyRecord(record))
+                gateway_.applyEvacuations();
             return true;
         }
         void onCurrent() override { gateway_.storeDependency_.noteSuccess(); }
@@ -314,6 +325,12 @@
         }
 
     private:
+        void applyConfigurationRecord(const KeyedRecord &record)
+        {
+            if (record.value && record.key == gateway_.ports_.decoder->configurationKey())
+                gateway_.applyConfiguration(*record.value);
+        }
+
         GatewayImpl &gateway_;
     };
 
@@ -425,6 +442,10 @@
         configurationText_ = text;
         serving_.configuration = std::make_shared<const Configuration>(std::move(*parts));
         serving_.quota.configure(*serving_.configuration);
+        absl::flat_hash_map<std::string, serving::ColdTraits> cold;
+        for (const Service &service : serving_.configuration->parts().services)
+            cold[service.name] = service.cold;
+        serving_.directory.cold().setServices(std::move(cold), ports_.clock->now());
         callerServer_->setLimits(serverLimits(serving_.configuration->parts().limits));
         metrics_.setConfigurationVersion(version);
         logEvent(EventId::ConfigurationApplied,
@@ -433,6 +454,20 @@
         applyEndpoints();
     }
 
+    void applyEvacuations()
+    {
+        const Evacuations::DataCentres &dataCentres = evacuations_.dataCentres();
+        serving_.directory.setEvacuated(dataCentres, ports_.clock->now());
+        metrics_.setEvacuations(dataCentres.size());
+        logEvent(
+            EventId::EvacuationsChanged,
+            { { "data_centres",
+                absl::StrJoin(dataCentres, ",", [](std::string *out, const base::DataCentreId &id) {
+                    out->append(id.str());
+                }) } });
+        applyEndpoints();
+    }
+
     void applyEndpoints()
     {
         std::vector<base::EndpointId> ids;
@@ -491,6 +526,7 @@
     ProcessName self_;
     PeerTable peers_;
     EndpointFeed feed_;
+    Evacuations evacuations_;
     ConfigurationHandler configurationHandler_;
     EndpointsHandler endpointsHandler_;
     ReadinessHandler readinessHandler_;
--- a/src/zinniadoor/gateway/gateway_metrics.cpp
+++ b/src/zinniadoor/gateway/gateway_metrics.cpp
@@ -63,6 +63,10 @@
     prometheus::Gauge &version
         = gauge("zinniadoor_configuration_version", "Version of the configuration in force.");
     prometheus::Gauge &endpoints = gauge("zinniadoor_endpoints", "Endpoints listed.");
+    prometheus::Gauge &cold
+        = gauge("zinniadoor_cold_endpoints", "Endpoints that get few calls, being cold.");
+    prometheus::Gauge &evacuations
+        = gauge("zinniadoor_evacuated_data_centres", "Data centres that get no calls.");
     prometheus::Gauge &droppedLines
         = gauge("zinniadoor_log_lines_dropped", "Log lines dropped since the start.");
 
@@ -133,6 +137,16 @@
     impl_->endpoints.Set(static_cast<double>(count));
 }
 
+void GatewayMetrics::setColdEndpoints(std::size_t count)
+{
+    impl_->cold.Set(static_cast<double>(count));
+}
+
+void GatewayMetrics::setEvacuations(std::size_t dataCentres)
+{
+    impl_->evacuations.Set(static_cast<double>(dataCentres));
+}
+
 void GatewayMetrics::setDroppedLogLines(std::uint64_t count)
 {
     impl_->droppedLines.Set(static_cast<double>(count));
--- a/src/zinniadoor/gateway/gateway_settings.cpp
+++ b/src/zinniadoor/gateway/gateway_settings.cpp
@@ -82,6 +82,13 @@
             = retries.durationOr("window", absl::Seconds(1), absl::Hours(1), absl::Seconds(10));
         YamlReader quota = root->mapping("quota", false);
         settings.quotaSlack = quota.numberOr("slack_tokens", 0, 1e12, 0);
+        YamlReader cold = root->mapping("cold", false);
+        settings.cold.overage = cold.numberOr("overage", 0, 1000, settings.cold.overage);
+        settings.cold.slack = cold.numberOr("slack", 0, 1e6, settings.cold.slack);
+        YamlReader regions = root->mapping("regions", false);
+        for (const std::string &dataCentre : regions.keys())
+            settings.regions[base::DataCentreId(dataCentre)]
+                = regions.stringOr(dataCentre.c_str(), "");
         YamlReader fleet = root->mapping("fleet", false);
         const serving::FleetPolicy usual;
         settings.fleet.regularShare = fleet.numberOr("regular_share", 0, 1, usual.regularShare);
@@ -93,6 +100,8 @@
         const serving::StagePolicy usualStages;
         settings.stages.minDecodeShare
             = stages.numberOr("least_writers", 0, 1, usualStages.minDecodeShare);
+        settings.stages.minDecodeShareIfCold
+            = stages.numberOr("least_writers", 0, 1, usualStages.minDecodeShareIfCold);
         settings.stages.maxDecodeShare
             = stages.numberOr("most_writers", 0, 1, usualStages.maxDecodeShare);
         settings.stages.decodeSlotsPerEngine
--- a/src/zinniadoor/gateway/peer_link.cpp
+++ b/src/zinniadoor/gateway/peer_link.cpp
@@ -979,6 +979,7 @@
         std::vector<std::string> instances { self_.instance };
         for (const GroupCandidate &peer : peers_.candidates(now))
             instances.push_back(peer.instance);
+        serving_.directory.cold().setInstances(self_.instance, instances, now);
         serving_.directory.limits().setInstances(self_.instance, std::move(instances), now);
     }
 
--- a/src/zinniadoor/gateway/stage_duty.cpp
+++ b/src/zinniadoor/gateway/stage_duty.cpp
@@ -1,5 +1,6 @@
 #include "zinniadoor/gateway/stage_duty.hpp"
 
+#include <algorithm>
 #include <map>
 #include <vector>
 
@@ -84,7 +85,8 @@
         if (static_cast<double>(changing) >= MaxChangingShare * static_cast<double>(engines))
             return;
         for (auto &[service, list] : byService) {
-            for (const serving::StageChange &change : serving::planStages(list, policy_)) {
+            for (const serving::StageChange &change :
+                 serving::planStages(list, policyOf(service))) {
                 if (now < nextOrderAt(change.engine)
                     || !parts_.serving.directory.mayCall(change.engine, now))
                     continue;
@@ -94,6 +96,16 @@
         }
     }
 
+    serving::StagePolicy policyOf(const std::string &name) const
+    {
+        const ConfigurationPtr &configuration = parts_.serving.configuration;
+        const Service *service = configuration ? configuration->findService(name) : nullptr;
+        serving::StagePolicy policy = policy_;
+        if (service && service->cold.perSecond > 0)
+            policy.minDecodeShare = std::min(policy.minDecodeShareIfCold, policy.maxDecodeShare);
+        return policy;
+    }
+
     absl::Time nextOrderAt(const base::EndpointId &engine) const
     {
         const auto found = nextOrderAt_.find(engine);
--- a/tests/e2e/settings_template_test.cpp
+++ b/tests/e2e/settings_template_test.cpp
@@ -29,6 +29,16 @@
     std::string filled(const Fields &fields) const
     {
         std::string result = text;
+        const std::regex table("\\{\\{#Zones\\}\\}\\n?([^]*?)\\{\\{/Zones\\}\\}\\n?");
+        if (std::smatch found; std::regex_search(result, found, table)) {
+            std::string rows;
+            for (const auto &[dataCentre, region] : zones) {
+                const std::string row
+                    = std::regex_replace(found[1].str(), std::regex("\\{\\{@\\}\\}"), dataCentre);
+                rows += std::regex_replace(row, std::regex("\\{\\{\\.\\}\\}"), region);
+            }
+            result = found.prefix().str() + rows + found.suffix().str();
+        }
         const std::regex section("\\{\\{#([A-Za-z0-9.]+)\\}\\}\\n?([^]*?)\\{\\{/\\1\\}\\}\\n?");
         for (std::smatch found; std::regex_search(result, found, section);) {
             const std::string kept = fields.count(found[1]) != 0 ? found[2].str() : "";
@@ -55,6 +65,7 @@
     }
 
     std::string text;
+    Fields zones { { "dc", "east" }, { "far.away", "west" } };
     const Fields all { { "NodeName", "a" },
                        { "Zone", "dc" },
                        { "Ip", "127.0.0.1" },
@@ -66,12 +77,11 @@
                        { "Cloud.Address", "127.0.0.1:8006" },
                        { "Bounds.UsageWindowS", "5" },
                        { "Bounds.UsageLateS", "10" } };
-    const Fields optional {
-        { "Bounds.ConfigApplyMs", "2000" },   { "Bounds.DrainMs", "2000" },
-        { "Bounds.LeaseMs", "3000" },         { "Bounds.GraceS", "8" },
-        { "Bounds.RetryBudgetRatio", "0.2" }, { "Bounds.BudgetSlack", "56" },
-        { "Bounds.BudgetWindowS", "10" },     { "Bounds.QuotaSlack", "190000" }
-    };
+    const Fields optional { { "Bounds.ConfigApplyMs", "2000" },   { "Bounds.DrainMs", "2000" },
+                            { "Bounds.LeaseMs", "3000" },         { "Bounds.GraceS", "8" },
+                            { "Bounds.RetryBudgetRatio", "0.2" }, { "Bounds.BudgetSlack", "56" },
+                            { "Bounds.BudgetWindowS", "10" },     { "Bounds.QuotaSlack", "190000" },
+                            { "Bounds.ColdOverage", "1.5" },      { "Bounds.ColdSlack", "5" } };
 };
 
 BOOST_FIXTURE_TEST_SUITE(SettingsTemplateTest, SettingsTemplateFixture)
@@ -91,6 +101,8 @@
         }
     }
     BOOST_TEST(checkExitCode(filled(all)) == 0);
+    zones.clear();
+    BOOST_TEST(checkExitCode(filled(all)) == 0);
 }
 
 BOOST_AUTO_TEST_CASE(check_templateWithoutRequiredField_exitsWith2)
