--- a/include/zinniadoor/base/events.hpp
+++ b/include/zinniadoor/base/events.hpp
@@ -72,6 +72,8 @@
     LogPartsDelayed = 755,
     LogRecordsRead = 756,
     QuotaReached = 757,
+    EndpointColdnessChanged = 770,
+    EvacuationsChanged = 771,
     EndpointFailureReported = 780,
     EndpointFailureApplied = 781,
     FailureReporterDisbelieved = 782,
--- a/include/zinniadoor/gateway/gateway_settings.hpp
+++ b/include/zinniadoor/gateway/gateway_settings.hpp
@@ -8,6 +8,8 @@
 #include "zinniadoor/base/events.hpp"
 #include "zinniadoor/base/ids.hpp"
 #include "zinniadoor/base/outcome.hpp"
+#include "zinniadoor/gateway/allowed_regions.hpp"
+#include "zinniadoor/serving/cold_endpoints.hpp"
 #include "zinniadoor/serving/fleet_plan.hpp"
 #include "zinniadoor/serving/stage_plan.hpp"
 
@@ -36,6 +38,8 @@
     bool failureReports = true; ///< Failures of endpoints are reported to other instances.
     double quotaSlack = 0; ///< Tokens that all instances together may consume beyond a quota.
     std::size_t memoryBytes = 0; ///< That the process may use; 0: what it can read itself.
+    RegionTable regions;
+    serving::ColdBounds cold;
     serving::FleetPolicy fleet;
     serving::StagePolicy stages;
     base::LogOptions log;
--- a/include/zinniadoor/gateway/serving_context.hpp
+++ b/include/zinniadoor/gateway/serving_context.hpp
@@ -87,6 +87,7 @@
     ClusterTime trueTime;
     SpeedEstimate speeds;
     serving::PlainChoice plainChoice {};
+    RegionTable regions {};
     ExchangeRegistry exchanges {};
     CrashCheck *crashCheck = nullptr; ///< Null: each broken connection counts as a crash.
     std::shared_ptr<serving::HeldAnswers> heldAnswers
--- a/src/zinniadoor/base/events.cpp
+++ b/src/zinniadoor/base/events.cpp
@@ -286,6 +286,10 @@
           "Another instance's report changed whether an endpoint is avoided." },
         { EventId::FailureReporterDisbelieved, EventLevel::Warning, "failure_reporter_disbelieved",
           "An instance reports so many endpoints that its own connection is assumed faulty." },
+        { EventId::EndpointColdnessChanged, EventLevel::Info, "endpoint_coldness_changed",
+          "An endpoint became cold, so that it gets few calls, or warm again." },
+        { EventId::EvacuationsChanged, EventLevel::Warning, "evacuations_changed",
+          "The data centres whose endpoints may not be called changed." },
     };
     return table;
 }
--- a/src/zinniadoor/gateway/endpoint_choice.cpp
+++ b/src/zinniadoor/gateway/endpoint_choice.cpp
@@ -19,7 +19,7 @@
 {
     std::vector<serving::PlainCandidate> candidates;
     for (const EndpointRecord *endpoint :
-         context.directory.usable(facts.service, now, facts.excluded)) {
+         context.directory.usable(facts.service, now, facts.excluded, facts.regions)) {
         serving::PlainCandidate candidate;
         candidate.id = endpoint->id;
         candidate.slots = endpoint->slots;
@@ -62,6 +62,8 @@
                 return false;
             if (facts.excluded && *facts.excluded == engine.id)
                 return false;
+            if (facts.regions && !facts.regions->allows(engine.dataCentre))
+                return false;
             if (!context.directory.hasRoom(engine.id, now))
                 return false;
             if (eligibility == Eligibility::Any)
--- a/src/zinniadoor/gateway/exchange_standby.cpp
+++ b/src/zinniadoor/gateway/exchange_standby.cpp
@@ -31,6 +31,7 @@
     ++attempts_;
     arrivals_.noteSent();
     context_.directory.noteCall(endpoint->id, now);
+    context_.directory.cold().noteCall(endpoint->id, now);
     noteDispatched(*choice, *endpoint, endpoint->id);
     Standby &standby = standby_.emplace();
     standby.attempt = attempts_;
--- a/src/zinniadoor/gateway/peer_link.cpp
+++ b/src/zinniadoor/gateway/peer_link.cpp
@@ -1002,6 +1002,7 @@
                 neighbours.push_back(peer.instance);
         }
         serving_.directory.failures().setInstances(self_.instance, std::move(neighbours));
+        serving_.directory.cold().setInstances(self_.instance, instances, now);
         serving_.directory.limits().setInstances(self_.instance, std::move(instances), now);
     }
 
