Serve instances that the store rejects through those that can read

Cause: a follower counted only parts from readers of smaller rank. After the store rejected the reader, all instances timed out within 0.12 of the notice, and instances of smaller rank than the new reader went on reading. At the start each polled until it heard a smaller rank. Configurations were never relayed, so each instance read each of them, rejected ones at every retry.

Change: gateway/read_schedule decides, without I/O. Followers accept parts from any sender; a reader yields to smaller ranks, and to any after a failed read. Timeouts spread over 0.24 of the notice in a logarithmic order, so that few instances read before they hear the first. The start waits like a follower. Failed followers back off up to 0.5 of the notice. Parts of the configuration log contain records that fit (8 KB and the capacity of the queue); larger ones are still read by each instance. An instance that heard another reader during its read relays nothing. log_reader_changed names the cause; zinniadoor_log_reads_total counts reads by log and cause.

The follower's timer is an interface, so that log_calls_test runs 100 and 108 followers of one log in virtual time.

--- a/include/zinniadoor/gateway/gateway_metrics.hpp
+++ b/include/zinniadoor/gateway/gateway_metrics.hpp
@@ -21,6 +21,7 @@
     void countEndpointFailure(const char *error);
     void countRetry();
     void countStoreFailure(const char *call);
+    void countLogRead(const char *log, const char *cause);
     void observeFirstByte(absl::Duration time);
     void observeDuration(absl::Duration time);
     void observeLogPartWait(absl::Duration time);
--- a/include/zinniadoor/gateway/log_follower.hpp
+++ b/include/zinniadoor/gateway/log_follower.hpp
@@ -11,6 +11,7 @@
 #include "zinniadoor/base/clock.hpp"
 #include "zinniadoor/gateway/log_part.hpp"
 #include "zinniadoor/gateway/platform_ports.hpp"
+#include "zinniadoor/gateway/read_schedule.hpp"
 
 namespace zinniadoor::gateway {
 
@@ -22,9 +23,14 @@
     absl::Duration readInterval; ///< While this instance is the reader.
     absl::Duration retryDelay; ///< After a failed read; doubles while reads keep failing.
     absl::Duration relayTimeout; ///< Without relayed parts, after which this instance reads.
+    absl::Duration startTimeout; ///< After the start, without parts; zero: reads at once.
     bool relaysRecords = true; ///< False: too large to relay; others read from the store.
 };
 
+/// Settings of the follower of the configuration or the endpoints whose notice this is; without
+/// the name of the instance.
+FollowerOptions followerOptions(LogName log, absl::Duration notice);
+
 /// Name of a log in events and metrics.
 const char *nameOf(LogName log);
 
@@ -45,6 +51,9 @@
     /// All records up to now have been applied.
     virtual void onCurrent() = 0;
     virtual void onFailure(const base::Reason &reason) = 0;
+
+    /// The store is called.
+    virtual void onRead(ReadCause) { }
     virtual void onUnreadable(const base::Reason &reason) = 0;
 };
 
@@ -61,7 +70,8 @@
 
 /// Follows a keyed log, starting with its newest records; starts over if the store has trimmed
 /// records that it had not read yet. One instance reads and relays to the others, which read the
-/// store themselves when they receive nothing for the relay timeout. For the event thread only.
+/// store themselves when they receive nothing for the relay timeout (`ReadSchedule`). For the event
+/// thread only.
 class LogFollower
 {
 public:
@@ -73,6 +83,17 @@
     virtual void stop() = 0;
 };
 
+/// Calls a function once after a delay.
+class DelayTimer
+{
+public:
+    virtual ~DelayTimer() = default;
+
+    /// Replaces a pending call.
+    virtual void start(absl::Duration delay, std::function<void()> done) = 0;
+    virtual void cancel() = 0;
+};
+
 /// Dependencies of a follower; all must outlive it.
 struct FollowerParts
 {
@@ -81,6 +102,9 @@
     const base::Clock &clock;
     LogRelay &relay;
     FollowerHandler &handler;
+
+    /// Makes the follower's timer; empty for one of the event thread. Tests pass virtual time.
+    std::function<std::unique_ptr<DelayTimer>()> makeTimer = {};
 };
 
 std::unique_ptr<LogFollower> makeLogFollower(boost::asio::io_context &context,
--- a/src/zinniadoor/gateway/gateway.cpp
+++ b/src/zinniadoor/gateway/gateway.cpp
@@ -23,18 +23,6 @@
 using base::EventId;
 using base::logEvent;
 
-/// Long-poll time of configuration reads, as a share of the configuration notice: a lost read is
-/// detected and repeated within the remaining time.
-constexpr double ConfigurationLongPollShare = 0.25;
-
-/// Time without updates from the instance that reads a log, as a share of the notice, after which
-/// an instance reads the log itself: a failed read is repeated within the remaining time.
-constexpr double FollowerTimeoutShare = 0.4;
-
-/// Interval between reads of the endpoints' log, as a share of the leaving notice.
-constexpr double EndpointsPollShare = 0.25;
-constexpr absl::Duration StoreRetryPause = absl::Milliseconds(150);
-
 /// The load balancer probes readiness once per second and reacts to the second failure.
 constexpr absl::Duration BalancerDetectionTime = absl::Milliseconds(3200);
 
@@ -308,6 +296,10 @@
             gateway_.metrics_.countStoreFailure("read_configuration");
             gateway_.storeDependency_.noteFailure(reason.text);
         }
+        void onRead(ReadCause cause) override
+        {
+            gateway_.metrics_.countLogRead(nameOf(LogName::Configuration), nameOf(cause));
+        }
         void onUnreadable(const base::Reason &reason) override
         {
             logEvent(EventId::ConfigurationRejected, { { "reason", reason.text } });
@@ -347,6 +339,10 @@
             gateway_.feed_.noteFailure(now());
             gateway_.endpointsDependency_.noteFailure(reason.text);
         }
+        void onRead(ReadCause cause) override
+        {
+            gateway_.metrics_.countLogRead(nameOf(LogName::Endpoints), nameOf(cause));
+        }
         void onUnreadable(const base::Reason &reason) override
         {
             logEvent(EventId::EndpointRecordRejected, { { "reason", reason.text } });
@@ -360,20 +356,13 @@
 
     void makeFollowers()
     {
-        FollowerOptions options;
+        FollowerOptions options
+            = followerOptions(LogName::Configuration, settings_.configurationNotice);
         options.self = self_;
-        options.retryDelay = StoreRetryPause;
-        options.log = LogName::Configuration;
-        options.readWait = settings_.configurationNotice * ConfigurationLongPollShare;
-        options.relayTimeout = settings_.configurationNotice * FollowerTimeoutShare;
-        options.relaysRecords = false;
         configurationFollower_
             = makeLogFollower(io_, followerParts(configurationHandler_), options);
-        options.log = LogName::Endpoints;
-        options.readWait = absl::ZeroDuration();
-        options.readInterval = settings_.leavingNotice * EndpointsPollShare;
-        options.relayTimeout = settings_.leavingNotice * FollowerTimeoutShare;
-        options.relaysRecords = true;
+        options = followerOptions(LogName::Endpoints, settings_.leavingNotice);
+        options.self = self_;
         endpointsFollower_ = makeLogFollower(io_, followerParts(endpointsHandler_), options);
     }
 
--- a/src/zinniadoor/gateway/gateway_metrics.cpp
+++ b/src/zinniadoor/gateway/gateway_metrics.cpp
@@ -38,6 +38,11 @@
               .Name("zinniadoor_platform_failures_total")
               .Help("Calls to the platform that failed, by call.")
               .Register(registry);
+    prometheus::Family<prometheus::Counter> &logReads
+        = prometheus::BuildCounter()
+              .Name("zinniadoor_log_reads_total")
+              .Help("Reads of the logs of configuration and endpoints, by log and cause.")
+              .Register(registry);
     prometheus::Counter &retries = prometheus::BuildCounter()
                                        .Name("zinniadoor_retries_total")
                                        .Help("Sendings of a request to a further endpoint.")
@@ -103,6 +108,11 @@
     impl_->storeFailures.Add({ { "call", call } }).Increment();
 }
 
+void GatewayMetrics::countLogRead(const char *log, const char *cause)
+{
+    impl_->logReads.Add({ { "log", log }, { "cause", cause } }).Increment();
+}
+
 void GatewayMetrics::observeFirstByte(absl::Duration time)
 {
     impl_->firstByte.Observe(absl::ToDoubleSeconds(time));
--- a/src/zinniadoor/gateway/log_follower.cpp
+++ b/src/zinniadoor/gateway/log_follower.cpp
@@ -16,14 +16,17 @@
 using base::EventId;
 using base::logEvent;
 
-/// The relay timeout is extended by up to this fraction, differently on each instance, so that the
-/// first one to time out reads for all others.
-constexpr double TimeoutSpread = 0.3;
-constexpr std::size_t SpreadSteps = 1000;
+/// Long-poll time of configuration reads, as a share of the configuration notice: a lost read is
+/// detected and repeated within the remaining time.
+constexpr double ConfigurationLongPollShare = 0.25;
 
-/// The delay after failed reads doubles, up to a fraction of the relay timeout.
-constexpr int MaxDoublings = 6;
-constexpr double RetryShare = 0.5;
+/// Time without updates from the instance that reads a log, as a share of the notice, after which
+/// an instance reads the log itself: a failed read is repeated within the remaining time.
+constexpr double FollowerTimeoutShare = 0.4;
+
+/// Interval between reads of the endpoints' log, as a share of the leaving notice.
+constexpr double EndpointsPollShare = 0.25;
+constexpr absl::Duration StoreRetryPause = absl::Milliseconds(150);
 
 /// Keeps a part below a usual network MTU.
 constexpr std::size_t MaxPartBytes = 1100;
@@ -37,24 +40,21 @@
 /// Encoded size of a record in addition to its key and value.
 constexpr std::size_t RecordOverhead = 32;
 
-/// Why the log is read.
-enum class ReadCause {
-    Poll, ///< This instance is the reader, or has just read.
-    Gap, ///< A part showed records that this instance does not have.
-    Silence, ///< No parts for the relay timeout.
-};
+// Ranks are those of leaders, since these have the most complete view of their data centre.
+std::uint64_t rankOf(const ProcessName &process)
+{
+    return serving::stableDigest(process.instance);
+}
 
-const char *nameOf(ReadCause cause)
+ReadScheduleOptions scheduleOptions(const FollowerOptions &options)
 {
-    switch (cause) {
-    case ReadCause::Poll:
-        return "poll";
-    case ReadCause::Gap:
-        return "gap";
-    case ReadCause::Silence:
-        return "silence";
-    }
-    return "unknown";
+    ReadScheduleOptions schedule;
+    schedule.ownRank = rankOf(options.self);
+    schedule.readInterval = options.readInterval;
+    schedule.retryDelay = options.retryDelay;
+    schedule.relayTimeout = options.relayTimeout;
+    schedule.startTimeout = options.startTimeout;
+    return schedule;
 }
 
 std::size_t sizeOf(const LogPartRecord &record)
@@ -62,23 +62,40 @@
     return RecordOverhead + record.key.size() + (record.value ? record.value->size() : 0);
 }
 
+class EventThreadTimer : public DelayTimer
+{
+public:
+    explicit EventThreadTimer(boost::asio::io_context &context)
+        : timer_(context)
+    { }
+    void start(absl::Duration delay, std::function<void()> done) override
+    {
+        timer_.expires_after(absl::ToChronoMilliseconds(delay));
+        timer_.async_wait([done = std::move(done)](boost::system::error_code error) {
+            if (!error)
+                done();
+        });
+    }
+    void cancel() override { timer_.cancel(); }
+
+private:
+    boost::asio::steady_timer timer_;
+};
+
 class KeyedFollower : public std::enable_shared_from_this<KeyedFollower>
 {
 public:
     KeyedFollower(boost::asio::io_context &context, const FollowerParts &parts,
                   const FollowerOptions &options)
-        : timer_(context)
+        : timer_(parts.makeTimer ? parts.makeTimer() : std::make_unique<EventThreadTimer>(context))
         , store_(parts.store)
         , decoder_(parts.decoder)
         , clock_(parts.clock)
         , relay_(parts.relay)
         , handler_(&parts.handler)
         , options_(options)
-        , ownRank_(rankOf(options.self))
-    {
-        const double share = static_cast<double>(ownRank_ % SpreadSteps) / SpreadSteps;
-        relayTimeout_ = options.relayTimeout * (1 + TimeoutSpread * share);
-    }
+        , schedule_(scheduleOptions(options))
+    { }
 
     void readNewest()
     {
@@ -86,6 +103,7 @@
         const absl::Time requestedAt = clock_.now();
         reading_ = true;
         tailing_ = false;
+        handler_->onRead(ReadCause::Start);
         store_.readNewest(
             options_.log, [self, requestedAt](const base::Outcome<NewestRecords> &newest) {
                 self->reading_ = false;
@@ -93,14 +111,14 @@
                     return;
                 if (!newest) {
                     self->handler_->onFailure(newest.lastReason());
-                    self->scheduleRead(self->nextRetry());
+                    self->scheduleRead(self->schedule_.noteFailure(true));
                     return;
                 }
                 if (newest->end.era < self->next_.era) { // A late response of the store.
-                    self->scheduleRead(self->nextRetry());
+                    self->scheduleRead(self->schedule_.noteFailure(true));
                     return;
                 }
-                self->retries_ = 0;
+                self->schedule_.noteNewest(requestedAt);
                 self->next_ = newest->end;
                 if (requestedAt >= self->knownEndAt_)
                     self->knownEnd_ = newest->end;
@@ -153,38 +171,26 @@
     void stop()
     {
         handler_ = nullptr;
-        timer_.cancel();
+        timer_->cancel();
     }
 
 private:
-    // Of two readers the one with the larger rank stops. The ranking is that of leaders, since
-    // these have the most complete view of their data centre.
-    static std::uint64_t rankOf(const ProcessName &process)
-    {
-        return serving::stableDigest(process.instance);
-    }
-
     /// Returns whether the part shows that another instance reads the log, so that this one need
     /// not. A part that only names records counts too: they are read at once.
     bool noteOtherReader(const LogPart &part)
     {
-        if (rankOf(part.sender) >= ownRank_)
-            return false; // The sender will receive parts of this instance and stop reading.
-        // A part that was delayed on its way does not show what the log holds now.
-        const absl::Time shownAt = clock_.now() - absl::Milliseconds(part.ageMs);
-        if (shownAt <= lastShown_ || clock_.now() - shownAt >= relayTimeout_)
-            return false;
-        lastShown_ = shownAt;
-        noteReader(false);
-        return true;
+        const absl::Time now = clock_.now();
+        const bool hasReader
+            = schedule_.notePart(rankOf(part.sender), now - absl::Milliseconds(part.ageMs), now);
+        logReaderChange();
+        return hasReader;
     }
 
     void scheduleRead(absl::Duration delay)
     {
         auto self = shared_from_this();
-        timer_.expires_after(absl::ToChronoMilliseconds(delay));
-        timer_.async_wait([self](boost::system::error_code error) {
-            if (error || !self->handler_ || self->reading_)
+        timer_->start(delay, [self] {
+            if (!self->handler_ || self->reading_)
                 return;
             if (self->tailing_)
                 self->readTail();
@@ -196,11 +202,9 @@
     /// Schedules the read that takes place unless a part arrives before it.
     void scheduleNextRead(absl::Duration minDelay = absl::ZeroDuration())
     {
-        const absl::Duration silent = clock_.now() - lastShown_;
-        const bool hasReader = silent < relayTimeout_;
-        cause_ = hasReader ? ReadCause::Silence : ReadCause::Poll;
-        scheduleRead(
-            std::max(minDelay, hasReader ? relayTimeout_ - silent : options_.readInterval));
+        const ReadSchedule::Next next = schedule_.next(clock_.now());
+        cause_ = next.cause;
+        scheduleRead(std::max(minDelay, next.delay));
     }
 
     void scheduleGapRead()
@@ -209,14 +213,6 @@
         scheduleRead(absl::ZeroDuration());
     }
 
-    absl::Duration nextRetry()
-    {
-        const absl::Duration delay = options_.retryDelay * (1 << retries_);
-        if (retries_ < MaxDoublings)
-            ++retries_;
-        return std::min(delay, std::max(options_.retryDelay, options_.relayTimeout * RetryShare));
-    }
-
     void readTail()
     {
         auto self = shared_from_this();
@@ -226,6 +222,7 @@
         // Only the reader waits for records: the others would notice a lost response later.
         const absl::Duration wait
             = cause_ == ReadCause::Poll ? options_.readWait : absl::ZeroDuration();
+        handler_->onRead(cause_);
         store_.read(options_.log, from, wait,
                     [self, requestedAt, from, wait](const base::Outcome<LogRecords> &read) {
                         self->reading_ = false;
@@ -233,7 +230,8 @@
                             return;
                         if (!read) {
                             self->handler_->onFailure(read.lastReason());
-                            const absl::Duration retry = self->nextRetry();
+                            const absl::Duration retry
+                                = self->schedule_.noteFailure(self->isBehind());
                             if (self->isBehind())
                                 self->scheduleRead(retry);
                             else
@@ -241,10 +239,10 @@
                             return;
                         }
                         if (read->end.era < self->next_.era) { // A late response of the store.
-                            self->scheduleRead(self->nextRetry());
+                            self->scheduleRead(self->schedule_.noteFailure(true));
                             return;
                         }
-                        self->retries_ = 0;
+                        self->schedule_.noteAnswer();
                         if (read->trimmed || read->end.era != from.era || read->end < from) {
                             self->readNewest();
                             return;
@@ -275,9 +273,10 @@
         if (read.records.empty() || (options_.relaysRecords && cause_ == ReadCause::Poll))
             return;
         const absl::Time now = clock_.now();
-        const std::string silent = lastShown_ == absl::InfinitePast()
+        const absl::Time lastShown = schedule_.lastShown();
+        const std::string silent = lastShown == absl::InfinitePast()
             ? ""
-            : std::to_string(absl::ToInt64Milliseconds(now - lastShown_));
+            : std::to_string(absl::ToInt64Milliseconds(now - lastShown));
         logEvent(EventId::LogRecordsRead,
                  { { "log", nameOf(options_.log) },
                    { "cause", nameOf(cause_) },
@@ -318,8 +317,10 @@
     // next. `answerDue`: when the store has answered at the latest, unless it or the way is slow.
     void relayUpdates(LogPosition from, absl::Time answerDue)
     {
-        if (clock_.now() - lastShown_ >= relayTimeout_)
-            noteReader(true);
+        schedule_.noteRead(clock_.now());
+        logReaderChange();
+        if (!schedule_.isReader()) // Heard another reader meanwhile, which must not yield to this.
+            return;
         const absl::Duration late = std::max(absl::ZeroDuration(), clock_.now() - answerDue);
         ageMs_ = static_cast<std::uint32_t>(
             std::min<std::int64_t>(absl::ToInt64Milliseconds(late), MaxAgeMs));
@@ -378,41 +379,36 @@
             updates_.pop_front();
     }
 
-    void noteReader(bool reads)
+    void logReaderChange()
     {
-        if (reads == isReader_)
+        const ReaderChange change = schedule_.takeChange();
+        if (change == ReaderChange::None)
             return;
-        isReader_ = reads;
         logEvent(EventId::LogReaderChanged,
                  { { "log", nameOf(options_.log) },
-                   { "reader", reads ? "this" : "another" },
+                   { "reader", schedule_.isReader() ? "this" : "another" },
+                   { "cause", nameOf(change) },
                    { "era", std::to_string(next_.era) },
                    { "offset", std::to_string(next_.offset) } });
     }
 
-    boost::asio::steady_timer timer_;
+    std::unique_ptr<DelayTimer> timer_;
     LogStore &store_;
     const RecordDecoder &decoder_;
     const base::Clock &clock_;
     LogRelay &relay_;
     FollowerHandler *handler_;
     FollowerOptions options_;
-    std::uint64_t ownRank_;
-    absl::Duration relayTimeout_;
+    ReadSchedule schedule_;
     LogPosition next_; ///< Of the next record to apply.
     LogPosition knownEnd_; ///< Largest end of a part, or end of the last read if that is newer.
     absl::Time knownEndAt_ = absl::InfinitePast(); ///< When a part last raised it.
     std::deque<LogPartRecord> updates_; ///< From `updatesFrom_` to `next_`, without heartbeats.
     LogPosition updatesFrom_;
     std::uint32_t ageMs_ = 0; ///< Of what the last read showed, when it was answered.
-
-    /// The latest time as of which a part from a smaller rank showed the end of the log.
-    absl::Time lastShown_ = absl::InfinitePast();
-    int retries_ = 0; ///< Consecutive failed reads, up to `MaxDoublings`.
     ReadCause cause_ = ReadCause::Poll; ///< Of the read under way, or of the next one.
     bool tailing_ = false;
     bool reading_ = false;
-    bool isReader_ = false;
 };
 
 class OwnedFollower : public LogFollower
@@ -447,6 +443,20 @@
     return "unknown";
 }
 
+FollowerOptions followerOptions(LogName log, absl::Duration notice)
+{
+    FollowerOptions options;
+    options.log = log;
+    options.retryDelay = StoreRetryPause;
+    options.relayTimeout = notice * FollowerTimeoutShare;
+    options.startTimeout = options.relayTimeout;
+    if (log == LogName::Configuration)
+        options.readWait = notice * ConfigurationLongPollShare;
+    else
+        options.readInterval = notice * EndpointsPollShare;
+    return options;
+}
+
 std::unique_ptr<LogFollower> makeLogFollower(boost::asio::io_context &context,
                                              const FollowerParts &parts,
                                              const FollowerOptions &options)
