--- a/src/zinniadoor/gateway/log_calls_test.cpp
+++ b/src/zinniadoor/gateway/log_calls_test.cpp
@@ -23,6 +23,9 @@
 /// Longest time of a part on its way: two hops through the paced queues.
 constexpr int MaxPartMs = 60;
 
+/// A record ends the wait of a read at the next check.
+constexpr absl::Duration WaitCheck = absl::Milliseconds(10);
+
 constexpr absl::Duration Notice = absl::Seconds(3);
 
 /// Runs functions in the order of their times, without waiting.
@@ -238,15 +241,13 @@
         fail(done);
         return;
     }
-    // A record ends the wait at the next check.
-    constexpr absl::Duration Check = absl::Milliseconds(10);
     const absl::Time until = fleet_.time.now() + wait;
     const auto check = std::make_shared<std::function<void()>>();
     const std::weak_ptr<std::function<void()>> again = check;
     *check = [this, from, until, done, again] {
         const std::vector<std::string> &records = fleet_.log.records;
         if (records.size() <= from.offset && fleet_.time.now() < until) {
-            fleet_.time.after(Check, [kept = again.lock()] { (*kept)(); });
+            fleet_.time.after(WaitCheck, [kept = again.lock()] { (*kept)(); });
             return;
         }
         LogRecords result;
