--- a/include/zinniadoor/gateway/gateway_metrics.hpp
+++ b/include/zinniadoor/gateway/gateway_metrics.hpp
@@ -24,6 +24,7 @@
     void countRetryWithoutBudget(); ///< Also counted as a retry.
     void countInboundRefusal(const char *reason);
     void countStoreFailure(const char *call);
+    void countLogRead(const char *log, const char *cause);
     void observeFirstByte(absl::Duration time);
     void observeDuration(absl::Duration time);
     void observeLogPartWait(absl::Duration time);
