--- a/include/zinniadoor/serving/engine_view.hpp
+++ b/include/zinniadoor/serving/engine_view.hpp
@@ -96,6 +96,9 @@
     /// Time since the load of peers on this engine was received, weighted by their requests.
     absl::Duration peerLoadAge(const base::EndpointId &engine, absl::Time now) const;
 
+    /// Whether peers reported requests on this engine within `maxAge`.
+    bool isReported(const base::EndpointId &engine, absl::Duration maxAge, absl::Time now) const;
+
     /// Load of all instances.
     EngineLoad load(const base::EndpointId &engine, absl::Time now) const;
 
--- a/include/zinniadoor/serving/placement.hpp
+++ b/include/zinniadoor/serving/placement.hpp
@@ -13,6 +13,10 @@
 
 namespace zinniadoor::serving {
 
+/// Data centres in which a model call may be executed, relative to that of the instance. The KV
+/// cache of a shared prefix may be copied from any.
+enum class PlacementScope : std::uint8_t { Anywhere, Home, Elsewhere };
+
 /// Properties of a model call that determine its placement.
 struct PlacementRequest
 {
@@ -21,6 +25,7 @@
     std::uint32_t promptTokens = 0;
     base::DataCentreId dataCentre; ///< Of this instance.
     std::size_t rank = 0; ///< Priority rank; engines serve lower ranks first.
+    PlacementScope scope = PlacementScope::Anywhere;
 };
 
 /// Running estimates of the speed of a service's engines.
--- a/src/zinniadoor/serving/engine_view.cpp
+++ b/src/zinniadoor/serving/engine_view.cpp
@@ -163,6 +163,18 @@
     return requests > 0 ? ages / requests : absl::ZeroDuration();
 }
 
+bool EngineView::isReported(const base::EndpointId &engine, absl::Duration maxAge,
+                            absl::Time now) const
+{
+    for (const auto &[peer, reported] : peers_) {
+        const auto found = reported.loads.find(engine);
+        if (found != reported.loads.end() && found->second.requests > 0
+            && now - reported.receivedAt <= maxAge)
+            return true;
+    }
+    return false;
+}
+
 // Called for each engine and request, so the loads of all peers are kept as a sum per engine.
 EngineLoad EngineView::load(const base::EndpointId &engine, absl::Time now) const
 {
--- a/src/zinniadoor/serving/placement.cpp
+++ b/src/zinniadoor/serving/placement.cpp
@@ -164,6 +164,24 @@
     return best;
 }
 
+bool isInScope(const EngineInfo &engine, const PlacementRequest &facts)
+{
+    return facts.scope == PlacementScope::Anywhere
+        || (engine.dataCentre == facts.dataCentre) == (facts.scope == PlacementScope::Home);
+}
+
+/// The affinity engine within the scope, and as second one that of all data centres, so that a
+/// prefix is prefilled once in the fleet and copied to each data centre.
+AffinityEngines scopedAffinityOf(const std::vector<const EngineInfo *> &scoped,
+                                 const std::vector<const EngineInfo *> &all, PrefixKey key)
+{
+    AffinityEngines affinity = affinityEnginesOf(scoped, key);
+    const EngineInfo *overall = affinityEnginesOf(all, key).first;
+    if (overall && overall != affinity.first)
+        affinity.second = overall;
+    return affinity;
+}
+
 /// Inputs shared by the evaluation of all candidates for one prompt.
 struct Placement
 {
@@ -254,12 +272,19 @@
                                       const EngineTimings &timings, absl::Time now,
                                       const std::function<bool(const EngineInfo &)> &usable)
 {
+    std::vector<const EngineInfo *> sources; ///< Of shared prefixes.
+    std::vector<const EngineInfo *> allPrefillEngines;
     std::vector<const EngineInfo *> engines;
     std::vector<const EngineInfo *> prefillEngines;
     std::vector<const EngineInfo *> decodeEngines;
     for (const EngineInfo &engine : view.engines()) {
         if (engine.service != facts.service || !usable(engine))
             continue;
+        sources.push_back(&engine);
+        if (engine.isPrefillEngine && facts.scope != PlacementScope::Anywhere)
+            allPrefillEngines.push_back(&engine);
+        if (!isInScope(engine, facts))
+            continue;
         engines.push_back(&engine);
         (engine.isPrefillEngine ? prefillEngines : decodeEngines).push_back(&engine);
     }
@@ -269,10 +294,10 @@
                                 view,
                                 timings,
                                 now,
-                                affinityEnginesOf(prefillEngines.empty() ? decodeEngines
-                                                                         : prefillEngines,
-                                                  sharedKey(facts.segments)),
-                                findHolder(engines, view, facts.segments),
+                                scopedAffinityOf(prefillEngines.empty() ? decodeEngines
+                                                                        : prefillEngines,
+                                                 allPrefillEngines, sharedKey(facts.segments)),
+                                findHolder(sources, view, facts.segments),
                                 sharedTokensOf(facts.segments),
                                 facts.segments.empty() ? 0 : facts.segments.back().key };
     Candidate best;
--- a/src/zinniadoor/serving/placement_test.cpp
+++ b/src/zinniadoor/serving/placement_test.cpp
@@ -442,6 +442,39 @@
     BOOST_TEST(view.load(engine, at + absl::Seconds(10)).requests == 0u);
 }
 
+// Guards against a request that stays in, or leaves, its data centre being handed over to the
+// other.
+BOOST_AUTO_TEST_CASE(placePrompt_scope_executesWithinItAndCopiesPrefixFromAnywhere)
+{
+    setEnginesWithKvTransfer(4, 4);
+    std::vector<EngineInfo> engines = view.engines();
+    std::map<base::EndpointId, std::string> dataCentres;
+    for (std::size_t i = 0; i < engines.size(); ++i) {
+        engines[i].dataCentre = base::DataCentreId(i % 2 == 0 ? "dc" : "other");
+        dataCentres[engines[i].id] = engines[i].dataCentre.str();
+    }
+    view.setEngines(engines);
+    for (const PlacementScope scope : { PlacementScope::Home, PlacementScope::Elsewhere }) {
+        const std::string expected = scope == PlacementScope::Home ? "dc" : "other";
+        PlacementRequest request = prompt("shared", 13300, 3700);
+        request.dataCentre = base::DataCentreId("dc");
+        request.scope = scope;
+        const EnginePlan plan = place(request);
+        BOOST_REQUIRE(plan.prefillEngine.has_value());
+        BOOST_TEST(dataCentres[*plan.prefillEngine] == expected);
+        BOOST_TEST(dataCentres[plan.decodeEngine] == expected);
+        view.recordSegments(*plan.prefillEngine, request.segments);
+    }
+    view.clearSegments(base::EndpointId("r0"));
+    view.clearSegments(base::EndpointId("r2"));
+    PlacementRequest request = prompt("shared", 13300, 3700);
+    request.dataCentre = base::DataCentreId("dc");
+    request.scope = PlacementScope::Home;
+    const EnginePlan plan = place(request);
+    BOOST_REQUIRE(plan.kvSource.has_value());
+    BOOST_TEST(dataCentres[*plan.kvSource] == "other");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
