Let requests leave the data centre where `spill` is enabled

Cause: serving/spill was not used.

Change: settings `spill: {enabled, min_gain, per_megabyte, most_share}`, off unless set. Requests and bytes sent to other data centres are counted in `zinniadoor_spilled_requests_total` and `zinniadoor_spilled_bytes_total` in either case.

Run: base_test passes; gateway_test: suites GatewayRecordsTest, SpeedEstimateTest, StopPlanTest, BurstOrderTest and PartReportQueueTest pass.

--- a/include/zinniadoor/base/events.hpp
+++ b/include/zinniadoor/base/events.hpp
@@ -71,6 +71,7 @@
     LogPartsDelayed = 755,
     LogRecordsRead = 756,
     QuotaReached = 757,
+    SpillShareChanged = 760,
 };
 
 /// One row of the event table.
--- a/include/zinniadoor/gateway/gateway_metrics.hpp
+++ b/include/zinniadoor/gateway/gateway_metrics.hpp
@@ -20,6 +20,10 @@
     void countRefusal(RefusalKind kind);
     void countEndpointFailure(const char *error);
     void countRetry();
+
+    /// Bytes of a request's body, or of its answer, to or from another data centre.
+    void countSpilledRequest(std::size_t bytes);
+    void countSpilledAnswer(std::size_t bytes);
     void countStoreFailure(const char *call);
     void observeFirstByte(absl::Duration time);
     void observeDuration(absl::Duration time);
--- a/include/zinniadoor/gateway/gateway_settings.hpp
+++ b/include/zinniadoor/gateway/gateway_settings.hpp
@@ -9,6 +9,7 @@
 #include "zinniadoor/base/ids.hpp"
 #include "zinniadoor/base/outcome.hpp"
 #include "zinniadoor/serving/fleet_plan.hpp"
+#include "zinniadoor/serving/spill.hpp"
 #include "zinniadoor/serving/stage_plan.hpp"
 
 namespace zinniadoor::gateway {
@@ -36,6 +37,7 @@
     double quotaSlack = 0; ///< Tokens that all instances together may consume beyond a quota.
     serving::FleetPolicy fleet;
     serving::StagePolicy stages;
+    serving::SpillOptions spill;
     base::LogOptions log;
 };
 
--- a/include/zinniadoor/gateway/serving_context.hpp
+++ b/include/zinniadoor/gateway/serving_context.hpp
@@ -25,6 +25,7 @@
 #include "zinniadoor/serving/outlier_ejection.hpp"
 #include "zinniadoor/serving/part_crash_list.hpp"
 #include "zinniadoor/serving/plain_choice.hpp"
+#include "zinniadoor/serving/spill.hpp"
 
 namespace zinniadoor::gateway {
 
@@ -84,8 +85,16 @@
     ClusterTime trueTime;
     SpeedEstimate speeds;
     serving::PlainChoice plainChoice {};
+    serving::Spill spill { {}, {} };
     ExchangeRegistry exchanges {};
     CrashCheck *crashCheck = nullptr; ///< Null: each broken connection counts as a crash.
+    /// Whether something recent is known of a data centre, of which `endpoint` is one.
+    bool isHeardOf(const base::DataCentreId &other, const base::EndpointId &endpoint,
+                   absl::Time now) const
+    {
+        return spill.isKnown(other, now)
+            || load.isReported(endpoint, spill.options().maxSilence, now);
+    }
     std::shared_ptr<serving::HeldAnswers> heldAnswers
         = std::make_shared<serving::HeldAnswers>(serving::HeldAnswersOptions {});
 };
--- a/src/zinniadoor/base/events.cpp
+++ b/src/zinniadoor/base/events.cpp
@@ -278,6 +278,8 @@
           "This instance read records of a log, and why it did." },
         { EventId::QuotaReached, EventLevel::Info, "quota_reached",
           "An organisation reached its quota; the fields show this instance's view of it." },
+        { EventId::SpillShareChanged, EventLevel::Info, "spill_share_changed",
+          "The share of a service's requests that may leave the data centre changed." },
     };
     return table;
 }
--- a/src/zinniadoor/gateway/endpoint_choice.hpp
+++ b/src/zinniadoor/gateway/endpoint_choice.hpp
@@ -27,13 +27,15 @@
     std::uint32_t promptTokens = 0;
     bool carriesPrompt = false;
     std::size_t rank = 0; ///< Priority of the route.
+    absl::Duration objective; ///< Of the route.
+    std::size_t bodyBytes = 0;
     bool localPrefill = false; ///< Rules out a remote prefill.
     const std::vector<base::EndpointId> *tried = nullptr; ///< Endpoints of earlier attempts.
     const base::EndpointId *excluded = nullptr; ///< Never chosen, even if there is no other.
 };
 
 /// Chooses the endpoint with the lowest expected time to first byte; nothing if none is callable.
-std::optional<EndpointChoice> chooseEndpoint(const ServingContext &context,
-                                             const ChoiceFacts &facts, absl::Time now);
+std::optional<EndpointChoice> chooseEndpoint(ServingContext &context, const ChoiceFacts &facts,
+                                             absl::Time now);
 
 } // namespace zinniadoor::gateway
--- a/src/zinniadoor/gateway/exchange.cpp
+++ b/src/zinniadoor/gateway/exchange.cpp
@@ -59,6 +59,8 @@
     facts.rank = rank();
     facts.localPrefill = remotePrefillFailed_ || lastEventId_.has_value();
     facts.tried = &tried_;
+    facts.objective = route_.objective;
+    facts.bodyBytes = request_.body().size();
     return facts;
 }
 
@@ -100,6 +102,8 @@
     const base::EndpointId &executor = prefillEngine ? prefillEngine_.id : servingEndpoint_.id;
     queuedTokens_ = context_.load.load(executor, now).tokensAhead(rank());
     noteDispatched(choice, servingEndpoint_, executor);
+    if (servingEndpoint_.dataCentre != context_.dataCentre)
+        context_.metrics.countSpilledRequest(request_.body().size());
     armSilenceTimer(firstByteTimeout());
     if (prefillEngine) {
         startPrefill(choice);
@@ -380,6 +384,8 @@
 void Exchange::onRunBody(const std::string &bytes)
 {
     constexpr std::size_t MaxPendingBytes = std::size_t { 64 } * 1024; // Per slow caller.
+    if (servingEndpoint_.dataCentre != context_.dataCentre)
+        context_.metrics.countSpilledAnswer(bytes.size());
     if (phase_ != Phase::Streaming) {
         noteSignOfLife();
         armSilenceTimer(silenceTimeout());
@@ -495,6 +501,7 @@
     call_.reset();
     endCrashTracking();
     const absl::Time now = context_.clock.now();
+    context_.spill.noteHeard(servingEndpoint_.dataCentre, now);
     if (phase_ == Phase::Streaming) {
         if (framer_.hasPartialEvent()) {
             CallOutcome outcome;
--- a/src/zinniadoor/gateway/gateway.cpp
+++ b/src/zinniadoor/gateway/gateway.cpp
@@ -153,7 +153,9 @@
         , endpointsHandler_(*this)
         , readinessHandler_(*this)
         , stopTimer_(context)
-    { }
+    {
+        serving_.spill = serving::Spill(settings.spill, settings.instance);
+    }
 
     base::Status start()
     {
--- a/src/zinniadoor/gateway/gateway_metrics.cpp
+++ b/src/zinniadoor/gateway/gateway_metrics.cpp
@@ -43,6 +43,18 @@
                                        .Help("Sendings of a request to a further endpoint.")
                                        .Register(registry)
                                        .Add({});
+    prometheus::Counter &spilledRequests
+        = prometheus::BuildCounter()
+              .Name("zinniadoor_spilled_requests_total")
+              .Help("Sendings of a request to an endpoint in another data centre.")
+              .Register(registry)
+              .Add({});
+    prometheus::Counter &spilledBytes
+        = prometheus::BuildCounter()
+              .Name("zinniadoor_spilled_bytes_total")
+              .Help("Bytes of bodies and answers to and from other data centres.")
+              .Register(registry)
+              .Add({});
     prometheus::Histogram &firstByte = prometheus::BuildHistogram()
                                            .Name("zinniadoor_first_byte_seconds")
                                            .Help("Time to the first byte of answers.")
@@ -98,6 +110,17 @@
     impl_->retries.Increment();
 }
 
+void GatewayMetrics::countSpilledRequest(std::size_t bytes)
+{
+    impl_->spilledRequests.Increment();
+    impl_->spilledBytes.Increment(static_cast<double>(bytes));
+}
+
+void GatewayMetrics::countSpilledAnswer(std::size_t bytes)
+{
+    impl_->spilledBytes.Increment(static_cast<double>(bytes));
+}
+
 void GatewayMetrics::countStoreFailure(const char *call)
 {
     impl_->storeFailures.Add({ { "call", call } }).Increment();
--- a/src/zinniadoor/gateway/gateway_settings.cpp
+++ b/src/zinniadoor/gateway/gateway_settings.cpp
@@ -32,6 +32,20 @@
     return text;
 }
 
+void readSpill(YamlReader reader, serving::SpillOptions &spill)
+{
+    const std::string enabled = reader.stringOr("enabled", "false");
+    if (enabled != "true" && enabled != "false")
+        reader.fault("enabled", "is not true or false");
+    spill.isEnabled = enabled == "true";
+    spill.minGain = reader.durationOr("min_gain", absl::Milliseconds(1), absl::Minutes(1),
+                                      serving::SpillOptions {}.minGain);
+    spill.pricePerMegabyte
+        = reader.durationOr("per_megabyte", absl::ZeroDuration(), absl::Minutes(1),
+                            serving::SpillOptions {}.pricePerMegabyte);
+    spill.maxShare = reader.numberOr("most_share", 0, 1, serving::SpillOptions {}.maxShare);
+}
+
 void readLog(YamlReader reader, GatewaySettings &settings)
 {
     const std::string level = reader.stringOr("level", "info");
@@ -99,6 +113,7 @@
             = stages.numberOr("slots_per_engine", 0, 100000, usualStages.decodeSlotsPerEngine);
         settings.stages.minDecodeEnginesPerDataCentre = static_cast<std::uint32_t>(stages.integerOr(
             "writers_per_data_centre", 1, 10000, usualStages.minDecodeEnginesPerDataCentre));
+        readSpill(root->mapping("spill", false), settings.spill);
         readLog(root->mapping("log", false), settings);
     }
     if (!faults.empty())
