--- a/include/zinniadoor/base/events.hpp
+++ b/include/zinniadoor/base/events.hpp
@@ -72,6 +72,7 @@
     LogPartsDelayed = 755,
     LogRecordsRead = 756,
     QuotaReached = 757,
+    SpillShareChanged = 760,
     EndpointColdnessChanged = 770,
     EvacuationsChanged = 771,
     EndpointFailureReported = 780,
--- a/include/zinniadoor/gateway/gateway_metrics.hpp
+++ b/include/zinniadoor/gateway/gateway_metrics.hpp
@@ -23,6 +23,10 @@
     void countRetry();
     void countRetryWithoutBudget(); ///< Also counted as a retry.
     void countInboundRefusal(const char *reason);
+
+    /// Bytes of a request's body, or of its answer, to or from another data centre.
+    void countSpilledRequest(std::size_t bytes);
+    void countSpilledAnswer(std::size_t bytes);
     void countStoreFailure(const char *call);
     void countLogRead(const char *log, const char *cause);
     void observeFirstByte(absl::Duration time);
--- a/include/zinniadoor/gateway/gateway_settings.hpp
+++ b/include/zinniadoor/gateway/gateway_settings.hpp
@@ -11,6 +11,7 @@
 #include "zinniadoor/gateway/allowed_regions.hpp"
 #include "zinniadoor/serving/cold_endpoints.hpp"
 #include "zinniadoor/serving/fleet_plan.hpp"
+#include "zinniadoor/serving/spill.hpp"
 #include "zinniadoor/serving/stage_plan.hpp"
 
 namespace zinniadoor::gateway {
@@ -42,6 +43,7 @@
     serving::ColdBounds cold;
     serving::FleetPolicy fleet;
     serving::StagePolicy stages;
+    serving::SpillOptions spill;
     base::LogOptions log;
 };
 
--- a/src/zinniadoor/base/events.cpp
+++ b/src/zinniadoor/base/events.cpp
@@ -290,6 +290,8 @@
           "An endpoint became cold, so that it gets few calls, or warm again." },
         { EventId::EvacuationsChanged, EventLevel::Warning, "evacuations_changed",
           "The data centres whose endpoints may not be called changed." },
+        { EventId::SpillShareChanged, EventLevel::Info, "spill_share_changed",
+          "The share of a service's requests that may leave the data centre changed." },
     };
     return table;
 }
--- a/src/zinniadoor/gateway/exchange.cpp
+++ b/src/zinniadoor/gateway/exchange.cpp
@@ -56,6 +56,8 @@
     facts.localPrefill = remotePrefillFailed_ || lastEventId_.has_value();
     facts.tried = &tried_;
     facts.regions = &regions_;
+    facts.objective = route_.objective;
+    facts.bodyBytes = request_.body().size();
     return facts;
 }
 
@@ -99,6 +101,8 @@
     context_.directory.cold().noteCall(executor, now);
     queuedTokens_ = context_.load.load(executor, now).tokensAhead(rank());
     noteDispatched(choice, servingEndpoint_, executor);
+    if (servingEndpoint_.dataCentre != context_.dataCentre)
+        context_.metrics.countSpilledRequest(request_.body().size());
     armSilenceTimer(firstByteTimeout());
     if (prefillEngine) {
         startPrefill(choice);
@@ -391,6 +395,8 @@
 void Exchange::onRunBody(const std::string &bytes)
 {
     constexpr std::size_t MaxPendingBytes = std::size_t { 64 } * 1024; // Per slow caller.
+    if (servingEndpoint_.dataCentre != context_.dataCentre)
+        context_.metrics.countSpilledAnswer(bytes.size());
     if (phase_ != Phase::Streaming) {
         noteSignOfLife();
         armSilenceTimer(silenceTimeout());
@@ -506,6 +512,7 @@
     call_.reset();
     endCrashTracking();
     const absl::Time now = context_.clock.now();
+    context_.spill.noteHeard(servingEndpoint_.dataCentre, now);
     if (phase_ == Phase::Streaming) {
         if (framer_.hasPartialEvent()) {
             CallOutcome outcome;
--- a/src/zinniadoor/gateway/gateway.cpp
+++ b/src/zinniadoor/gateway/gateway.cpp
@@ -162,6 +162,7 @@
         serving_.heldAnswers = std::make_shared<serving::HeldAnswers>(shares_.answers);
         serving_.directory.cold().setBounds(settings.cold);
         serving_.regions = settings.regions;
+        serving_.spill = serving::Spill(settings.spill, settings.instance);
     }
 
     base::Status start()
