Mend what the review of the merged parts found

- Callers: a body that is announced to be longer than the limit is rejected before memory is reserved for it, and a failed allocation ends the request, not the process.
Heads are bounded as well: connections by the memory that their heads may take.
- Failure reports: the report of a failed probe does not start the turns of probing anew; copies of a report that arrive after an answer are ignored; a change of coldness clears no report; a lack of local descriptors is no failure of an endpoint.
- Store: a read that was not answered is repeated without the spread (3.47 s after the log's end was last shown at the latest before, by calculation, 2.9 s now).
- Plain choice: streams count until their first byte, the age of open calls is bounded, an endpoint that the request has tried comes after all others.

Tests: probe_fails_nextInstanceWaitsForItsTurn, report_copiedAfterAnswer_isIgnored, follower_firstReadIsNotAnswered_repeatsWithinNotice, bodiesOverLimit_ announcedBeyondAddressSpace_areRejected.

Not changed: the room of complete bodies whose callers read slowly is held until the response is written; an answer of 5xx may still be replaced when no retry is possible; an empty list of regions allows all.

--- a/include/zinniadoor/gateway/read_schedule.hpp
+++ b/include/zinniadoor/gateway/read_schedule.hpp
@@ -57,9 +57,9 @@
     /// A read of the log's tail succeeded, other than after a gap.
     void noteRead(absl::Time now);
 
-    /// A read failed. `isUrgent`: records are known to be missing. Returns the time until it is
-    /// repeated, unless parts arrive.
-    absl::Duration noteFailure(bool isUrgent);
+    /// A read failed after `took`. `isUrgent`: records are known to be missing. Returns the time
+    /// until it is repeated, unless parts arrive.
+    absl::Duration noteFailure(bool isUrgent, absl::Duration took = absl::ZeroDuration());
 
     /// A read succeeded in calling the store.
     void noteAnswer() { retries_ = 0; }
--- a/include/zinniadoor/net/http_client.hpp
+++ b/include/zinniadoor/net/http_client.hpp
@@ -34,6 +34,7 @@
 struct CallFailure
 {
     CallError error = CallError::ConnectFailed;
+    bool isLocal = false; ///< This process could not open a connection; says nothing of the peer.
     bool sendStarted = false; ///< Bytes of the request were handed to the socket.
     bool reachedPeer = false; ///< The peer's TCP stack acknowledged request bytes, or may have.
     bool onReusedConnection = false; ///< The connection had completed an earlier call.
--- a/include/zinniadoor/serving/failure_reports.hpp
+++ b/include/zinniadoor/serving/failure_reports.hpp
@@ -122,8 +122,7 @@
         absl::Time reportedAt = absl::InfinitePast(); ///< By this instance.
         FailureKind reportedKind = FailureKind::Answered;
         std::uint32_t probedSlot = 0; ///< Plus one; of `failedAt`.
-        absl::Time failedAt = absl::InfinitePast(); ///< Of the latest report in effect.
-        std::uint64_t seed = 0; ///< Of the order of the probing instances.
+        absl::Time failedAt = absl::InfinitePast(); ///< Of the report that ruled it out.
         absl::Time avoidedUntil = absl::InfinitePast();
         absl::Time outOfUseUntil = absl::InfinitePast();
     };
--- a/include/zinniadoor/serving/plain_choice.hpp
+++ b/include/zinniadoor/serving/plain_choice.hpp
@@ -42,7 +42,8 @@
     std::uint32_t peerRequests = 0; ///< Outstanding calls that peers reported.
     absl::Duration peerAge; ///< Time since these reports were received.
     bool isElsewhere = false; ///< In another data centre.
-    bool isLastResort = false; ///< Ejected, suspected, paused or tried before.
+    bool isLastResort = false; ///< Ejected, suspected or paused.
+    bool wasTried = false; ///< By the same request; used after all others.
 };
 
 struct PlainPick
--- a/src/zinniadoor/gateway/endpoint_choice.cpp
+++ b/src/zinniadoor/gateway/endpoint_choice.cpp
@@ -51,7 +51,7 @@
     std::vector<serving::PlainCandidate> elsewhere;
     for (const serving::PlainCandidate &candidate : candidates) {
         const EndpointRecord *record = context.directory.find(candidate.id);
-        if (candidate.isLastResort)
+        if (candidate.isLastResort || candidate.wasTried)
             continue;
         if (!candidate.isElsewhere)
             home.push_back(candidate);
@@ -82,8 +82,8 @@
             = context.load.load(endpoint->id, now).requests - candidate.ownRequests;
         candidate.peerAge = context.load.peerLoadAge(endpoint->id, now);
         candidate.isElsewhere = endpoint->dataCentre != context.dataCentre;
-        candidate.isLastResort
-            = context.health.weight(endpoint->id, now) <= 0 || contains(*facts.tried, endpoint->id);
+        candidate.isLastResort = context.health.weight(endpoint->id, now) <= 0;
+        candidate.wasTried = contains(*facts.tried, endpoint->id);
         candidates.push_back(std::move(candidate));
     }
     if (context.spill.options().isEnabled)
--- a/src/zinniadoor/gateway/endpoint_directory.cpp
+++ b/src/zinniadoor/gateway/endpoint_directory.cpp
@@ -20,7 +20,7 @@
         return before.has_value() == after.has_value();
     const bool wasCold = *before > absl::ZeroDuration();
     const bool isCold = *after > absl::ZeroDuration();
-    return wasCold == isCold && (!isCold || *after < *before);
+    return wasCold == isCold && (!isCold || *after <= *before);
 }
 
 } // namespace
@@ -65,8 +65,10 @@
     if (now - entry.replacedAt > DirectoryLag)
         entry.replacedAt = absl::InfiniteFuture();
     const bool changed = inserted || !equalExceptTimeLeft(entry.record, record);
-    failures_.setEndpoint(record.id, record.service, record.dataCentre, record.startTimeMs, changed,
-                          now);
+    EndpointRecord asCold = record; // A change of coldness is no news of an earlier failure.
+    asCold.coldLeft = entry.record.coldLeft;
+    failures_.setEndpoint(record.id, record.service, record.dataCentre, record.startTimeMs,
+                          inserted || !equalExceptTimeLeft(entry.record, asCold), now);
     if (!changed) {
         entry.record = record;
         return false;
--- a/src/zinniadoor/gateway/exchange.cpp
+++ b/src/zinniadoor/gateway/exchange.cpp
@@ -370,6 +370,7 @@
 void Exchange::startStream(const net::ResponseHead &head)
 {
     phase_ = Phase::Streaming;
+    servingLoad_.noteAnswered(); // The length of a stream says nothing about the endpoint's speed.
     framer_.reset();
     if (!streamStarted_) {
         streamStarted_ = true;
--- a/src/zinniadoor/gateway/exchange_calls.cpp
+++ b/src/zinniadoor/gateway/exchange_calls.cpp
@@ -12,7 +12,8 @@
     CallOutcome outcome;
     outcome.mayHaveRun = failure.sendStarted;
     outcome.arrived = failure.sendStarted;
-    outcome.noConnection = failure.error == net::CallError::ConnectFailed;
+    outcome.noConnection = failure.error == net::CallError::ConnectFailed && !failure.isLocal;
+    outcome.endpointAtFault = !failure.isLocal;
     // A stale keep-alive connection is no evidence that this request crashed the endpoint.
     outcome.crashed = failure.reachedPeer && failure.error == net::CallError::ConnectionLost;
     outcome.reason = net::nameOf(failure.error);
--- a/src/zinniadoor/gateway/exchange_retry.cpp
+++ b/src/zinniadoor/gateway/exchange_retry.cpp
@@ -30,7 +30,7 @@
                  { { "endpoint", endpoint.str() }, { "reason", outcome.reason } });
     }
     // A connection that was given up because the request's time was over shows nothing.
-    if (outcome.noConnection && timeLeft() > absl::ZeroDuration())
+    if (outcome.noConnection && timeLeft() > absl::Milliseconds(1)) // Timers have whole ones.
         reportFailure(context_, endpoint, serving::FailureKind::NoConnection);
     else if (suspected)
         reportFailure(context_, endpoint, serving::FailureKind::NoAnswer);
--- a/src/zinniadoor/gateway/log_follower.cpp
+++ b/src/zinniadoor/gateway/log_follower.cpp
@@ -230,8 +230,8 @@
                             return;
                         if (!read) {
                             self->handler_->onFailure(read.lastReason());
-                            const absl::Duration retry
-                                = self->schedule_.noteFailure(self->isBehind());
+                            const absl::Duration retry = self->schedule_.noteFailure(
+                                self->isBehind(), self->clock_.now() - requestedAt);
                             if (self->isBehind())
                                 self->scheduleRead(retry);
                             else
--- a/src/zinniadoor/gateway/process_limits.cpp
+++ b/src/zinniadoor/gateway/process_limits.cpp
@@ -24,6 +24,12 @@
 /// More is of no use to callers within the limits.
 constexpr std::size_t MaxBodiesBytes = 512 * MiB;
 
+/// Part of the memory for heads that have not ended, and what each may take: the buffer of one read
+/// and the parsed fields. Connections are bounded so that their heads fit.
+constexpr double HeadsShare = 0.15;
+constexpr std::size_t HeadBytes = 48 * KiB;
+constexpr std::size_t MinConnections = 128;
+
 /// Part of the descriptors, and the least number, kept for calls to endpoints, the store and files.
 constexpr double OwnDescriptorShare = 0.4;
 constexpr std::size_t MinOwnDescriptors = 64;
@@ -75,6 +81,11 @@
             = std::max(shareOf(limits.descriptors, OwnDescriptorShare), MinOwnDescriptors);
         shares.connections = limits.descriptors > own ? limits.descriptors - own : 1;
     }
+    if (limits.memoryBytes > 0) {
+        const std::size_t heads
+            = std::max(shareOf(limits.memoryBytes, HeadsShare) / HeadBytes, MinConnections);
+        shares.connections = shares.connections == 0 ? heads : std::min(shares.connections, heads);
+    }
     return shares;
 }
 
--- a/src/zinniadoor/gateway/read_schedule.cpp
+++ b/src/zinniadoor/gateway/read_schedule.cpp
@@ -26,6 +26,10 @@
 /// over last: 0.64 + 0.05 + 0.2 of the notice leave time for the first repetition.
 constexpr double RetrySpread = 0.5;
 
+/// Failed reads that took longer, as a fraction of the relay timeout, are repeated without a
+/// spread.
+constexpr double LongReadShare = 0.1;
+
 /// Position in the order of takeovers, from 0 to 1. Times that grow with the logarithm of a uniform
 /// value are far apart for the first few instances and close together for the last, so that few
 /// read before they hear the first, however many instances there are.
@@ -116,7 +120,7 @@
     role_ = Role::Reader;
 }
 
-absl::Duration ReadSchedule::noteFailure(bool isUrgent)
+absl::Duration ReadSchedule::noteFailure(bool isUrgent, absl::Duration took)
 {
     const bool serves = polls();
     const bool isQuick = serves || isUrgent;
@@ -127,7 +131,9 @@
     retries_ = std::min(retries_ + 1, MaxDoublings);
     if (serves)
         hasFailed_ = true;
-    return isQuick ? delay : delay + options_.relayTimeout * (RetrySpread * order_);
+    // After a read that was not answered, the rest of the notice does not allow for the spread.
+    const bool hasTime = took < options_.relayTimeout * LongReadShare;
+    return isQuick || !hasTime ? delay : delay + options_.relayTimeout * (RetrySpread * order_);
 }
 
 ReadSchedule::Next ReadSchedule::next(absl::Time now) const
--- a/src/zinniadoor/gateway/read_schedule_test.cpp
+++ b/src/zinniadoor/gateway/read_schedule_test.cpp
@@ -79,6 +79,19 @@
     }
 }
 
+/// Guards against a follower that misses its notice after a read that was not answered.
+BOOST_AUTO_TEST_CASE(follower_firstReadIsNotAnswered_repeatsWithinNotice)
+{
+    constexpr absl::Duration ReadTimeout = absl::Milliseconds(800);
+    for (std::uint64_t rank = 0; rank < 1000; ++rank) {
+        ReadSchedule each(options(rank));
+        each.noteNewest(now);
+        each.notePart(rank + 1, now, now);
+        BOOST_TEST((each.next(now).delay + ReadTimeout + each.noteFailure(false, ReadTimeout)
+                    < absl::Seconds(2.9)));
+    }
+}
+
 /// Guards against polling at the start before a reader can have been heard.
 BOOST_AUTO_TEST_CASE(start_withoutTimeout_isReaderAtOnce)
 {
--- a/src/zinniadoor/net/client_connection.cpp
+++ b/src/zinniadoor/net/client_connection.cpp
@@ -100,7 +100,8 @@
     }
     ErrorCode error;
     socket_.open(endpoint->protocol(), error);
-    if (error) {
+    if (error) { // No descriptor is left.
+        isLocalFailure_ = true;
         fail(CallError::ConnectFailed, error.message());
         return;
     }
@@ -117,6 +118,8 @@
             return;
         self->timer_.cancel();
         if (connectError) {
+            self->isLocalFailure_ = connectError == boost::asio::error::no_buffer_space
+                || connectError == boost::system::errc::address_not_available;
             self->fail(CallError::ConnectFailed, connectError.message());
             return;
         }
@@ -445,6 +448,7 @@
     handler_.reset();
     CallFailure failure;
     failure.error = error;
+    failure.isLocal = isLocalFailure_;
     if (sendStarted_) {
         const auto acknowledged = acknowledgedBytes(socket_.native_handle());
         failure.reachedPeer
--- a/src/zinniadoor/net/client_connection.hpp
+++ b/src/zinniadoor/net/client_connection.hpp
@@ -79,6 +79,7 @@
     std::shared_ptr<CallHandler> handler_;
     std::uint64_t callNumber_
         = 0; ///< Distinguishes callbacks of earlier calls from the current one's.
+    bool isLocalFailure_ = false; ///< To connect.
     bool connected_ = false;
     bool closed_ = false;
     bool starting_ = false; ///< `run` has not returned yet.
--- a/src/zinniadoor/net/server_connection.cpp
+++ b/src/zinniadoor/net/server_connection.cpp
@@ -204,6 +204,7 @@
         }
         self->requestStarted_ = true;
         const ServerLimits &limits = host->limits();
+        self->maxBodyBytes_ = limits.maxBodyBytes;
         self->reader_.begin({ limits.maxHeadBytes, limits.maxBodyBytes });
         self->setTimer(limits.requestTimeout);
         self->readHead();
@@ -237,21 +238,27 @@
 void ServerConnection::readBody()
 {
     auto self = shared_from_this();
-    if (!inbound_.hasOwner() || reader_.parser()->is_done())
+    if (!inbound_.hasOwner() || reader_.parser()->is_done() || reachesBodyLimit())
         reader_.readMessage([self](ErrorCode error) { self->onBodyRead(error); });
     else if (reserveBody())
         reader_.readBodyUpTo(bodyTarget_, [self](ErrorCode error) { self->onBodyRead(error); });
 }
 
+// A body that is announced, or found, to be too long is rejected by the parser: there is no memory
+// to reserve for it.
+bool ServerConnection::reachesBodyLimit()
+{
+    const auto length = reader_.parser()->content_length();
+    return length ? *length > maxBodyBytes_
+                  : reader_.parser()->get().body().size() >= maxBodyBytes_;
+}
+
 bool ServerConnection::reserveBody()
 {
-    const auto host = host_.lock();
-    if (!host)
-        return true; // Ends with the server.
     const auto length = reader_.parser()->content_length();
-    bodyTarget_ = length ? static_cast<std::size_t>(*length)
-                         : InboundBody::nextTarget(reader_.parser()->get().body().size(),
-                                                   host->limits().maxBodyBytes);
+    bodyTarget_ = length
+        ? static_cast<std::size_t>(*length)
+        : InboundBody::nextTarget(reader_.parser()->get().body().size(), maxBodyBytes_);
     const std::weak_ptr<ServerConnection> weak = weak_from_this();
     const auto actions = [weak] {
         const auto call = [weak](void (*action)(ServerConnection &)) {
@@ -273,7 +280,12 @@
     };
     if (!inbound_.reserve(bodyTarget_, actions))
         return false;
-    reader_.reserveBody(bodyTarget_);
+    try {
+        reader_.reserveBody(bodyTarget_);
+    } catch (const std::exception &) { // The address space may be limited.
+        refuseForMemory(InboundRefusal::NoRoom);
+        return false;
+    }
     return true;
 }
 
--- a/src/zinniadoor/net/server_connection.hpp
+++ b/src/zinniadoor/net/server_connection.hpp
@@ -68,6 +68,7 @@
     void readHead();
     void onHeadRead(boost::system::error_code error);
     void readBody();
+    bool reachesBodyLimit();
     bool reserveBody();
     void refuseForMemory(InboundRefusal refusal);
     void onBodyRead(boost::system::error_code error);
@@ -98,6 +99,7 @@
     std::deque<std::string> writeQueue_;
     std::size_t pendingBytes_ = 0;
     std::size_t bodyTarget_ = 0; ///< Bytes of the body for which there is room.
+    std::size_t maxBodyBytes_ = 0; ///< Limit of the current request.
     std::uint64_t number_ = 0; ///< Number of the current request on this connection.
     bool requestStarted_ = false;
     bool awaitingResponse_
--- a/src/zinniadoor/serving/byte_budget.cpp
+++ b/src/zinniadoor/serving/byte_budget.cpp
@@ -127,7 +127,8 @@
     for (const auto &[id, body] : bodies_) {
         if (body.isComplete || body.room == 0 || (!smallWaits && !isLarge(body.room)))
             continue;
-        if (body.wanted > 0 ? !smallWaits : now - body.markedAt < options_.stallTime)
+        const bool isProgressing = now - body.markedAt < options_.stallTime;
+        if (body.wanted > 0 ? !smallWaits || !isLarge(body.wanted) : isProgressing)
             continue;
         if (!chosen || body.room > most) {
             chosen = id;
--- a/src/zinniadoor/serving/failure_reports.cpp
+++ b/src/zinniadoor/serving/failure_reports.cpp
@@ -149,6 +149,8 @@
         return ReportEffect::Ignored;
     if (!store(entry, report, now))
         return ReportEffect::Known;
+    if (report.kind == FailureKind::Answered) // Copies of earlier reports may still arrive.
+        entry.answeredAt = std::max(entry.answeredAt, now - age);
     Group &group = groups_[entry.group];
     const bool disbelieved = isDisbelieved(group, report.reporter, now);
     decide(group, now);
@@ -272,6 +274,7 @@
         Entry *entry = nullptr;
         std::size_t reporters = 0;
         const Received *latest = nullptr;
+        bool wasRuledOut = false;
         absl::Time avoidedUntil = absl::InfinitePast();
         absl::Time outOfUseUntil = absl::InfinitePast();
     };
@@ -281,6 +284,8 @@
     for (const base::EndpointId &id : group.members) {
         Candidate candidate;
         candidate.entry = &entries_.at(id);
+        candidate.wasRuledOut
+            = now < std::max(candidate.entry->avoidedUntil, candidate.entry->outOfUseUntil);
         bool believed = false;
         for (const Received &report : candidate.entry->reports) {
             if (report.kind == FailureKind::Answered || endOf(report) <= now)
@@ -310,10 +315,12 @@
         Entry &entry = *candidate.entry;
         entry.avoidedUntil = candidate.avoidedUntil;
         entry.outOfUseUntil = candidate.outOfUseUntil;
-        if (entry.failedAt != candidate.latest->failedAt)
-            entry.probedSlot = 0;
+        // The report of a failed probe does not start the turns anew: the next instance would probe
+        // at once, and each would pay for a failed call.
+        if (candidate.wasRuledOut)
+            continue;
+        entry.probedSlot = 0;
         entry.failedAt = candidate.latest->failedAt;
-        entry.seed = candidate.latest->reporter + candidate.latest->id;
     }
 }
 
@@ -332,8 +339,8 @@
     const std::string *first = nullptr;
     std::uint64_t highest = 0;
     for (const std::string &instance : instances_) {
-        const std::uint64_t weight
-            = stableDigest(absl::StrCat(instance, "#", entry.digest, "#", entry.seed, "#", slot));
+        const std::uint64_t weight = stableDigest(
+            absl::StrCat(instance, "#", entry.digest, "#", entry.startTimeMs, "#", slot));
         if (!first || weight > highest) {
             first = &instance;
             highest = weight;
--- a/src/zinniadoor/serving/failure_reports_test.cpp
+++ b/src/zinniadoor/serving/failure_reports_test.cpp
@@ -154,6 +154,51 @@
         BOOST_TEST(!instance.isAvoided(endpoint(0), now));
 }
 
+// Guards against a chain of probes in which each instance pays for a failed call.
+BOOST_AUTO_TEST_CASE(probe_fails_nextInstanceWaitsForItsTurn)
+{
+    const std::vector<std::string> names { "a", "b", "c", "d" };
+    std::vector<FailureReports> all(names.size());
+    const FailureReport report { stableDigest("e0"), 1, FailureKind::NoConnection, 1, 1, {} };
+    for (std::size_t i = 0; i < all.size(); ++i) {
+        all[i].setReporter(Self + i);
+        all[i].setInstances(names[i], names);
+        for (int e = 0; e < Endpoints; ++e)
+            all[i].setEndpoint(endpoint(e), "engines", base::DataCentreId("dc"), 1, false, now);
+        all[i].receive(endpoint(0), report, now);
+    }
+    int probes = 0;
+    const absl::Time end = now + absl::Milliseconds(480);
+    for (; now < end; now += absl::Milliseconds(20)) {
+        for (FailureReports &prober : all) {
+            if (prober.isAvoided(endpoint(0), now))
+                continue;
+            ++probes;
+            prober.noteCall(endpoint(0), now);
+            const auto failed = prober.noteOwn(endpoint(0), FailureKind::NoConnection, now);
+            for (FailureReports &other : all) {
+                if (failed)
+                    other.receive(endpoint(0), *failed, now);
+            }
+        }
+    }
+    BOOST_TEST(probes == 1);
+}
+
+// Guards against copies of a report, which is sent several times, that outlive a successful probe.
+BOOST_AUTO_TEST_CASE(report_copiedAfterAnswer_isIgnored)
+{
+    const FailureReport first { stableDigest("e0"), 1, FailureKind::Replaced, 1, 1, {} };
+    reports.receive(endpoint(0), first, now);
+    now += absl::Milliseconds(50);
+    receive(0, 2, FailureKind::Answered);
+    now += absl::Milliseconds(50);
+    FailureReport copy = first;
+    copy.age = absl::Milliseconds(100);
+    reports.receive(endpoint(0), copy, now);
+    BOOST_TEST(avoided() == 0);
+}
+
 // Guards against reports of an instance whose own connection is at fault.
 BOOST_AUTO_TEST_CASE(own_manyFailures_areNotReported)
 {
--- a/src/zinniadoor/serving/plain_choice.cpp
+++ b/src/zinniadoor/serving/plain_choice.cpp
@@ -13,6 +13,9 @@
 
 namespace {
 
+/// Largest age of an open call that counts, in usual answer times: single requests may take long.
+constexpr int MaxOpenAge = 8;
+
 /// Share of the requests that go to an endpoint without a recent answer if it is drawn first.
 constexpr double TrialShare = 0.25;
 
@@ -58,6 +61,7 @@
 {
     struct Drawn
     {
+        bool wasTried = false;
         bool isLastResort = false;
         std::uint64_t digest = 0;
         std::size_t index = 0;
@@ -67,13 +71,14 @@
     double slots = 0;
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         const PlainCandidate &candidate = candidates[i];
-        drawn.push_back({ candidate.isLastResort,
+        drawn.push_back({ candidate.wasTried, candidate.isLastResort,
                           detail::mixedDigest(absl::StrCat(request, "#", candidate.id.str())), i });
         peerRequests += candidate.peerRequests;
         slots += std::max<std::uint32_t>(candidate.slots, 1);
     }
     std::sort(drawn.begin(), drawn.end(), [](const Drawn &a, const Drawn &b) {
-        return std::tie(a.isLastResort, a.digest) < std::tie(b.isLastResort, b.digest);
+        return std::tie(a.wasTried, a.isLastResort, a.digest)
+            < std::tie(b.wasTried, b.isLastResort, b.digest);
     });
     if (drawn.size() > 2)
         drawn.resize(2);
@@ -85,7 +90,9 @@
     double bestCost = 0;
     for (const Drawn &entry : drawn) {
         const PlainCandidate &candidate = candidates[entry.index];
-        if (best && entry.isLastResort && !candidates[best->index].isLastResort)
+        if (best
+            && (entry.wasTried != drawn.front().wasTried
+                || entry.isLastResort != drawn.front().isLastResort))
             break;
         const std::uint32_t own = std::max<std::uint32_t>(candidate.slots, 1);
         const absl::Duration alone = answerTime(candidate.id, usual, now);
@@ -125,9 +132,10 @@
             + options_.usualWeight * absl::ToDoubleMilliseconds(time);
         time = absl::Milliseconds(sum / (weight + options_.usualWeight));
     }
+    const absl::Duration longest = MaxOpenAge * usualOrInitial(usual);
     for (const auto &[call, open] : open_) {
         if (open.endpoint == endpoint)
-            time = std::max(time, (now - open.startedAt) / open.queueFactor);
+            time = std::max(time, std::min(longest, (now - open.startedAt) / open.queueFactor));
     }
     return time;
 }
@@ -137,7 +145,7 @@
 bool PlainChoice::isDueForTrial(const PlainCandidate &candidate, absl::Time now) const
 {
     const bool hasRoom = candidate.ownRequests + candidate.peerRequests < candidate.slots;
-    if (candidate.isLastResort || !hasRoom)
+    if (candidate.isLastResort || candidate.wasTried || !hasRoom)
         return false;
     for (const auto &[call, open] : open_) {
         if (open.endpoint == candidate.id)
--- a/tests/e2e/caller_flood_test.cpp
+++ b/tests/e2e/caller_flood_test.cpp
@@ -279,6 +279,13 @@
     runMostly(script, script);
 }
 
+// Guards against an allocation of the announced length, whose failure would end the process.
+BOOST_AUTO_TEST_CASE(bodiesOverLimit_announcedBeyondAddressSpace_areRejected)
+{
+    const ClientScript script = announced(std::size_t { 1 } << 62, 4096, 4096);
+    runMostly(script, script);
+}
+
 BOOST_AUTO_TEST_CASE(bodiesOverLimit_inChunks_stayWithinMemory)
 {
     const ClientScript script = chunked(4 * LegalBody, std::size_t { 16 } * 1024, true);
