--- a/src/zinniadoor/gateway/gateway_settings.cpp
+++ b/src/zinniadoor/gateway/gateway_settings.cpp
@@ -16,8 +16,8 @@
 
 /// Range of `memory.limit`.
 constexpr std::int64_t MinMemoryMb = 16;
-constexpr std::int64_t MaxMemoryMb = 1024 * 1024;
-constexpr std::int64_t BytesPerMb = 1000 * 1000;
+constexpr std::int64_t MaxMemoryMb = 1048576;
+constexpr std::int64_t BytesPerMb = 1000000;
 
 // The filled template quotes its texts, so a field that is missing leaves an empty one.
 std::string readText(YamlReader &reader, const char *key)
