--- a/review/standins-2/http.hpp
+++ b/review/standins-2/http.hpp
@@ -202,9 +202,9 @@
 
     bool receive(Clock::time_point deadline)
     {
-        const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
-                              deadline - Clock::now())
-                              .count();
+        const auto left
+            = std::chrono::duration_cast<std::chrono::milliseconds>(deadline - Clock::now())
+                  .count();
         pollfd waited { descriptor_, POLLIN, 0 };
         if (left <= 0 || poll(&waited, 1, static_cast<int>(left)) <= 0)
             return false;
--- a/review/standins-2/quota_trial.hpp
+++ b/review/standins-2/quota_trial.hpp
@@ -4,8 +4,8 @@
 
 namespace review {
 
-// One tenant sends more than its quota through all machines. Checks the rule QUOTA from what the clients
-// sent and what the servers ran.
+// One tenant sends more than its quota through all machines. Checks the rule QUOTA from what the
+// clients sent and what the servers ran.
 
 constexpr std::int64_t TokensPerRequest = 20000;
 
@@ -68,7 +68,8 @@
         if (!allReady())
             return 2;
         record_.line("the first machines are ready");
-        for (const std::int64_t end = elapsedMs() + scenario_.quietMs; elapsedMs() < end; sleepMs(500)) {
+        for (const std::int64_t end = elapsedMs() + scenario_.quietMs; elapsedMs() < end;
+             sleepMs(500)) {
             for (const auto &gateway : gateways_)
                 call(*gateway);
         }
@@ -90,14 +91,14 @@
 private:
     void publish()
     {
-        const Json route = { { "Name", "stock-read" },     { "Host", "shop.example" },
-                             { "PathPrefix", "/stock/" },  { "RouteType", "idempotent" },
-                             { "TimeoutMs", 1000 },        { "TargetLatencyMs", 150 },
-                             { "MaxAttempts", 2 },         { "Priority", 2 },
+        const Json route = { { "Name", "stock-read" },    { "Host", "shop.example" },
+                             { "PathPrefix", "/stock/" }, { "RouteType", "idempotent" },
+                             { "TimeoutMs", 1000 },       { "TargetLatencyMs", 150 },
+                             { "MaxAttempts", 2 },        { "Priority", 2 },
                              { "Service", "perch-app" } };
-        const Json tenant = { { "Name", "kwae" },        { "ApiKeys", { "key-1" } },
-                              { "RatePerS", RatePerS },  { "Burst", Burst },
-                              { "Unit", "token_stream" }, { "UncachedTokens", 200 } };
+        const Json tenant
+            = { { "Name", "kwae" }, { "ApiKeys", { "key-1" } }, { "RatePerS", RatePerS },
+                { "Burst", Burst }, { "Unit", "token_stream" }, { "UncachedTokens", 200 } };
         const Json limits = { { "MaxHeaderBytes", 16384 },
                               { "MaxBodyBytes", 1000000 },
                               { "HeaderTimeoutMs", 5000 },
@@ -194,8 +195,7 @@
 
     int judge()
     {
-        const double allowed
-            = (RatePerS * QuotaWindowS + Burst) * (1 + QuotaOverage) + QuotaSlack;
+        const double allowed = (RatePerS * QuotaWindowS + Burst) * (1 + QuotaOverage) + QuotaSlack;
         const std::lock_guard<std::mutex> lock(mutex_);
         double most = 0;
         std::int64_t mostAt = 0;
@@ -237,4 +237,3 @@
 };
 
 } // namespace review
-
--- a/review/standins-2/repeated_lookup.cpp
+++ b/review/standins-2/repeated_lookup.cpp
@@ -1,6 +1,6 @@
 // Clients look up the same item again and again on a route that was added later, while others send
-// charges on the first route. Two servers lose the answer of one lookup each. Checks the rule CONFIG
-// on routes that were added later, from what the clients got once all is well again.
+// charges on the first route. Two servers lose the answer of one lookup each. Checks the rule
+// CONFIG on routes that were added later, from what the clients got once all is well again.
 
 #include "world.hpp"
 
@@ -86,10 +86,10 @@
     void publish(int version, bool withLookup)
     {
         const auto route = [](const char *name, const char *prefix, const char *type) {
-            return Json { { "Name", name },        { "Host", "shop.example" },
-                          { "PathPrefix", prefix }, { "RouteType", type },
-                          { "TimeoutMs", 1000 },   { "TargetLatencyMs", 150 },
-                          { "MaxAttempts", 2 },    { "Priority", 2 },
+            return Json { { "Name", name },          { "Host", "shop.example" },
+                          { "PathPrefix", prefix },  { "RouteType", type },
+                          { "TimeoutMs", 1000 },     { "TargetLatencyMs", 150 },
+                          { "MaxAttempts", 2 },      { "Priority", 2 },
                           { "Service", "perch-app" } };
         };
         Json routes = Json::array({ route("box-charge", "/charge/", "non_idempotent") });
@@ -162,8 +162,8 @@
                         { "X-Zinniadoor-Deadline-Ms", "1000" } };
         const Message answer = isLookup
             ? callOnce(gateway.address(), "GET", "/stock/parrot-box", fields, "", 1500)
-            : callOnce(gateway.address(), "POST", "/charge/" + id, fields, "{\"box\":\"" + id + "\"}",
-                       1500);
+            : callOnce(gateway.address(), "POST", "/charge/" + id, fields,
+                       "{\"box\":\"" + id + "\"}", 1500);
         record_.line(id + " sent to " + gateway.name() + ": answer "
                      + std::to_string(answer.status()) + " " + answer.body);
         if (!counts)
@@ -180,8 +180,9 @@
         const auto share = [](const Count &count) {
             return count.sent == 0 ? 0 : static_cast<double>(count.served) / count.sent;
         };
-        const std::string result = "CONFIG: in steady state, " + std::to_string(later_.served) + " of "
-            + std::to_string(later_.sent) + " requests on the route that was added later are served, "
+        const std::string result = "CONFIG: in steady state, " + std::to_string(later_.served)
+            + " of " + std::to_string(later_.sent)
+            + " requests on the route that was added later are served, "
             + std::to_string(first_.served) + " of " + std::to_string(first_.sent)
             + " on the first route";
         record_.line(result);
--- a/review/standins-2/usage_after_outage.cpp
+++ b/review/standins-2/usage_after_outage.cpp
@@ -42,8 +42,9 @@
 private:
     bool serve(const Message &request, Connection &connection)
     {
-        const std::string call = request.target() + " of " + request.field("X-Zinniadoor-Lease-Holder")
-            + ", fencing token " + request.field("X-Zinniadoor-Fencing-Token") + ", " + request.body;
+        const std::string call = request.target() + " of "
+            + request.field("X-Zinniadoor-Lease-Holder") + ", fencing token "
+            + request.field("X-Zinniadoor-Fencing-Token") + ", " + request.body;
         if (isOut_) {
             record_.line("out: " + call);
             waitForEnd(connection);
@@ -116,7 +117,8 @@
         // In the order in which the instances rank each other, so that the first two are those that
         // follow the lease.
         for (int i = 0; i < 4; ++i)
-            names_.push_back("frontend-" + std::string(Zones[i % 3]) + "-" + std::to_string(i / 3 + 1));
+            names_.push_back("frontend-" + std::string(Zones[i % 3]) + "-"
+                             + std::to_string(i / 3 + 1));
         std::sort(names_.begin(), names_.end(), [](const std::string &a, const std::string &b) {
             return std::hash<std::string> {}(a) < std::hash<std::string> {}(b);
         });
@@ -141,7 +143,8 @@
                 sleepMs(10);
             record_.line("the interface for duties is out");
             sleepMs(PowerLossMs);
-            for (const std::size_t i : { 0, 1, 3 }) { // The third one of the first machines is left.
+            for (const std::size_t i :
+                 { 0, 1, 3 }) { // The third one of the first machines is left.
                 record_.line("power lost: " + gateways_[i]->name());
                 isOff_[i] = true;
                 gateways_[i]->kill(SIGKILL);
--- a/review/standins-2/world.hpp
+++ b/review/standins-2/world.hpp
@@ -60,13 +60,13 @@
 
 inline std::string encodeBase64(const std::string &bytes)
 {
-    static const char digits[]
-        = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+    static const char digits[] = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     std::string text;
     for (std::size_t i = 0; i < bytes.size(); i += 3) {
         std::uint32_t group = 0;
         for (std::size_t j = 0; j < 3; ++j)
-            group = group << 8 | (i + j < bytes.size() ? static_cast<unsigned char>(bytes[i + j]) : 0);
+            group = group << 8
+                | (i + j < bytes.size() ? static_cast<unsigned char>(bytes[i + j]) : 0);
         for (std::size_t j = 0; j < 4; ++j)
             text.push_back(i + j <= bytes.size() ? digits[group >> (18 - 6 * j) & 63] : '=');
     }
@@ -131,7 +131,8 @@
         while (at != std::string::npos) {
             const std::size_t start = at + 1;
             at = target.find('&', start);
-            const std::string pair = target.substr(start, at == std::string::npos ? at : at - start);
+            const std::string pair
+                = target.substr(start, at == std::string::npos ? at : at - start);
             if (pair.compare(0, name.size() + 1, name + "=") == 0)
                 return pair.substr(name.size() + 1);
         }
@@ -179,7 +180,8 @@
     {
         std::unique_lock<std::mutex> lock(mutex_);
         const auto deadline = Clock::now() + std::chrono::milliseconds(waitMs);
-        while (topics_[name].end() == from && changed_.wait_until(lock, deadline) != std::cv_status::timeout) { }
+        while (topics_[name].end() == from
+               && changed_.wait_until(lock, deadline) != std::cv_status::timeout) { }
         Topic &topic = topics_[name];
         expire(topic);
         if (from < topic.first)
@@ -200,8 +202,9 @@
         Topic &topic = topics_[name];
         Json items = Json::array();
         for (const auto &[key, value] : topic.newest)
-            items.push_back(
-                { { "Key", key }, { "Value", encodeBase64(value) }, { "Offset", topic.end() - 1 } });
+            items.push_back({ { "Key", key },
+                              { "Value", encodeBase64(value) },
+                              { "Offset", topic.end() - 1 } });
         return response(
             200, {},
             Json { { "items", items }, { "HasMore", false }, { "EndOffset", topic.end() } }.dump());
@@ -232,11 +235,11 @@
         , http_([this](const Message &request, Connection &connection) {
             const std::string expected = request.field("X-Zinniadoor-Expect-Instance");
             if (!expected.empty() && expected != id_)
-                return connection.send(
-                    response(421, { { "X-Zinniadoor-Instance-Id", id_ },
-                                    { "X-Zinniadoor-Not-Executed", "1" },
-                                    { "X-Zinniadoor-Request-Id",
-                                      request.field("X-Zinniadoor-Request-Id") } }));
+                return connection.send(response(
+                    421,
+                    { { "X-Zinniadoor-Instance-Id", id_ },
+                      { "X-Zinniadoor-Not-Executed", "1" },
+                      { "X-Zinniadoor-Request-Id", request.field("X-Zinniadoor-Request-Id") } }));
             return handler_(*this, request, connection);
         })
     {
@@ -329,20 +332,21 @@
     {
         for (int &port : ports_)
             port = freePort();
-        std::ofstream(file_)
-            << "instance: {id: \"" << name_ << "\", data_centre: \"" << zone << "\"}\n"
-            << "listen:\n  callers: \"" << address(0) << "\"\n  readiness: \"" << address(1)
-            << "\"\n  peers: \"" << address(2) << "\"\n  metrics: \"" << address(3) << "\"\n"
-            << "store:\n  address: \"" << deployment.store
-            << "\"\n  configuration_notice: 2000ms\n  leaving_notice: 2000ms\n"
-            << "duties:\n  address: \"" << deployment.duties
-            << "\"\n  lease: 3000ms\n  usage_window: 5s\n  usage_due: 10s\n"
-            << "stop:\n  time: 8s\n"
-            << "retries:\n  ratio: 0.2\n  slack: " << deployment.budgetSlack
-            << "\n  window: 10s\n"
-            << "memory: {limit: " << deployment.memoryMb << " }\n"
-            << "quota: {slack_tokens: " << deployment.quotaSlack << " }\n"
-            << "regions:\n  \"" << zone << "\": \"region\"\n";
+        std::ofstream(file_) << "instance: {id: \"" << name_ << "\", data_centre: \"" << zone
+                             << "\"}\n"
+                             << "listen:\n  callers: \"" << address(0) << "\"\n  readiness: \""
+                             << address(1) << "\"\n  peers: \"" << address(2) << "\"\n  metrics: \""
+                             << address(3) << "\"\n"
+                             << "store:\n  address: \"" << deployment.store
+                             << "\"\n  configuration_notice: 2000ms\n  leaving_notice: 2000ms\n"
+                             << "duties:\n  address: \"" << deployment.duties
+                             << "\"\n  lease: 3000ms\n  usage_window: 5s\n  usage_due: 10s\n"
+                             << "stop:\n  time: 8s\n"
+                             << "retries:\n  ratio: 0.2\n  slack: " << deployment.budgetSlack
+                             << "\n  window: 10s\n"
+                             << "memory: {limit: " << deployment.memoryMb << " }\n"
+                             << "quota: {slack_tokens: " << deployment.quotaSlack << " }\n"
+                             << "regions:\n  \"" << zone << "\": \"region\"\n";
     }
     ~Gateway() { kill(SIGKILL); }
 
@@ -406,8 +410,8 @@
     pid_t pid_ = -1;
 };
 
-/// Ends the trial: kills its processes and removes its temporary folder. The threads of the stand-ins
-/// go on until the process exits.
+/// Ends the trial: kills its processes and removes its temporary folder. The threads of the
+/// stand-ins go on until the process exits.
 inline void endTrial(const Deployment &deployment,
                      const std::vector<std::unique_ptr<Gateway>> &gateways)
 {
