--- a/review/standins-2/http.hpp
+++ b/review/standins-2/http.hpp
@@ -6,6 +6,8 @@
 #include <cstdlib>
 #include <cstring>
 #include <functional>
+#include <mutex>
+#include <set>
 #include <string>
 #include <thread>
 #include <utility>
@@ -244,40 +246,76 @@
 
     explicit HttpServer(Handler handler)
         : handler_(std::move(handler))
-        , listener_(socket(AF_INET, SOCK_STREAM, 0))
     {
+        start();
+    }
+
+    std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
+
+    /// Ends like a process that crashes: no listener is left and all connections are closed.
+    void crash()
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        shutdown(listener_, SHUT_RDWR);
+        ::close(listener_);
+        listener_ = -1;
+        for (const int descriptor : open_)
+            shutdown(descriptor, SHUT_RDWR);
+    }
+
+    /// Listens at the same port again.
+    void start()
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        listener_ = socket(AF_INET, SOCK_STREAM, 0);
+        const int on = 1;
+        setsockopt(listener_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
         sockaddr_in address {};
         address.sin_family = AF_INET;
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        address.sin_port = htons(static_cast<std::uint16_t>(port_));
         socklen_t size = sizeof address;
         if (listener_ < 0 || bind(listener_, reinterpret_cast<sockaddr *>(&address), size) != 0
             || listen(listener_, 512) != 0
             || getsockname(listener_, reinterpret_cast<sockaddr *>(&address), &size) != 0)
-            std::exit(2);
+            _exit(2);
         port_ = ntohs(address.sin_port);
-        std::thread([this] { accept(); }).detach();
+        std::thread([this, listener = listener_] { accept(listener); }).detach();
     }
 
-    std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
-
 private:
-    void accept()
+    void accept(int listener)
     {
         for (;;) {
-            const int descriptor = ::accept(listener_, nullptr, nullptr);
+            const int descriptor = ::accept(listener, nullptr, nullptr);
+            const std::lock_guard<std::mutex> lock(mutex_);
+            if (listener != listener_) {
+                if (descriptor >= 0)
+                    ::close(descriptor);
+                return;
+            }
             if (descriptor < 0)
                 continue;
-            std::thread([this, descriptor] {
-                Connection connection(descriptor);
-                Message request;
-                while (connection.read(request, false, Clock::now() + std::chrono::minutes(5))
-                       && request.complete && handler_(request, connection)) { }
-            }).detach();
+            open_.insert(descriptor);
+            std::thread([this, descriptor] { serve(descriptor); }).detach();
         }
     }
 
+    void serve(int descriptor)
+    {
+        Connection connection(descriptor);
+        Message request;
+        while (connection.read(request, false, Clock::now() + std::chrono::minutes(5))
+               && request.complete && handler_(request, connection)) { }
+        const std::lock_guard<std::mutex> lock(mutex_);
+        open_.erase(descriptor);
+        connection.close();
+    }
+
     Handler handler_;
-    int listener_;
+    std::mutex mutex_;
+    std::set<int> open_;
+    int listener_ = -1;
     int port_ = 0;
 };
 
--- a/review/standins-2/world.hpp
+++ b/review/standins-2/world.hpp
@@ -229,9 +229,7 @@
         , service_(std::move(service))
         , zone_(std::move(zone))
         , handler_(std::move(handler))
-        , born_(std::chrono::duration_cast<std::chrono::milliseconds>(
-                    std::chrono::system_clock::now().time_since_epoch())
-                    .count())
+        , born_(nowMs())
         , http_([this](const Message &request, Connection &connection) {
             const std::string expected = request.field("X-Zinniadoor-Expect-Instance");
             if (!expected.empty() && expected != id_)
@@ -253,6 +251,23 @@
     }
 
     const std::string &id() const { return id_; }
+
+    /// Ends, and starts again under its id after `downMs`.
+    void crash(std::int64_t downMs)
+    {
+        if (!registered.exchange(false))
+            return;
+        http_.crash();
+        std::thread([this, downMs] {
+            sleepMs(downMs);
+            born_ = nowMs();
+            sequence_ = 0;
+            http_.start();
+            registered = true;
+            heartbeat();
+        }).detach();
+    }
+
     void heartbeat()
     {
         store_.put("keyed.servers", id_,
@@ -263,7 +278,7 @@
                           { "Slots", 8 },
                           { "State", "ready" },
                           { "ColdRemainingMs", 0 },
-                          { "born", born_ },
+                          { "born", born_.load() },
                           { "Sequence", ++sequence_ } }
                        .dump());
     }
@@ -279,12 +294,19 @@
     std::atomic<bool> registered { true };
 
 private:
+    static std::int64_t nowMs()
+    {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(
+                   std::chrono::system_clock::now().time_since_epoch())
+            .count();
+    }
+
     Store &store_;
     std::string id_;
     std::string service_;
     std::string zone_;
     Handler handler_;
-    std::int64_t born_;
+    std::atomic<std::int64_t> born_;
     std::atomic<std::uint64_t> sequence_ { 0 };
     HttpServer http_;
 };
