--- a/include/zinniadoor/gateway/part_report_queue.hpp
+++ b/include/zinniadoor/gateway/crash_report_queue.hpp
@@ -1,33 +1,33 @@
 #pragma once
 
 #include "zinniadoor/gateway/report_queue.hpp"
-#include "zinniadoor/serving/part_crash_list.hpp"
+#include "zinniadoor/serving/crash_evidence.hpp"
 
 namespace zinniadoor::gateway {
 
 /// Reports about parts that wait to be included in messages to peers. Not thread-safe.
-class PartReportQueue
+class CrashReportQueue
 {
 public:
     /// Maximum numbers in one message, which keep it below a usual network MTU.
     static constexpr std::size_t MaxCrashesPerMessage = 8;
     static constexpr std::size_t MaxSuccessesPerMessage = 16;
 
-    PartReportQueue();
-    void push(const serving::PartReports &reports, absl::Time now);
+    CrashReportQueue();
+    void push(const serving::CrashReports &reports, absl::Time now);
 
     /// Also sends those again that were sent a short time ago.
-    void pushAgain(const serving::PartReports &reports, absl::Time now);
+    void pushAgain(const serving::CrashReports &reports, absl::Time now);
 
     /// Each report is included in one message only.
-    void pushOnce(const serving::PartReports &reports, absl::Time now);
+    void pushOnce(const serving::CrashReports &reports, absl::Time now);
 
     /// Reports for the next message.
-    serving::PartReports take(absl::Time now);
+    serving::CrashReports take(absl::Time now);
 
 private:
-    ReportQueue<serving::PartCrash> crashes_;
-    ReportQueue<serving::PartSuccess> successes_;
+    ReportQueue<serving::SuspectCrash> crashes_;
+    ReportQueue<serving::SuspectAnswer> successes_;
 };
 
 } // namespace zinniadoor::gateway
--- a/include/zinniadoor/gateway/peer_link.hpp
+++ b/include/zinniadoor/gateway/peer_link.hpp
@@ -20,7 +20,7 @@
                                const std::vector<serving::KeyedSegment> &parts, bool held)
         = 0;
     virtual void announceCrashes(const std::vector<serving::CrashEntry> &crashes) = 0;
-    virtual void announcePartReports(const serving::PartReports &reports) = 0;
+    virtual void announcePartReports(const serving::CrashReports &reports) = 0;
     virtual void announcePause(const base::EndpointId &endpoint, absl::Duration time) = 0;
     virtual void announceFailure(const serving::FailureReport &report) = 0;
     virtual void start() = 0;
--- a/include/zinniadoor/gateway/peer_message.hpp
+++ b/include/zinniadoor/gateway/peer_message.hpp
@@ -14,9 +14,9 @@
 #include "zinniadoor/gateway/process_name.hpp"
 #include "zinniadoor/gateway/quota.hpp"
 #include "zinniadoor/gateway/usage_window_counter.hpp"
+#include "zinniadoor/serving/crash_evidence.hpp"
 #include "zinniadoor/serving/crash_list.hpp"
 #include "zinniadoor/serving/engine_view.hpp"
-#include "zinniadoor/serving/part_crash_list.hpp"
 
 namespace zinniadoor::gateway {
 
@@ -69,7 +69,7 @@
     std::vector<EndpointLoad> loads;
     std::vector<PrefixUpdate> prefixes; ///< Since the last message.
     std::vector<serving::CrashEntry> crashes; ///< Of senders without `CrashReportsMessage`.
-    serving::PartReports partReports; ///< Each in several messages.
+    serving::CrashReports partReports; ///< Each in several messages.
     std::map<std::string, std::int64_t> paused; ///< Remaining pause by endpoint, milliseconds.
     bool hasCounts = false; ///< `consumed`, `usage` and `usageFinalBefore` are set.
     ConsumedCounts consumed; ///< Of all organisations.
@@ -127,7 +127,7 @@
         consumed; ///< By lower half of the organisation's digest.
     std::vector<PrefixUpdate> prefixes; ///< New in the engines' caches since the last message.
     std::vector<serving::CrashEntry> crashes; ///< Of senders without `CrashReportsMessage`.
-    serving::PartReports partReports; ///< Each in several messages.
+    serving::CrashReports partReports; ///< Each in several messages.
     std::map<std::string, std::int64_t> paused; ///< Remaining pause by endpoint, milliseconds.
 
     template <typename Archive>
--- a/include/zinniadoor/gateway/serving_context.hpp
+++ b/include/zinniadoor/gateway/serving_context.hpp
@@ -19,11 +19,11 @@
 #include "zinniadoor/gateway/speed_estimate.hpp"
 #include "zinniadoor/gateway/usage_window_counter.hpp"
 #include "zinniadoor/net/http_client.hpp"
+#include "zinniadoor/serving/crash_evidence.hpp"
 #include "zinniadoor/serving/crash_list.hpp"
 #include "zinniadoor/serving/engine_view.hpp"
 #include "zinniadoor/serving/held_answers.hpp"
 #include "zinniadoor/serving/outlier_ejection.hpp"
-#include "zinniadoor/serving/part_crash_list.hpp"
 #include "zinniadoor/serving/plain_choice.hpp"
 #include "zinniadoor/serving/spill.hpp"
 
@@ -42,7 +42,7 @@
                                const std::vector<serving::KeyedSegment> &parts, bool held)
         = 0;
     virtual void announceCrashes(const std::vector<serving::CrashEntry> &crashes) = 0;
-    virtual void announcePartReports(const serving::PartReports &reports) = 0;
+    virtual void announcePartReports(const serving::CrashReports &reports) = 0;
 
     /// Endpoints in the directory, or their properties, have changed.
     virtual void onDirectoryChanged() = 0;
@@ -81,7 +81,7 @@
     serving::EngineView load;
     serving::OutlierEjection health;
     serving::CrashList crashes;
-    serving::PartCrashList partCrashes;
+    serving::CrashEvidence partCrashes;
     Quota quota;
     RetryBudget budget;
     UsageWindowCounter usage;
--- a/include/zinniadoor/serving/part_crash_list.hpp
+++ b/include/zinniadoor/serving/crash_evidence.hpp
@@ -16,17 +16,18 @@
 
 namespace zinniadoor::serving {
 
-/// Identifies one part of a prompt, whatever parts are before it.
-using PartKey = std::uint64_t;
+/// Identifies what a request may share with others that crash endpoints: one part of its prompt,
+/// whatever parts are before it.
+using SuspectKey = std::uint64_t;
 
 /// Keys of all parts except the last, which belongs to one request alone; without duplicates.
 /// Identical on all instances.
-std::vector<PartKey> sharedPartKeys(const std::vector<PromptSegment> &segments);
+std::vector<SuspectKey> sharedPartKeys(const std::vector<PromptSegment> &segments);
 
 /// Crash of an endpoint while it worked on a request with this part, as exchanged between peers.
-struct PartCrash
+struct SuspectCrash
 {
-    PartKey part = 0;
+    SuspectKey key = 0;
     std::uint64_t request = 0; ///< Digest of the request.
     base::EndpointId endpoint;
     absl::Duration age; ///< Time since the crash; an age, as peers share no clock.
@@ -34,42 +35,42 @@
     template <typename Archive>
     void save(Archive &archive) const
     {
-        archive(part, request, endpoint, absl::ToInt64Milliseconds(age));
+        archive(key, request, endpoint, absl::ToInt64Milliseconds(age));
     }
     template <typename Archive>
     void load(Archive &archive)
     {
         std::int64_t milliseconds = 0;
-        archive(part, request, endpoint, milliseconds);
+        archive(key, request, endpoint, milliseconds);
         age = absl::Milliseconds(milliseconds);
     }
 };
 
 /// A request with this part was answered to its end.
-struct PartSuccess
+struct SuspectAnswer
 {
-    PartKey part = 0;
+    SuspectKey key = 0;
     absl::Duration age; ///< Time since the end of the answer.
 
     template <typename Archive>
     void save(Archive &archive) const
     {
-        archive(part, absl::ToInt64Milliseconds(age));
+        archive(key, absl::ToInt64Milliseconds(age));
     }
     template <typename Archive>
     void load(Archive &archive)
     {
         std::int64_t milliseconds = 0;
-        archive(part, milliseconds);
+        archive(key, milliseconds);
         age = absl::Milliseconds(milliseconds);
     }
 };
 
 /// What instances tell each other about parts.
-struct PartReports
+struct CrashReports
 {
-    std::vector<PartCrash> crashes;
-    std::vector<PartSuccess> successes;
+    std::vector<SuspectCrash> crashes;
+    std::vector<SuspectAnswer> successes;
 
     bool empty() const { return crashes.empty() && successes.empty(); }
 
@@ -80,7 +81,7 @@
     }
 };
 
-struct PartCrashOptions
+struct CrashEvidenceOptions
 {
     std::uint32_t crashesToRefuse = 3; ///< Crashes after which a part is refused.
 
@@ -112,28 +113,29 @@
 
 /// Tracks parts of requests that were in flight on endpoints that crashed, in order to refuse
 /// requests with a part that crashes each endpoint. Not thread-safe.
-class PartCrashList
+class CrashEvidence
 {
 public:
-    explicit PartCrashList(const PartCrashOptions &options);
+    explicit CrashEvidence(const CrashEvidenceOptions &options);
 
     /// The endpoint crashed while it worked on this request. Returns what to tell the peers
     /// immediately.
-    PartReports noteCrash(const std::vector<PartKey> &parts, std::uint64_t request,
-                          const base::EndpointId &endpoint, absl::Time now);
+    CrashReports noteCrash(const std::vector<SuspectKey> &parts, std::uint64_t request,
+                           const base::EndpointId &endpoint, absl::Time now);
 
     /// A request with these parts was answered to its end. Returns what to tell the peers.
-    PartReports noteSuccess(const std::vector<PartKey> &parts, absl::Time now);
+    CrashReports noteSuccess(const std::vector<SuspectKey> &parts, absl::Time now);
 
     /// Returns what to tell the peers: successes of the reported parts that were answered here.
-    PartReports merge(const PartReports &reports, absl::Time now);
+    CrashReports merge(const CrashReports &reports, absl::Time now);
 
     /// The first of these parts that is refused.
-    std::optional<PartKey> refusedPart(const std::vector<PartKey> &parts, absl::Time now) const;
+    std::optional<SuspectKey> refusedKey(const std::vector<SuspectKey> &parts,
+                                         absl::Time now) const;
 
     /// Counted crashes, at most `limit`, of refused parts first, then newest first; and the last
     /// successes of these parts. For peers that have just started.
-    PartReports entries(absl::Time now, std::size_t limit) const;
+    CrashReports entries(absl::Time now, std::size_t limit) const;
 
     void expire(absl::Time now);
 
@@ -153,21 +155,21 @@
         absl::Time at = absl::InfinitePast(); ///< End of the last answer.
         absl::Time reportedAt = absl::InfinitePast(); ///< Last report of a crash.
         absl::Time announcedAt = absl::InfinitePast();
-        std::list<PartKey>::iterator position; ///< In `answeredOrder_`.
+        std::list<SuspectKey>::iterator position; ///< In `answeredOrder_`.
     };
-    bool isTrusted(PartKey part, absl::Time crash) const;
-    bool wasAnswered(PartKey part, absl::Time now) const;
-    bool isRefused(PartKey part, const Crashes &crashes, absl::Time now) const;
+    bool isTrusted(SuspectKey key, absl::Time crash) const;
+    bool wasAnswered(SuspectKey key, absl::Time now) const;
+    bool isRefused(SuspectKey key, const Crashes &crashes, absl::Time now) const;
     Crashes unexplained(Crashes crashes, absl::Time now) const;
     bool isConclusive(const Crashes &crashes, std::uint32_t count, absl::Time now) const;
-    void add(PartKey part, const Crash &crash, absl::Time now);
-    Answered &noteAnswered(PartKey part, absl::Time at);
+    void add(SuspectKey key, const Crash &crash, absl::Time now);
+    Answered &noteAnswered(SuspectKey key, absl::Time at);
     void evictOne(absl::Time now);
 
-    PartCrashOptions options_;
-    absl::flat_hash_map<PartKey, Crashes> crashes_;
-    absl::flat_hash_map<PartKey, Answered> answered_;
-    std::list<PartKey> answeredOrder_; ///< Last answered last.
+    CrashEvidenceOptions options_;
+    absl::flat_hash_map<SuspectKey, Crashes> crashes_;
+    absl::flat_hash_map<SuspectKey, Answered> answered_;
+    std::list<SuspectKey> answeredOrder_; ///< Last answered last.
 };
 
 } // namespace zinniadoor::serving
--- /dev/null
+++ b/src/zinniadoor/gateway/crash_report_queue.cpp
@@ -0,0 +1,38 @@
+#include "zinniadoor/gateway/crash_report_queue.hpp"
+
+namespace zinniadoor::gateway {
+
+CrashReportQueue::CrashReportQueue()
+    : crashes_([](const serving::SuspectCrash &a, const serving::SuspectCrash &b) {
+        return a.key == b.key && a.endpoint == b.endpoint;
+    })
+    , successes_([](const serving::SuspectAnswer &a, const serving::SuspectAnswer &b) {
+        return a.key == b.key;
+    })
+{ }
+
+void CrashReportQueue::push(const serving::CrashReports &reports, absl::Time now)
+{
+    crashes_.push(reports.crashes, now);
+    successes_.push(reports.successes, now);
+}
+
+void CrashReportQueue::pushAgain(const serving::CrashReports &reports, absl::Time now)
+{
+    crashes_.pushAgain(reports.crashes, now);
+    successes_.pushAgain(reports.successes, now);
+}
+
+void CrashReportQueue::pushOnce(const serving::CrashReports &reports, absl::Time now)
+{
+    crashes_.push(reports.crashes, 1, now);
+    successes_.push(reports.successes, 1, now);
+}
+
+serving::CrashReports CrashReportQueue::take(absl::Time now)
+{
+    return { crashes_.take(MaxCrashesPerMessage, now),
+             successes_.take(MaxSuccessesPerMessage, now) };
+}
+
+} // namespace zinniadoor::gateway
--- a/src/zinniadoor/gateway/part_report_queue_test.cpp
+++ b/src/zinniadoor/gateway/crash_report_queue_test.cpp
@@ -1,4 +1,4 @@
-#include "zinniadoor/gateway/part_report_queue.hpp"
+#include "zinniadoor/gateway/crash_report_queue.hpp"
 
 #include <map>
 #include <string>
@@ -14,20 +14,20 @@
 
 struct QueueFixture
 {
-    serving::PartReports crash(serving::PartKey part, const std::string &endpoint = "e")
+    serving::CrashReports crash(serving::SuspectKey part, const std::string &endpoint = "e")
     {
         return { { { part, 1, base::EndpointId(endpoint), absl::ZeroDuration() } }, {} };
     }
-    serving::PartReports success(serving::PartKey part)
+    serving::CrashReports success(serving::SuspectKey part)
     {
         return { {}, { { part, absl::ZeroDuration() } } };
     }
 
-    PartReportQueue queue;
+    CrashReportQueue queue;
     absl::Time now = absl::FromUnixSeconds(1000);
 };
 
-BOOST_FIXTURE_TEST_SUITE(PartReportQueueTest, QueueFixture)
+BOOST_FIXTURE_TEST_SUITE(CrashReportQueueTest, QueueFixture)
 
 BOOST_AUTO_TEST_CASE(report_queued_isInThreeMessagesWithItsAge)
 {
@@ -35,7 +35,7 @@
     queue.push(success(2), now);
     for (int message = 1; message <= 3; ++message) {
         now += absl::Milliseconds(60);
-        const serving::PartReports taken = queue.take(now);
+        const serving::CrashReports taken = queue.take(now);
         BOOST_REQUIRE(taken.crashes.size() == 1u);
         BOOST_REQUIRE(taken.successes.size() == 1u);
         BOOST_TEST((taken.crashes[0].age == message * absl::Milliseconds(60)));
@@ -83,18 +83,18 @@
 {
     constexpr std::size_t PacketBytes = 1200;
     const std::string longName(60, 'e');
-    for (serving::PartKey part = 0; part < 1000; ++part) {
+    for (serving::SuspectKey part = 0; part < 1000; ++part) {
         queue.push(crash(part, longName), now);
         queue.push(success(part), now);
     }
-    std::map<serving::PartKey, int> crashes;
+    std::map<serving::SuspectKey, int> crashes;
     for (int message = 0; message < 1000; ++message) {
-        const serving::PartReports taken = queue.take(now);
+        const serving::CrashReports taken = queue.take(now);
         BOOST_TEST(taken.crashes.size() <= 8u);
         BOOST_TEST(taken.successes.size() <= 16u);
         BOOST_TEST(base::encode(taken).size() <= PacketBytes);
-        for (const serving::PartCrash &crash : taken.crashes)
-            ++crashes[crash.part];
+        for (const serving::SuspectCrash &crash : taken.crashes)
+            ++crashes[crash.key];
     }
     BOOST_TEST(crashes.size() == 256u);
     BOOST_TEST(crashes.rbegin()->first == 999u); // The newest are kept.
@@ -104,11 +104,11 @@
 
 BOOST_AUTO_TEST_CASE(newReport_othersWereSentOnce_goesFirst)
 {
-    for (serving::PartKey part = 0; part < 8; ++part)
+    for (serving::SuspectKey part = 0; part < 8; ++part)
         queue.push(crash(part), now);
     queue.take(now);
     queue.push(crash(99), now);
-    BOOST_TEST(queue.take(now).crashes.at(0).part == 99u);
+    BOOST_TEST(queue.take(now).crashes.at(0).key == 99u);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/zinniadoor/gateway/exchange_admission.cpp
+++ b/src/zinniadoor/gateway/exchange_admission.cpp
@@ -141,7 +141,7 @@
 
 bool Exchange::hasHarmfulPart() const
 {
-    return context_.partCrashes.refusedPart(sharedParts_, context_.clock.now()).has_value();
+    return context_.partCrashes.refusedKey(sharedParts_, context_.clock.now()).has_value();
 }
 
 bool Exchange::refuseIfHarmful()
--- a/src/zinniadoor/gateway/exchange_state.hpp
+++ b/src/zinniadoor/gateway/exchange_state.hpp
@@ -229,7 +229,7 @@
     AllowedRegions regions_;
     const Organisation *organisation_ = nullptr; ///< In `configuration_`.
     std::vector<serving::KeyedSegment> parts_;
-    std::vector<serving::PartKey> sharedParts_;
+    std::vector<serving::SuspectKey> sharedParts_;
     std::string bodyDigest_;
     double quotaCost_ = 0;
     bool quotaConsumed_ = false;
--- a/src/zinniadoor/gateway/gateway.cpp
+++ b/src/zinniadoor/gateway/gateway.cpp
@@ -141,7 +141,7 @@
                      serving::EngineView(),
                      serving::OutlierEjection(serving::EjectionOptions {}),
                      serving::CrashList(serving::CrashListOptions {}),
-                     serving::PartCrashList(serving::PartCrashOptions {}),
+                     serving::CrashEvidence(serving::CrashEvidenceOptions {}),
                      Quota(quotaOptions(settings, start_)),
                      RetryBudget(budgetOptions(settings)),
                      UsageWindowCounter(settings.usageWindow),
@@ -260,7 +260,7 @@
     {
         peerLink_->announceCrashes(crashes);
     }
-    void announcePartReports(const serving::PartReports &reports) override
+    void announcePartReports(const serving::CrashReports &reports) override
     {
         peerLink_->announcePartReports(reports);
     }
--- a/src/zinniadoor/gateway/peer_link.cpp
+++ b/src/zinniadoor/gateway/peer_link.cpp
@@ -13,9 +13,9 @@
 #include "zinniadoor/base/events.hpp"
 #include "zinniadoor/gateway/burst_order.hpp"
 #include "zinniadoor/gateway/consumption_totals.hpp"
+#include "zinniadoor/gateway/crash_report_queue.hpp"
 #include "zinniadoor/gateway/failure_link.hpp"
 #include "zinniadoor/gateway/paced_queue.hpp"
-#include "zinniadoor/gateway/part_report_queue.hpp"
 #include "zinniadoor/gateway/peer_group.hpp"
 #include "zinniadoor/net/datagram_socket.hpp"
 
@@ -188,7 +188,7 @@
         sendCrashReports(); // Each instance that does not know yet may lose two more endpoints.
     }
 
-    void announcePartReports(const serving::PartReports &reports) override
+    void announcePartReports(const serving::CrashReports &reports) override
     {
         partReports_.push(reports, now());
     }
@@ -508,7 +508,7 @@
         message.reachable = reachableViaLeaders(time);
         const auto pausedElsewhere = pausedByOtherLeaders(time);
         message.paused.insert(pausedElsewhere.begin(), pausedElsewhere.end());
-        const serving::PartReports otherReports = otherPartReports_.take(time);
+        const serving::CrashReports otherReports = otherPartReports_.take(time);
         append(message.partReports.crashes, otherReports.crashes);
         append(message.partReports.successes, otherReports.successes);
         std::vector<PrefixUpdate> others;
@@ -1119,7 +1119,7 @@
     absl::Time loadsSentAt_ = absl::InfinitePast();
     absl::Time fullCountsSentAt_ = absl::InfinitePast();
     std::vector<PrefixUpdate> otherPrefixes_; ///< From other leaders, for the members.
-    PartReportQueue otherPartReports_; ///< From other leaders, for the members.
+    CrashReportQueue otherPartReports_; ///< From other leaders, for the members.
     std::map<std::string, absl::Time> otherPaused_; ///< From other leaders, for the members.
     ServingContext &serving_;
     PeerTable &peers_;
@@ -1134,7 +1134,7 @@
     std::vector<PrefixUpdate> prefixes_;
     FailureLink failures_;
     ReportQueue<serving::CrashEntry> crashes_; ///< Of bodies.
-    PartReportQueue partReports_;
+    CrashReportQueue partReports_;
     std::uint64_t heardProcesses_ = 0; ///< When reports were last sent again.
     absl::Time repeatedAt_ = absl::InfinitePast();
     absl::Time limitsSentAt_ = absl::InfinitePast();
--- a/src/zinniadoor/gateway/records_test.cpp
+++ b/src/zinniadoor/gateway/records_test.cpp
@@ -9,12 +9,12 @@
 #include "zinniadoor/base/codec.hpp"
 #include "zinniadoor/gateway/cluster_time.hpp"
 #include "zinniadoor/gateway/configuration.hpp"
+#include "zinniadoor/gateway/crash_report_queue.hpp"
 #include "zinniadoor/gateway/endpoint_directory.hpp"
 #include "zinniadoor/gateway/event_framer.hpp"
 #include "zinniadoor/gateway/gateway_settings.hpp"
 #include "zinniadoor/gateway/journal.hpp"
 #include "zinniadoor/gateway/log_part.hpp"
-#include "zinniadoor/gateway/part_report_queue.hpp"
 #include "zinniadoor/gateway/peer_table.hpp"
 #include "zinniadoor/gateway/retry_budget.hpp"
 
@@ -49,7 +49,7 @@
         return message;
     }
 
-    static serving::PartReports partReports()
+    static serving::CrashReports partReports()
     {
         return { { { 5, 8, base::EndpointId("e"), absl::Milliseconds(10) },
                    { 6, 9, base::EndpointId("f"), absl::Seconds(2) } },
@@ -353,12 +353,12 @@
     BOOST_REQUIRE(receivedSums.hasValue());
     BOOST_TEST(base::encode(received->partReports) == expected);
     BOOST_TEST(base::encode(receivedSums->partReports) == expected);
-    const serving::PartCrash &crash = received->partReports.crashes.at(1);
-    BOOST_TEST(crash.part == 6u);
+    const serving::SuspectCrash &crash = received->partReports.crashes.at(1);
+    BOOST_TEST(crash.key == 6u);
     BOOST_TEST(crash.request == 9u);
     BOOST_TEST(crash.endpoint == base::EndpointId("f"));
     BOOST_TEST((crash.age == absl::Seconds(2)));
-    BOOST_TEST(received->partReports.successes.at(0).part == 7u);
+    BOOST_TEST(received->partReports.successes.at(0).key == 7u);
     BOOST_TEST((received->partReports.successes.at(0).age == absl::Milliseconds(20)));
 }
 
@@ -372,17 +372,17 @@
     sums.crashes = message.crashes;
     sums.partReports = partReports();
     std::mt19937 random(20250301);
-    serving::PartCrashOptions options;
+    serving::CrashEvidenceOptions options;
     options.capacity = 20;
-    serving::PartCrashList list(options);
-    PartReportQueue queue;
-    const auto apply = [&](const serving::PartReports &reports, int i) {
+    serving::CrashEvidence list(options);
+    CrashReportQueue queue;
+    const auto apply = [&](const serving::CrashReports &reports, int i) {
         queue.push(list.merge(reports, at(i)), at(i));
         queue.push(reports, at(i));
-        const serving::PartReports next = queue.take(at(i));
-        BOOST_TEST(next.crashes.size() <= PartReportQueue::MaxCrashesPerMessage);
-        BOOST_TEST(next.successes.size() <= PartReportQueue::MaxSuccessesPerMessage);
-        BOOST_TEST(base::decode<serving::PartReports>(base::encode(next)).hasValue());
+        const serving::CrashReports next = queue.take(at(i));
+        BOOST_TEST(next.crashes.size() <= CrashReportQueue::MaxCrashesPerMessage);
+        BOOST_TEST(next.successes.size() <= CrashReportQueue::MaxSuccessesPerMessage);
+        BOOST_TEST(base::decode<serving::CrashReports>(base::encode(next)).hasValue());
         list.entries(at(i), 8);
         BOOST_TEST(list.size() <= 20u);
     };
--- a/src/zinniadoor/serving/part_crash_list.cpp
+++ b/src/zinniadoor/serving/crash_evidence.cpp
@@ -1,4 +1,4 @@
-#include "zinniadoor/serving/part_crash_list.hpp"
+#include "zinniadoor/serving/crash_evidence.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -9,40 +9,40 @@
 
 namespace zinniadoor::serving {
 
-std::vector<PartKey> sharedPartKeys(const std::vector<PromptSegment> &segments)
+std::vector<SuspectKey> sharedPartKeys(const std::vector<PromptSegment> &segments)
 {
-    std::vector<PartKey> keys;
+    std::vector<SuspectKey> keys;
     for (std::size_t i = 0; i + 1 < segments.size(); ++i) {
-        const PartKey key = stableDigest(segments[i].id);
+        const SuspectKey key = stableDigest(segments[i].id);
         if (std::find(keys.begin(), keys.end(), key) == keys.end())
             keys.push_back(key);
     }
     return keys;
 }
 
-PartCrashList::PartCrashList(const PartCrashOptions &options)
+CrashEvidence::CrashEvidence(const CrashEvidenceOptions &options)
     : options_(options)
 { }
 
-PartReports PartCrashList::noteCrash(const std::vector<PartKey> &parts, std::uint64_t request,
-                                     const base::EndpointId &endpoint, absl::Time now)
+CrashReports CrashEvidence::noteCrash(const std::vector<SuspectKey> &keys, std::uint64_t request,
+                                      const base::EndpointId &endpoint, absl::Time now)
 {
-    PartReports reports;
-    for (const PartKey part : parts) {
-        if (isTrusted(part, now))
+    CrashReports reports;
+    for (const SuspectKey key : keys) {
+        if (isTrusted(key, now))
             continue;
-        add(part, { request, endpoint, now }, now);
-        reports.crashes.push_back({ part, request, endpoint, absl::ZeroDuration() });
+        add(key, { request, endpoint, now }, now);
+        reports.crashes.push_back({ key, request, endpoint, absl::ZeroDuration() });
     }
     return reports;
 }
 
-PartReports PartCrashList::noteSuccess(const std::vector<PartKey> &parts, absl::Time now)
+CrashReports CrashEvidence::noteSuccess(const std::vector<SuspectKey> &keys, absl::Time now)
 {
-    PartReports reports;
-    for (const PartKey part : parts) {
-        const bool isSuspected = crashes_.contains(part);
-        Answered &answered = noteAnswered(part, now);
+    CrashReports reports;
+    for (const SuspectKey key : keys) {
+        const bool isSuspected = crashes_.contains(key);
+        Answered &answered = noteAnswered(key, now);
         if (isSuspected)
             answered.reportedAt = now;
         // Repeated, as the first announcement may be lost.
@@ -51,82 +51,82 @@
         if (!isSuspected && !isDue)
             continue;
         answered.announcedAt = now;
-        reports.successes.push_back({ part, absl::ZeroDuration() });
+        reports.successes.push_back({ key, absl::ZeroDuration() });
     }
     return reports;
 }
 
-PartReports PartCrashList::merge(const PartReports &reports, absl::Time now)
+CrashReports CrashEvidence::merge(const CrashReports &reports, absl::Time now)
 {
     const absl::Duration maxAge = options_.retention - options_.reportMargin;
-    for (const PartSuccess &success : reports.successes) {
+    for (const SuspectAnswer &success : reports.successes) {
         const absl::Duration age = std::max(success.age, absl::ZeroDuration());
         if (age < maxAge)
-            noteAnswered(success.part, now - age);
+            noteAnswered(success.key, now - age);
     }
-    PartReports reply;
-    for (const PartCrash &crash : reports.crashes) {
+    CrashReports reply;
+    for (const SuspectCrash &crash : reports.crashes) {
         const absl::Duration age = std::max(crash.age, absl::ZeroDuration());
         if (age >= maxAge)
             continue;
-        add(crash.part, { crash.request, crash.endpoint, now - age }, now);
-        if (!wasAnswered(crash.part, now))
+        add(crash.key, { crash.request, crash.endpoint, now - age }, now);
+        if (!wasAnswered(crash.key, now))
             continue;
-        Answered &answered = answered_.find(crash.part)->second;
+        Answered &answered = answered_.find(crash.key)->second;
         answered.reportedAt = now;
         if (now - answered.announcedAt < options_.announceInterval)
             continue;
         answered.announcedAt = now;
-        reply.successes.push_back({ crash.part, now - answered.at });
+        reply.successes.push_back({ crash.key, now - answered.at });
     }
     return reply;
 }
 
-std::optional<PartKey> PartCrashList::refusedPart(const std::vector<PartKey> &parts,
-                                                  absl::Time now) const
+std::optional<SuspectKey> CrashEvidence::refusedKey(const std::vector<SuspectKey> &keys,
+                                                    absl::Time now) const
 {
-    for (const PartKey part : parts) {
-        const auto found = crashes_.find(part);
-        if (found != crashes_.end() && isRefused(part, found->second, now))
-            return part;
+    for (const SuspectKey key : keys) {
+        const auto found = crashes_.find(key);
+        if (found != crashes_.end() && isRefused(key, found->second, now))
+            return key;
     }
     return std::nullopt;
 }
 
-PartReports PartCrashList::entries(absl::Time now, std::size_t limit) const
+CrashReports CrashEvidence::entries(absl::Time now, std::size_t limit) const
 {
     struct Suspect
     {
-        PartKey part = 0;
+        SuspectKey key = 0;
         bool isRefused = false;
         absl::Time lastCrash;
     };
     std::vector<Suspect> suspects;
-    for (const auto &[part, crashes] : crashes_)
-        suspects.push_back({ part, isRefused(part, crashes, now), crashes.back().at });
+    for (const auto &[key, crashes] : crashes_)
+        suspects.push_back({ key, isRefused(key, crashes, now), crashes.back().at });
     std::sort(suspects.begin(), suspects.end(), [](const Suspect &a, const Suspect &b) {
         if (a.isRefused != b.isRefused)
             return a.isRefused;
-        return std::pair(a.lastCrash, a.part) > std::pair(b.lastCrash, b.part);
+        return std::pair(a.lastCrash, a.key) > std::pair(b.lastCrash, b.key);
     });
-    PartReports reports;
+    CrashReports reports;
     for (const Suspect &suspect : suspects) {
         if (reports.crashes.size() >= limit)
             break;
-        const Crashes &crashes = crashes_.find(suspect.part)->second;
+        const Crashes &crashes = crashes_.find(suspect.key)->second;
         for (auto crash = crashes.rbegin(); crash != crashes.rend(); ++crash) {
             if (reports.crashes.size() < limit && now - crash->at < options_.retention)
                 reports.crashes.push_back(
-                    { suspect.part, crash->request, crash->endpoint, now - crash->at });
+                    { suspect.key, crash->request, crash->endpoint, now - crash->at });
         }
-        if (wasAnswered(suspect.part, now))
+        if (wasAnswered(suspect.key, now))
             reports.successes.push_back(
-                { suspect.part, now - answered_.find(suspect.part)->second.at });
+                { suspect.key, now - answered_.find(suspect.key)->second.at });
     }
     return reports;
 }
 
-void PartCrashList::expire(absl::Time now)
+void CrashEvidence::expire(absl::Time now)
 {
     const auto isOld = [&](const Crash &crash) { return now - crash.at >= options_.retention; };
     absl::erase_if(crashes_, [&](auto &entry) {
@@ -140,32 +140,32 @@
     }
 }
 
-bool PartCrashList::isTrusted(PartKey part, absl::Time crash) const
+bool CrashEvidence::isTrusted(SuspectKey key, absl::Time crash) const
 {
-    const auto found = answered_.find(part);
+    const auto found = answered_.find(key);
     return found != answered_.end() && found->second.at >= crash - options_.trust;
 }
 
-bool PartCrashList::wasAnswered(PartKey part, absl::Time now) const
+bool CrashEvidence::wasAnswered(SuspectKey key, absl::Time now) const
 {
-    const auto found = answered_.find(part);
+    const auto found = answered_.find(key);
     return found != answered_.end() && now - found->second.at < options_.retention;
 }
 
-bool PartCrashList::isRefused(PartKey part, const Crashes &crashes, absl::Time now) const
+bool CrashEvidence::isRefused(SuspectKey key, const Crashes &crashes, absl::Time now) const
 {
-    if (!wasAnswered(part, now))
+    if (!wasAnswered(key, now))
         return isConclusive(crashes, options_.crashesToRefuse, now);
     return isConclusive(crashes, options_.crashesToRefuseAnswered, now)
         && isConclusive(unexplained(crashes, now), options_.crashesToRefuseAnswered, now);
 }
 
-// A part that was never answered and is refused explains the crashes of its time: the requests with
-// it have other parts too, and all requests on the endpoint are lost.
-PartCrashList::Crashes PartCrashList::unexplained(Crashes crashes, absl::Time now) const
+// A key that was never answered and is refused explains the crashes of its time: the requests with
+// it have other keys too, and all requests on the endpoint are lost.
+CrashEvidence::Crashes CrashEvidence::unexplained(Crashes crashes, absl::Time now) const
 {
-    for (const auto &[part, others] : crashes_) {
-        if (wasAnswered(part, now) || !isConclusive(others, options_.crashesToRefuse, now))
+    for (const auto &[key, others] : crashes_) {
+        if (wasAnswered(key, now) || !isConclusive(others, options_.crashesToRefuse, now))
             continue;
         const absl::Time from = others.front().at - options_.duplicateWindow;
         const absl::Time to = others.back().at + options_.duplicateWindow;
@@ -177,7 +177,7 @@
     return crashes;
 }
 
-bool PartCrashList::isConclusive(const Crashes &crashes, std::uint32_t count, absl::Time now) const
+bool CrashEvidence::isConclusive(const Crashes &crashes, std::uint32_t count, absl::Time now) const
 {
     if (crashes.size() < count)
         return false;
@@ -196,13 +196,13 @@
     return separate >= count && requests.size() >= options_.requestsToRefuse;
 }
 
-void PartCrashList::add(PartKey part, const Crash &crash, absl::Time now)
+void CrashEvidence::add(SuspectKey key, const Crash &crash, absl::Time now)
 {
-    if (isTrusted(part, crash.at))
+    if (isTrusted(key, crash.at))
         return;
-    if (!crashes_.contains(part) && crashes_.size() >= options_.capacity)
+    if (!crashes_.contains(key) && crashes_.size() >= options_.capacity)
         evictOne(now);
-    Crashes &crashes = crashes_[part];
+    Crashes &crashes = crashes_[key];
     bool isSeparate = true;
     absl::flat_hash_set<std::uint64_t> requests;
     for (const Crash &other : crashes) {
@@ -231,34 +231,34 @@
         crashes.erase(crashes.begin());
 }
 
-PartCrashList::Answered &PartCrashList::noteAnswered(PartKey part, absl::Time at)
+CrashEvidence::Answered &CrashEvidence::noteAnswered(SuspectKey key, absl::Time at)
 {
-    if (!answered_.contains(part) && answered_.size() >= options_.capacity) {
+    if (!answered_.contains(key) && answered_.size() >= options_.capacity) {
         answered_.erase(answeredOrder_.front());
         answeredOrder_.pop_front();
     }
-    const auto [entry, isNew] = answered_.try_emplace(part);
+    const auto [entry, isNew] = answered_.try_emplace(key);
     Answered &answered = entry->second;
     if (isNew)
-        answered.position = answeredOrder_.insert(answeredOrder_.end(), part);
+        answered.position = answeredOrder_.insert(answeredOrder_.end(), key);
     else if (at > answered.at)
         answeredOrder_.splice(answeredOrder_.end(), answeredOrder_, answered.position);
     answered.at = std::max(answered.at, at);
 
-    const auto found = crashes_.find(part);
+    const auto found = crashes_.find(key);
     if (found == crashes_.end())
         return answered;
     Crashes &crashes = found->second;
     crashes.erase(std::remove_if(crashes.begin(), crashes.end(),
-                                 [&](const Crash &crash) { return isTrusted(part, crash.at); }),
+                                 [&](const Crash &crash) { return isTrusted(key, crash.at); }),
                   crashes.end());
     if (crashes.empty())
         crashes_.erase(found);
     return answered;
 }
 
-// Evicts parts that are not refused first, and of these the one whose last crash is the oldest.
-void PartCrashList::evictOne(absl::Time now)
+// Evicts keys that are not refused first, and of these the one whose last crash is the oldest.
+void CrashEvidence::evictOne(absl::Time now)
 {
     auto victim = crashes_.end();
     std::pair<bool, absl::Time> lowest;
--- a/src/zinniadoor/serving/part_crash_list_test.cpp
+++ b/src/zinniadoor/serving/crash_evidence_test.cpp
@@ -1,4 +1,4 @@
-#include "zinniadoor/serving/part_crash_list.hpp"
+#include "zinniadoor/serving/crash_evidence.hpp"
 
 #include <algorithm>
 #include <functional>
@@ -26,7 +26,8 @@
     absl::Duration delay = absl::Milliseconds(250);
     int copies = 1; ///< Number of times that each report is sent.
     bool sendsEntries = true; ///< Each instance sends its entries each second.
-    std::function<std::vector<PartKey>(const std::vector<PromptSegment> &)> keysOf = sharedPartKeys;
+    std::function<std::vector<SuspectKey>(const std::vector<PromptSegment> &)> keysOf
+        = sharedPartKeys;
 };
 
 /// Simulates instances that exchange reports by datagrams and serve requests on common endpoints,
@@ -38,14 +39,14 @@
     Fleet(std::uint32_t seed, const FleetOptions &options)
         : options_(options)
         , random_(seed)
-        , lists_(options.instances, PartCrashList(PartCrashOptions {}))
+        , lists_(options.instances, CrashEvidence(CrashEvidenceOptions {}))
         , usableAt_(options.endpoints, absl::InfinitePast())
     { }
 
     absl::Time now() const { return now_; }
     std::uint32_t draw(std::uint32_t below) { return random_() % below; }
     bool chance(double share) { return std::uniform_real_distribution<>()(random_) < share; }
-    PartCrashList &list(std::size_t instance) { return lists_[instance]; }
+    CrashEvidence &list(std::size_t instance) { return lists_[instance]; }
 
     /// Returns false if the request is refused.
     bool request(std::size_t instance, const std::vector<PromptSegment> &parts, bool crashes)
@@ -76,7 +77,8 @@
     }
 
     /// A request is answered at once, or its endpoint ends.
-    void serve(std::size_t instance, const std::vector<PartKey> &keys, std::uint64_t id, bool lost)
+    void serve(std::size_t instance, const std::vector<SuspectKey> &keys, std::uint64_t id,
+               bool lost)
     {
         const base::EndpointId endpoint(absl::StrCat("e", id));
         announce(instance,
@@ -86,7 +88,7 @@
 
     void restart(std::size_t instance)
     {
-        lists_[instance] = PartCrashList(PartCrashOptions {});
+        lists_[instance] = CrashEvidence(CrashEvidenceOptions {});
         const auto isGone = [&](const Request &request) { return request.instance == instance; };
         inFlight_.erase(std::remove_if(inFlight_.begin(), inFlight_.end(), isGone),
                         inFlight_.end());
@@ -132,8 +134,8 @@
 
     bool isRefusedOnAll(const std::vector<PromptSegment> &parts) const
     {
-        return std::all_of(lists_.begin(), lists_.end(), [&](const PartCrashList &list) {
-            return list.refusedPart(options_.keysOf(parts), now_).has_value();
+        return std::all_of(lists_.begin(), lists_.end(), [&](const CrashEvidence &list) {
+            return list.refusedKey(options_.keysOf(parts), now_).has_value();
         });
     }
 
@@ -155,7 +157,7 @@
     struct Request
     {
         std::size_t instance = 0;
-        std::vector<PartKey> keys;
+        std::vector<SuspectKey> keys;
         std::uint64_t id = 0;
         bool crashes = false;
         std::size_t endpoint = 0;
@@ -165,13 +167,13 @@
     struct Message
     {
         std::size_t to = 0;
-        PartReports reports;
+        CrashReports reports;
         absl::Time at;
     };
 
     bool send(Request request)
     {
-        if (lists_[request.instance].refusedPart(request.keys, now_))
+        if (lists_[request.instance].refusedKey(request.keys, now_))
             return false;
         do {
             request.endpoint = draw(static_cast<std::uint32_t>(usableAt_.size()));
@@ -184,17 +186,17 @@
         return true;
     }
 
-    void announce(std::size_t from, const PartReports &reports)
+    void announce(std::size_t from, const CrashReports &reports)
     {
         if (reports.empty())
             return;
         for (std::size_t to = 0; to < lists_.size(); ++to) {
             for (int copy = 0; to != from && copy < options_.copies; ++copy) {
                 const absl::Duration wait = options_.delay + copy * absl::Milliseconds(100);
-                PartReports sent = reports;
-                for (PartCrash &crash : sent.crashes)
+                CrashReports sent = reports;
+                for (SuspectCrash &crash : sent.crashes)
                     crash.age += copy * absl::Milliseconds(100);
-                for (PartSuccess &success : sent.successes)
+                for (SuspectAnswer &success : sent.successes)
                     success.age += copy * absl::Milliseconds(100);
                 if (!chance(options_.lossRate))
                     messages_.push_back({ to, std::move(sent), now_ + wait });
@@ -204,7 +206,7 @@
 
     FleetOptions options_;
     std::mt19937 random_;
-    std::vector<PartCrashList> lists_;
+    std::vector<CrashEvidence> lists_;
     std::vector<absl::Time> usableAt_;
     absl::Time now_ = absl::UnixEpoch() + absl::Seconds(1000);
     std::uint64_t requests_ = 0;
@@ -264,14 +266,14 @@
     int own = 0;
 };
 
-struct PartCrashFixture
+struct EvidenceFixture
 {
-    std::vector<PartKey> part { 7 };
-    PartCrashList list { PartCrashOptions {} };
+    std::vector<SuspectKey> part { 7 };
+    CrashEvidence list { CrashEvidenceOptions {} };
     absl::Time now = absl::FromUnixSeconds(1000);
 
     /// Each crash is of another request and endpoint, half a second after the one before.
-    void crash(PartCrashList &to, const std::vector<PartKey> &parts, int times)
+    void crash(CrashEvidence &to, const std::vector<SuspectKey> &parts, int times)
     {
         for (int i = 0; i < times; ++i) {
             now += absl::Milliseconds(500);
@@ -279,12 +281,12 @@
             to.noteCrash(parts, crashes, base::EndpointId(absl::StrCat("e", crashes)), now);
         }
     }
-    bool isRefused(const PartCrashList &in) const { return in.refusedPart(part, now).has_value(); }
+    bool isRefused(const CrashEvidence &in) const { return in.refusedKey(part, now).has_value(); }
 
     std::uint64_t crashes = 0;
 };
 
-BOOST_FIXTURE_TEST_SUITE(PartCrashListTest, PartCrashFixture)
+BOOST_FIXTURE_TEST_SUITE(CrashEvidenceTest, EvidenceFixture)
 
 BOOST_AUTO_TEST_CASE(sharedPartKeys_sameIdBehindOtherParts_hasSameKeyWithoutLastPart)
 {
@@ -304,8 +306,8 @@
     BOOST_TEST(!isRefused(list));
     crash(list, part, 1);
     BOOST_TEST(isRefused(list));
-    BOOST_TEST((list.refusedPart({ 1, 7, 9 }, now) == std::optional<PartKey>(7)));
-    BOOST_TEST(!list.refusedPart({ 1, 9 }, now).has_value());
+    BOOST_TEST((list.refusedKey({ 1, 7, 9 }, now) == std::optional<SuspectKey>(7)));
+    BOOST_TEST(!list.refusedKey({ 1, 9 }, now).has_value());
 }
 
 BOOST_AUTO_TEST_CASE(crash_reportedByTwoPeersAndHere_countsOnce)
@@ -326,7 +328,7 @@
 BOOST_AUTO_TEST_CASE(crash_reportedAgainMuchLater_countsOnce)
 {
     crash(list, part, 2);
-    const PartReports reports = list.entries(now, 8);
+    const CrashReports reports = list.entries(now, 8);
     for (int i = 0; i < 5; ++i) {
         now += absl::Seconds(6);
         list.merge(reports, now);
@@ -386,7 +388,7 @@
     now += absl::Minutes(2);
     crash(list, { 7, 8 }, 6);
     BOOST_TEST(!isRefused(list));
-    BOOST_TEST(list.refusedPart({ 8 }, now).has_value());
+    BOOST_TEST(list.refusedKey({ 8 }, now).has_value());
 }
 
 BOOST_AUTO_TEST_CASE(success_ofPartWithoutCrashes_isNotAnnounced)
@@ -413,20 +415,20 @@
 {
     list.noteSuccess({ 1 }, now);
     now += absl::Seconds(1);
-    const PartReports reports = list.noteCrash({ 1, 7 }, 3, base::EndpointId("e"), now);
+    const CrashReports reports = list.noteCrash({ 1, 7 }, 3, base::EndpointId("e"), now);
     BOOST_REQUIRE(reports.crashes.size() == 1u);
-    BOOST_TEST(reports.crashes[0].part == 7u);
+    BOOST_TEST(reports.crashes[0].key == 7u);
     BOOST_TEST(reports.crashes[0].request == 3u);
     BOOST_TEST(reports.successes.empty());
 }
 
 BOOST_AUTO_TEST_CASE(instance_neverSawSuccess_isCorrectedByPeer)
 {
-    PartCrashList peer { PartCrashOptions {} };
+    CrashEvidence peer { CrashEvidenceOptions {} };
     peer.noteSuccess(part, now);
     crash(list, part, 3);
     BOOST_TEST(isRefused(list));
-    const PartReports reply = peer.merge(list.entries(now, 8), now);
+    const CrashReports reply = peer.merge(list.entries(now, 8), now);
     BOOST_REQUIRE(reply.successes.size() == 1u);
     BOOST_TEST(peer.merge(list.entries(now, 8), now).empty()); // At most once in a short time.
     BOOST_TEST(list.merge(reply, now).empty());
@@ -439,16 +441,16 @@
     crash(list, part, 3);
     crash(list, { 8 }, 2);
     crash(list, { 9 }, 1);
-    PartCrashList restarted { PartCrashOptions {} };
+    CrashEvidence restarted { CrashEvidenceOptions {} };
     now += absl::Minutes(1);
-    const PartReports reports = list.entries(now, 4);
+    const CrashReports reports = list.entries(now, 4);
     BOOST_REQUIRE(reports.crashes.size() == 4u);
     for (std::size_t i = 0; i < 3; ++i)
-        BOOST_TEST(reports.crashes[i].part == 7u); // The refused part first.
-    BOOST_TEST(reports.crashes[3].part == 9u); // Then the newest.
+        BOOST_TEST(reports.crashes[i].key == 7u); // The refused part first.
+    BOOST_TEST(reports.crashes[3].key == 9u); // Then the newest.
     BOOST_TEST(restarted.merge(reports, now).empty());
     BOOST_TEST(isRefused(restarted));
-    BOOST_TEST(!restarted.refusedPart({ 8, 9 }, now).has_value());
+    BOOST_TEST(!restarted.refusedKey({ 8, 9 }, now).has_value());
 }
 
 BOOST_AUTO_TEST_CASE(entries_ofPartAnsweredEarlier_includeItsSuccess)
@@ -456,7 +458,7 @@
     list.noteSuccess(part, now);
     now += absl::Minutes(1);
     crash(list, part, 3);
-    PartCrashList restarted { PartCrashOptions {} };
+    CrashEvidence restarted { CrashEvidenceOptions {} };
     restarted.merge(list.entries(now, 8), now);
     BOOST_TEST(!isRefused(list));
     BOOST_TEST(!isRefused(restarted));
@@ -485,7 +487,7 @@
     }
     fleet.run(absl::Seconds(5));
     for (std::size_t i = 0; i < 8; ++i)
-        BOOST_TEST(fleet.list(i).refusedPart(part, fleet.now()).has_value());
+        BOOST_TEST(fleet.list(i).refusedKey(part, fleet.now()).has_value());
     fleet.run(absl::Minutes(10), [&] {
         for (std::size_t i = 0; i < 8; ++i)
             fleet.list(i).expire(fleet.now());
@@ -496,11 +498,11 @@
 
 BOOST_AUTO_TEST_CASE(list_full_evictsUnrefusedPartsFirst)
 {
-    PartCrashOptions options;
+    CrashEvidenceOptions options;
     options.capacity = 3;
-    list = PartCrashList(options);
+    list = CrashEvidence(options);
     crash(list, part, 3);
-    for (PartKey other = 100; other < 150; ++other) {
+    for (SuspectKey other = 100; other < 150; ++other) {
         crash(list, { other }, 2);
         BOOST_TEST(list.size() <= 3u);
         BOOST_TEST(isRefused(list));
@@ -510,10 +512,10 @@
 
 BOOST_AUTO_TEST_CASE(answeredParts_moreThanCapacity_oldestAreForgotten)
 {
-    PartCrashOptions options;
+    CrashEvidenceOptions options;
     options.capacity = 3;
-    list = PartCrashList(options);
-    for (const PartKey answered : { 7, 1, 2, 1, 3 })
+    list = CrashEvidence(options);
+    for (const SuspectKey answered : { 7, 1, 2, 1, 3 })
         list.noteSuccess({ answered }, now);
     BOOST_TEST(list.noteCrash({ 1, 2, 3 }, 1, base::EndpointId("e"), now).empty());
     BOOST_TEST(list.noteCrash(part, 1, base::EndpointId("e"), now).crashes.size() == 1u);
@@ -606,8 +608,8 @@
         std::size_t refused = 0;
         for (int i = 0; i < 86; ++i) { // 10 minutes.
             const std::size_t instance = fleet.draw(8);
-            PartCrashList &served = fleet.list(instance);
-            refused += served.refusedPart(part, fleet.now()) ? 1 : 0;
+            CrashEvidence &served = fleet.list(instance);
+            refused += served.refusedKey(part, fleet.now()) ? 1 : 0;
             fleet.run(absl::Seconds(7));
             fleet.serve(instance, part, static_cast<std::uint64_t>(i), fleet.chance(0.1));
         }
