Judge bodies by answers too, and try refused ones again

Cause: a body in flight on two endpoints that broke the connection was refused, whatever else was known of it. A check of the endpoint's health is no cure: it may wait for a slot, and endpoints that crash for reasons of their own take a lookup that many callers repeat with them.

Change: a request that crashes endpoints crashes each that begins to run it, so an answer refutes it. Bodies are now judged by the class that judges parts of prompts (CrashEvidence, with options of their own): answers clear a body, peers reply to reports of crashes with answers that they have seen, and both are told to instances that start later. A refused body that nobody has seen answered could not be answered any more: 30 s after its last crash one instance sends it once more, in turns, then 5 minutes after, then 30. An attempt that makes the body refused is the last one of its request. The stand-alone daemon uses the same class. Removed: the check of health, which was switched off, the gateway's table of bodies in flight (each exchange sees its own connection break), the message of crashes alone.

CrashCheckTest goes with its class: HarmfulBodyTest asserts the same of requests (refused after two broken connections, whoever answers later; several bodies on one endpoint counted once each). The cases of CrashListTest that concern reports move to BodyCrashEvidenceTest. In ExchangeTest/request_twoCopiesAtEndpoint_* the first copy now ends with an error, as an answer that is served clears the body.

--- a/include/zinniadoor/control/peer_messages.hpp
+++ b/include/zinniadoor/control/peer_messages.hpp
@@ -294,9 +294,37 @@
     }
 };
 
-using PeerMessage
-    = std::variant<Heartbeat, AttestationRequest, AttestationResponse, LoanRequest, LoanResponse,
-                   LoanReturn, UsageCopy, UsageCopyAck, StateRequest, StateResponse, CrashNotice>;
+/// An event that concerns one request body, identified by the digest of its digest.
+struct BodyEvent
+{
+    std::uint64_t body = 0;
+    std::uint32_t ageMilliseconds = 0;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(body, ageMilliseconds);
+    }
+};
+
+/// Sent to all peers: bodies that were answered, so that the crashes of endpoints on which they
+/// were in flight have other causes, and refused ones that were sent again as a trial.
+struct BodyNotice
+{
+    base::InstanceId instance;
+    std::vector<BodyEvent> answered;
+    std::vector<BodyEvent> tried;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(instance, answered, tried);
+    }
+};
+
+using PeerMessage = std::variant<Heartbeat, AttestationRequest, AttestationResponse, LoanRequest,
+                                 LoanResponse, LoanReturn, UsageCopy, UsageCopyAck, StateRequest,
+                                 StateResponse, CrashNotice, BodyNotice>;
 
 /// A message and its destination.
 struct OutgoingMessage
--- a/include/zinniadoor/daemon/core.hpp
+++ b/include/zinniadoor/daemon/core.hpp
@@ -103,6 +103,7 @@
                                    const base::RequestId &id, const Caller &caller,
                                    const control::Route &route) override;
     void onCrash(const std::vector<serving::CrashEntry> &entries) override;
+    void onBodyReports(const serving::CrashReports &reports) override;
 
     Parts parts_;
     std::mt19937_64 random_;
--- a/include/zinniadoor/daemon/request_loop.hpp
+++ b/include/zinniadoor/daemon/request_loop.hpp
@@ -42,12 +42,17 @@
         = 0;
 };
 
-/// Notified when a probe finds that an endpoint has crashed.
+/// Notified of what peers have to know of bodies that crash endpoints.
 class CrashListener
 {
 public:
     virtual ~CrashListener() = default;
+
+    /// A probe has found that an endpoint has crashed.
     virtual void onCrash(const std::vector<serving::CrashEntry> &entries) = 0;
+
+    /// Answers and trials of bodies.
+    virtual void onBodyReports(const serving::CrashReports &reports) = 0;
 };
 
 /// Whether the instance accepts requests and, if not, the reason.
--- a/include/zinniadoor/gateway/crash_report_queue.hpp
+++ b/include/zinniadoor/gateway/crash_report_queue.hpp
@@ -5,13 +5,14 @@
 
 namespace zinniadoor::gateway {
 
-/// Reports about parts that wait to be included in messages to peers. Not thread-safe.
+/// Reports that wait to be included in messages to peers. Not thread-safe.
 class CrashReportQueue
 {
 public:
     /// Maximum numbers in one message, which keep it below a usual network MTU.
     static constexpr std::size_t MaxCrashesPerMessage = 8;
     static constexpr std::size_t MaxSuccessesPerMessage = 16;
+    static constexpr std::size_t MaxTrialsPerMessage = 8;
 
     CrashReportQueue();
     void push(const serving::CrashReports &reports, absl::Time now);
@@ -28,6 +29,7 @@
 private:
     ReportQueue<serving::SuspectCrash> crashes_;
     ReportQueue<serving::SuspectAnswer> successes_;
+    ReportQueue<serving::SuspectTrial> trials_;
 };
 
 } // namespace zinniadoor::gateway
--- a/include/zinniadoor/gateway/dialects.hpp
+++ b/include/zinniadoor/gateway/dialects.hpp
@@ -103,9 +103,6 @@
                                      const std::string &holder,
                                      std::uint64_t fencingNumber) const = 0;
 
-    virtual net::Request checkHealth(const EndpointRecord &endpoint,
-                                     const std::string &path) const = 0;
-
     virtual AnswerFacts decode(const net::ResponseHead &head) const = 0;
 
     /// Whether the answer belongs to the request with this id.
--- a/include/zinniadoor/gateway/peer_link.hpp
+++ b/include/zinniadoor/gateway/peer_link.hpp
@@ -19,7 +19,7 @@
     virtual void announceParts(const base::EndpointId &engine,
                                const std::vector<serving::KeyedSegment> &parts, bool held)
         = 0;
-    virtual void announceCrashes(const std::vector<serving::CrashEntry> &crashes) = 0;
+    virtual void announceBodyReports(const serving::CrashReports &reports) = 0;
     virtual void announcePartReports(const serving::CrashReports &reports) = 0;
     virtual void announcePause(const base::EndpointId &endpoint, absl::Duration time) = 0;
     virtual void announceFailure(const serving::FailureReport &report) = 0;
--- a/include/zinniadoor/gateway/peer_message.hpp
+++ b/include/zinniadoor/gateway/peer_message.hpp
@@ -68,7 +68,7 @@
     std::int64_t estimateMs = 0; ///< Sender's own estimate of cluster time, Unix milliseconds.
     std::vector<EndpointLoad> loads;
     std::vector<PrefixUpdate> prefixes; ///< Since the last message.
-    std::vector<serving::CrashEntry> crashes; ///< Of senders without `CrashReportsMessage`.
+    std::vector<serving::CrashEntry> crashes; ///< Always empty; `BodyReportsMessage` replaces it.
     serving::CrashReports partReports; ///< Each in several messages.
     std::map<std::string, std::int64_t> paused; ///< Remaining pause by endpoint, milliseconds.
     bool hasCounts = false; ///< `consumed`, `usage` and `usageFinalBefore` are set.
@@ -126,7 +126,7 @@
     std::vector<std::pair<std::uint32_t, double>>
         consumed; ///< By lower half of the organisation's digest.
     std::vector<PrefixUpdate> prefixes; ///< New in the engines' caches since the last message.
-    std::vector<serving::CrashEntry> crashes; ///< Of senders without `CrashReportsMessage`.
+    std::vector<serving::CrashEntry> crashes; ///< Always empty; `BodyReportsMessage` replaces it.
     serving::CrashReports partReports; ///< Each in several messages.
     std::map<std::string, std::int64_t> paused; ///< Remaining pause by endpoint, milliseconds.
 
@@ -211,34 +211,21 @@
     }
 };
 
-/// Crash of an endpoint while a request body was in flight on it.
-struct CrashReport
-{
-    serving::CrashEntry entry;
-    std::uint64_t id = 0; ///< See `CrashEntry::id`.
-
-    template <typename Archive>
-    void serialize(Archive &archive)
-    {
-        archive(entry, id);
-    }
-};
-
-/// Reports of crashes, each in several messages, and again for instances that have just started. A
-/// hint, like `PeerMessage`.
-struct CrashReportsMessage
+/// Reports about bodies of requests, each in several messages, and again for instances that have
+/// just started. A hint, like `PeerMessage`.
+struct BodyReportsMessage
 {
     static constexpr std::uint8_t CurrentFormat
-        = 14; ///< Distinct from that of every other message.
+        = 15; ///< Distinct from that of every other message.
 
     std::uint8_t format = CurrentFormat;
     ProcessName sender;
-    std::vector<CrashReport> crashes;
+    serving::CrashReports reports;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(format, sender, crashes);
+        archive(format, sender, reports, reports.trials);
     }
 };
 
--- a/include/zinniadoor/gateway/serving_context.hpp
+++ b/include/zinniadoor/gateway/serving_context.hpp
@@ -20,7 +20,6 @@
 #include "zinniadoor/gateway/usage_window_counter.hpp"
 #include "zinniadoor/net/http_client.hpp"
 #include "zinniadoor/serving/crash_evidence.hpp"
-#include "zinniadoor/serving/crash_list.hpp"
 #include "zinniadoor/serving/engine_view.hpp"
 #include "zinniadoor/serving/held_answers.hpp"
 #include "zinniadoor/serving/outlier_ejection.hpp"
@@ -41,7 +40,9 @@
     virtual void announceParts(const base::EndpointId &engine,
                                const std::vector<serving::KeyedSegment> &parts, bool held)
         = 0;
-    virtual void announceCrashes(const std::vector<serving::CrashEntry> &crashes) = 0;
+    /// Of crashes, answers and trials of whole bodies.
+    virtual void announceBodyReports(const serving::CrashReports &reports) = 0;
+    /// Of crashes and answers of parts of prompts.
     virtual void announcePartReports(const serving::CrashReports &reports) = 0;
 
     /// Endpoints in the directory, or their properties, have changed.
@@ -54,16 +55,6 @@
     virtual void announcePause(const base::EndpointId &endpoint, absl::Duration time) = 0;
 };
 
-/// Tells endpoints that have crashed from those that have only broken a connection.
-class CrashCheck
-{
-public:
-    virtual ~CrashCheck() = default;
-
-    /// Calls `crashed` unless the endpoint proves to be alive; at once or within about a second.
-    virtual void start(const EndpointRecord &endpoint, std::function<void()> crashed) = 0;
-};
-
 /// State shared by all requests; owned by the event thread.
 struct ServingContext
 {
@@ -80,7 +71,7 @@
     EndpointDirectory directory;
     serving::EngineView load;
     serving::OutlierEjection health;
-    serving::CrashList crashes;
+    serving::CrashEvidence bodyCrashes;
     serving::CrashEvidence partCrashes;
     Quota quota;
     RetryBudget budget;
@@ -91,7 +82,6 @@
     RegionTable regions {};
     serving::Spill spill { {}, {} };
     ExchangeRegistry exchanges {};
-    CrashCheck *crashCheck = nullptr; ///< Null: each broken connection counts as a crash.
     std::shared_ptr<serving::HeldAnswers> heldAnswers
         = std::make_shared<serving::HeldAnswers>(serving::HeldAnswersOptions {});
 
--- a/include/zinniadoor/serving/crash_list.hpp
+++ b/include/zinniadoor/serving/crash_list.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
 #include <cstdint>
-#include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
@@ -10,6 +10,7 @@
 
 #include "zinniadoor/base/ids.hpp"
 #include "zinniadoor/base/outcome.hpp"
+#include "zinniadoor/serving/crash_evidence.hpp"
 
 namespace zinniadoor::serving {
 
@@ -20,9 +21,6 @@
     base::EndpointId endpoint;
     absl::Duration age; ///< Time since the crash; an age, as peers share no clock.
 
-    /// Of the crash, given by the instance that observed it; 0 if unknown. Not in the archive.
-    std::uint64_t id = 0;
-
     template <typename Archive>
     void save(Archive &archive) const
     {
@@ -37,33 +35,18 @@
     }
 };
 
-struct CrashListOptions
-{
-    std::uint32_t crashesToRefuse = 2; ///< Crashes after which a body is refused.
-    absl::Duration retention = absl::Minutes(30);
-
-    /// Reports about one endpoint within this time count as one crash: all instances detect a
-    /// crash within it, and no endpoint restarts faster.
-    absl::Duration duplicateWindow = absl::Seconds(3);
-
-    /// Reports that are closer to `retention` are ignored, so that instances don't keep a crash
-    /// alive by reporting it to each other.
-    absl::Duration reportMargin = absl::Seconds(30);
-    std::size_t capacity = 10000; ///< Maximum number of tracked bodies.
-};
-
 enum class CrashVerdict : std::uint8_t {
     Clear,
     Suspect, ///< In flight during a crash: run one copy at a time.
     Refused,
 };
 
-/// Tracks request bodies that were in flight on endpoints that crashed, in order to refuse bodies
-/// that crash endpoints repeatedly. Not thread-safe.
+/// Tracks request bodies in flight, and those that were in flight on endpoints that crashed, for
+/// callers that learn of a crash by endpoint. Not thread-safe.
 class CrashList
 {
 public:
-    explicit CrashList(const CrashListOptions &options);
+    explicit CrashList(const CrashEvidenceOptions &options);
 
     /// Records that this instance sent a body to an endpoint.
     void begin(const std::string &bodyDigest, const base::EndpointId &endpoint);
@@ -74,49 +57,49 @@
     /// Records the end of the call; `accepted` if `noteAccepted` was called for it.
     void end(const std::string &bodyDigest, const base::EndpointId &endpoint, bool accepted);
 
-    /// Crashes that count if the endpoint proves to have crashed now: of each body that it had
-    /// accepted, once each. `merge` records them.
-    std::vector<CrashEntry> suspectedCrashes(const base::EndpointId &endpoint, absl::Time now);
-
     /// Records a crash against each body that the endpoint had accepted. Returns the entries to
     /// send to peers immediately.
     std::vector<CrashEntry> endpointCrashed(const base::EndpointId &endpoint, absl::Time now);
 
-    /// Adds entries of peers; returns those that were not known.
-    std::vector<CrashEntry> merge(const std::vector<CrashEntry> &entries, absl::Time now);
+    /// An endpoint answered the body to the end.
+    void noteAnswered(const std::string &bodyDigest, absl::Time now);
+
+    /// Adds entries of peers.
+    void merge(const std::vector<CrashEntry> &entries, absl::Time now);
+
+    /// Adds what peers tell of answers and trials.
+    void merge(const CrashReports &reports, absl::Time now);
+
+    /// Answers and trials to tell the peers of, since the last call.
+    CrashReports takeReports() { return std::exchange(reports_, {}); }
 
     CrashVerdict verdict(const std::string &bodyDigest, absl::Time now) const;
 
+    /// See `CrashEvidence`.
+    bool mayTry(const std::string &bodyDigest, absl::Time now) const;
+    void noteTrial(const std::string &bodyDigest, absl::Time now);
+    void setInstances(const std::string &self, std::vector<std::string> instances);
+
     /// Reason for refusing a body; lists the endpoints that crashed.
     base::Reason reason(const std::string &bodyDigest) const;
 
     /// Number of calls with this body that this instance has in flight.
     std::uint32_t copiesInFlight(const std::string &bodyDigest) const;
 
-    /// Entries within `retention`, at most `limit`: of refused bodies first, then newest first.
-    std::vector<CrashEntry> entries(absl::Time now, std::size_t limit) const;
-
-    void expire(absl::Time now);
-    std::size_t size() const { return crashes_.size(); }
+    void expire(absl::Time now) { evidence_.expire(now); }
+    std::size_t size() const { return evidence_.size(); }
 
 private:
-    struct Crash
-    {
-        base::EndpointId endpoint;
-        absl::Time at;
-        std::vector<std::uint64_t> ids; ///< Of the reports about it.
-    };
     struct Copies
     {
         std::uint32_t sent = 0;
         std::uint32_t accepted = 0; ///< At most `sent`.
     };
-    /// Returns whether the crash was not known.
-    bool add(const CrashEntry &entry, absl::Time at);
-    void evictOne();
 
-    CrashListOptions options_;
-    absl::flat_hash_map<std::string, std::vector<Crash>> crashes_;
+    void report(const CrashReports &reports);
+
+    CrashEvidence evidence_;
+    CrashReports reports_; ///< Of answers and trials.
     absl::flat_hash_map<base::EndpointId, absl::flat_hash_map<std::string, Copies>> inFlight_;
 };
 
--- a/src/zinniadoor/control/peer_messages.cpp
+++ b/src/zinniadoor/control/peer_messages.cpp
@@ -96,6 +96,7 @@
         base::InstanceId operator()(const StateRequest &m) const { return m.instance; }
         base::InstanceId operator()(const StateResponse &) const { return {}; }
         base::InstanceId operator()(const CrashNotice &m) const { return m.instance; }
+        base::InstanceId operator()(const BodyNotice &m) const { return m.instance; }
     };
     return std::visit(Visitor {}, message);
 }
--- a/src/zinniadoor/daemon/core.cpp
+++ b/src/zinniadoor/daemon/core.cpp
@@ -24,6 +24,23 @@
 /// records to be read back from the log.
 constexpr absl::Duration HandOverTimeout = absl::Seconds(10);
 
+std::vector<control::BodyEvent> packed(const std::vector<serving::SuspectEvent> &events)
+{
+    std::vector<control::BodyEvent> bodies;
+    for (const serving::SuspectEvent &event : events)
+        bodies.push_back(
+            { event.key, static_cast<std::uint32_t>(absl::ToInt64Milliseconds(event.age)) });
+    return bodies;
+}
+
+std::vector<serving::SuspectEvent> unpacked(const std::vector<control::BodyEvent> &bodies)
+{
+    std::vector<serving::SuspectEvent> events;
+    for (const control::BodyEvent &body : bodies)
+        events.push_back({ body.body, absl::Milliseconds(body.ageMilliseconds) });
+    return events;
+}
+
 } // namespace
 
 Core::Core(Parts parts)
@@ -34,7 +51,7 @@
     , queue_(serving::fairQueue({}))
     , retries_(serving::budgetRetryPolicy(retryOptions()))
     , ejection_({})
-    , crashes_({})
+    , crashes_(serving::CrashEvidenceOptions::ofBodies())
     , control_({ parts.settings, parts.clock, parts.tail, parts.appender, parts.metrics, *this,
                  absl::StrCat(parts.settings.peers.ip, ":", parts.peers.port()) },
                { parts.settings.instance, parts.incarnation })
@@ -171,6 +188,10 @@
         crashes_.merge(entries, now);
         return;
     }
+    if (const auto *notice = std::get_if<control::BodyNotice>(&message)) {
+        crashes_.merge({ {}, unpacked(notice->answered), unpacked(notice->tried) }, now);
+        return;
+    }
     shares_.onMessage(from, message, now);
 }
 
@@ -265,6 +286,10 @@
         messenger_.send(heartbeat);
     for (const base::InstanceId &lost : membership_.lostMembers(now))
         endpoints_.removePeer(lost, now);
+    std::vector<std::string> instances { parts_.settings.instance.str() };
+    for (const base::InstanceId &member : membership_.availableMembers(now))
+        instances.push_back(member.str());
+    crashes_.setInstances(parts_.settings.instance.str(), std::move(instances));
 }
 
 void Core::tickDuties(absl::Time now)
@@ -436,4 +461,16 @@
         messenger_.send({ peer, notice });
 }
 
+void Core::onBodyReports(const serving::CrashReports &reports)
+{
+    if (reports.empty())
+        return;
+    control::BodyNotice notice;
+    notice.instance = parts_.settings.instance;
+    notice.answered = packed(reports.successes);
+    notice.tried = packed(reports.trials);
+    for (const base::InstanceId &peer : membership_.availableMembers(parts_.clock.now()))
+        messenger_.send({ peer, notice });
+}
+
 } // namespace zinniadoor::daemon
--- a/src/zinniadoor/daemon/model_request.cpp
+++ b/src/zinniadoor/daemon/model_request.cpp
@@ -193,6 +193,7 @@
     if (check_.isDone()) {
         stopCall();
         releaseEndpoint();
+        services().crashes.noteAnswered(facts_.bodyDigest, services().clock.now());
         recordUsage();
         return;
     }
--- a/src/zinniadoor/daemon/request_loop.cpp
+++ b/src/zinniadoor/daemon/request_loop.cpp
@@ -273,7 +273,9 @@
     auto model = std::make_unique<ModelRequest>(services_, request.exchange, request.id,
                                                 request.caller, std::move(*request.call), facts);
     ModelRequest *raw = model.get();
-    if (services_.crashes.verdict(facts.bodyDigest, now) == serving::CrashVerdict::Refused) {
+    const bool isRefused
+        = services_.crashes.verdict(facts.bodyDigest, now) == serving::CrashVerdict::Refused;
+    if (isRefused && !services_.crashes.mayTry(facts.bodyDigest, now)) {
         raw->fail(services_.crashes.reason(facts.bodyDigest), absl::ZeroDuration());
         return;
     }
@@ -281,6 +283,8 @@
         raw->fail(refusal->reason, refusal->retryAfter);
         return;
     }
+    if (isRefused)
+        services_.crashes.noteTrial(facts.bodyDigest, now);
     modelRequests_[request.id] = raw;
     add(std::move(model));
     dispatch(now);
@@ -365,6 +369,7 @@
     startProbes();
     eraseDone();
     services_.crashes.expire(now);
+    crashListener_.onBodyReports(services_.crashes.takeReports());
     services_.metrics.setActiveRequests(requests_.size() - queue_.size(), queue_.size());
 }
 
--- a/src/zinniadoor/gateway/exchange.cpp
+++ b/src/zinniadoor/gateway/exchange.cpp
@@ -29,8 +29,6 @@
 {
     const absl::Time now = context_.clock.now();
     phase_ = Phase::Deciding;
-    if (refuseIfHarmful()) // Its part may have crashed endpoints since the last attempt.
-        return;
     const auto choice = chooseEndpoint(context_, choiceFacts(), now);
     if (!choice) {
         refuseWithoutEndpoint();
@@ -41,6 +39,7 @@
         refuse(RefusalKind::NotRun, "too_late", choice->firstByte - limit);
         return;
     }
+    noteTrial();
     send(*choice);
 }
 
@@ -262,8 +261,6 @@
         dispatch.prefixSource = prefixSourceAddress(choice_);
     if (streamStarted_)
         dispatch.resumeAfter = lastEventId_;
-    context_.crashes.begin(bodyDigest_, servingEndpoint_.id);
-    bodyTracked_ = true;
     net::Request request = context_.endpointDialect.run(request_, dispatch);
     net::CallOptions options = callOptions();
     if (route_.repeatability == Repeatability::AtMostOnce)
@@ -290,8 +287,6 @@
     const AnswerFacts facts = context_.endpointDialect.decode(head);
     noteSignOfLife();
     noteEndpointStatus(context_, servingEndpoint_.id, facts);
-    if (!facts.notRun)
-        noteBodyAccepted();
     const bool success = facts.status / 100 == 2;
     if (!isServed(head, facts)) {
         noteMisdirected(servingEndpoint_.id, facts);
@@ -511,7 +506,6 @@
 void Exchange::onRunEnd()
 {
     call_.reset();
-    endCrashTracking();
     const absl::Time now = context_.clock.now();
     context_.spill.noteHeard(servingEndpoint_.dataCentre, now);
     if (phase_ == Phase::Streaming) {
@@ -522,6 +516,7 @@
             return;
         }
         context_.directory.noteSuccess(servingEndpoint_.id);
+        noteAnswered();
         context_.updates.announcePartReports(context_.partCrashes.noteSuccess(sharedParts_, now));
         context_.health.noteSuccess(servingEndpoint_.id, now - callStartedAt_, now);
         if (firstByteAt_)
@@ -533,6 +528,8 @@
     const bool ok = answerHead_.result_int() < 500;
     if (ok)
         context_.health.noteSuccess(servingEndpoint_.id, now - callStartedAt_, now);
+    if (ok && !route_.streaming) // An engine may refuse a prompt before it runs it.
+        noteAnswered();
     context_.directory.noteSuccess(servingEndpoint_.id);
     context_.speeds.noteAnswer(service_, now - callStartedAt_);
     if (ok) // An error says little about the endpoint's speed.
@@ -559,13 +556,12 @@
     std::string().swap(answerBody_); // Frees its memory, unlike `clear` and an assignment.
     servingLoad_.release();
     releasePrompt();
-    if (outcome.crashed) {
-        noteBodyAccepted();
+    if (outcome.crashed)
         noteCrash(servingEndpoint_.id);
-    }
-    endCrashTracking();
-    if (outcome.mayHaveRun)
+    if (outcome.mayHaveRun) {
         ++mayHaveRunCount_;
+        onTrial_ = false; // Whatever became of the endpoint, one is enough.
+    }
     noteCallFailed(servingEndpoint_.id, outcome);
     tried_.push_back(servingEndpoint_.id);
     if (prefilledBefore_)
--- a/src/zinniadoor/gateway/exchange_admission.cpp
+++ b/src/zinniadoor/gateway/exchange_admission.cpp
@@ -113,11 +113,8 @@
         return false;
     }
     bodyDigest_ = digestOf(facts_, request_.body());
+    bodyKey_ = serving::stableDigest(bodyDigest_);
     sharedParts_ = serving::sharedPartKeys(facts_.promptParts);
-    if (context_.crashes.verdict(bodyDigest_, arrivedAt_) == serving::CrashVerdict::Refused) {
-        refuse(RefusalKind::Harmful, "crashed_endpoints");
-        return false;
-    }
     if (refuseIfHarmful())
         return false;
     parts_ = serving::keySegments(facts_.promptParts);
@@ -139,17 +136,26 @@
     return true;
 }
 
-bool Exchange::hasHarmfulPart() const
+std::optional<std::string> Exchange::reasonOfHarm() const
 {
-    return context_.partCrashes.refusedKey(sharedParts_, context_.clock.now()).has_value();
+    const absl::Time now = context_.clock.now();
+    const bool mayBeTried
+        = onTrial_ || (attempts_ == 0 && context_.bodyCrashes.mayTry(bodyKey_, now));
+    // A stream that has begun is continued as far as its attempts allow.
+    const bool isExempt = mayBeTried || firstByteAt_.has_value();
+    if (!isExempt && context_.bodyCrashes.isRefused(bodyKey_, now))
+        return "crashed_endpoints";
+    if (context_.partCrashes.refusedKey(sharedParts_, now))
+        return "crashing_part";
+    return std::nullopt;
 }
 
 bool Exchange::refuseIfHarmful()
 {
-    if (!hasHarmfulPart())
-        return false;
-    refuse(RefusalKind::Harmful, "crashing_part");
-    return true;
+    const auto reason = reasonOfHarm();
+    if (reason)
+        refuse(RefusalKind::Harmful, *reason);
+    return reason.has_value();
 }
 
 bool Exchange::consumeQuota()
--- a/src/zinniadoor/gateway/exchange_end.cpp
+++ b/src/zinniadoor/gateway/exchange_end.cpp
@@ -105,7 +105,6 @@
     discardStandby(false);
     prefillLoad_.release();
     servingLoad_.release();
-    endCrashTracking();
     releasePrompt();
 }
 
--- a/src/zinniadoor/gateway/exchange_retry.cpp
+++ b/src/zinniadoor/gateway/exchange_retry.cpp
@@ -64,8 +64,8 @@
 {
     if (auto reason = reasonNotToRepeat(mayHaveRunCount_))
         return reason;
-    if (hasHarmfulPart())
-        return "crashing_part";
+    if (auto reason = reasonOfHarm())
+        return reason;
     const absl::Time now = context_.clock.now();
     ChoiceFacts facts = choiceFacts();
     facts.localPrefill = true;
@@ -95,8 +95,8 @@
 {
     if (auto reason = reasonNotToRetry(outcome))
         return reason;
-    if (hasHarmfulPart())
-        return "crashing_part";
+    if (auto reason = reasonOfHarm())
+        return reason;
     const absl::Time now = context_.clock.now();
     ChoiceFacts facts = choiceFacts();
     if (outcome.noConnection)
@@ -172,54 +172,48 @@
     }
 }
 
-void Exchange::noteBodyAccepted()
-{
-    if (!std::exchange(bodyAccepted_, true))
-        context_.crashes.noteAccepted(bodyDigest_, servingEndpoint_.id);
-}
-
 void Exchange::noteCrash(const base::EndpointId &endpoint)
 {
+    const absl::Time now = context_.clock.now();
+    onTrial_ = false;
+    context_.bodyCrashes.expire(now);
+    context_.partCrashes.expire(now);
+    context_.updates.announceBodyReports(context_.bodyCrashes.noteCrash(
+        { bodyKey_ }, serving::stableDigest(facts_.id), endpoint, now));
+    context_.updates.announcePartReports(context_.partCrashes.noteCrash(
+        sharedParts_, serving::stableDigest(bodyDigest_), endpoint, now));
     std::vector<std::string> sharedParts;
     for (std::size_t i = 0; i + 1 < facts_.promptParts.size(); ++i)
         sharedParts.push_back(facts_.promptParts[i].id);
     logEvent(EventId::EndpointCrashed,
              { { "request", facts_.id },
                { "endpoint", endpoint.str() },
+               { "body", bodyDigest_ },
+               { "refused", reasonOfHarm().value_or("") },
                { "parts", absl::StrJoin(sharedParts, ",") } });
-    const absl::Time now = context_.clock.now();
-    context_.crashes.expire(now);
-    context_.partCrashes.expire(now);
-    countCrashOfBodies(endpoint, now);
-    context_.updates.announcePartReports(context_.partCrashes.noteCrash(
-        sharedParts_, serving::stableDigest(bodyDigest_), endpoint, now));
 }
 
-// An answer that is cut is no crash: counted as one, two of them would refuse a sound body.
-void Exchange::countCrashOfBodies(const base::EndpointId &endpoint, absl::Time at)
+void Exchange::noteTrial()
 {
-    const auto entries = context_.crashes.suspectedCrashes(endpoint, at);
-    if (entries.empty())
+    const absl::Time now = context_.clock.now();
+    if (!context_.bodyCrashes.isRefused(bodyKey_, now))
         return;
-    const EndpointRecord *record = context_.directory.find(endpoint);
-    const auto count = [&context = context_, entries, at] {
-        const absl::Time now = context.clock.now();
-        std::vector<serving::CrashEntry> aged = entries;
-        for (serving::CrashEntry &entry : aged)
-            entry.age = now - at;
-        context.crashes.merge(aged, now);
-        context.updates.announceCrashes(aged);
-    };
-    if (context_.crashCheck && record)
-        context_.crashCheck->start(*record, count);
-    else
-        count();
+    onTrial_ = true;
+    context_.updates.announceBodyReports(context_.bodyCrashes.noteTrial(bodyKey_, now));
+    logEvent(EventId::RefusedRequestTried, { { "request", facts_.id }, { "body", bodyDigest_ } });
 }
 
-void Exchange::endCrashTracking()
+void Exchange::noteAnswered()
 {
-    if (std::exchange(bodyTracked_, false))
-        context_.crashes.end(bodyDigest_, servingEndpoint_.id, std::exchange(bodyAccepted_, false));
+    const absl::Time now = context_.clock.now();
+    const bool wasRefused = context_.bodyCrashes.isRefused(bodyKey_, now);
+    context_.updates.announceBodyReports(context_.bodyCrashes.noteSuccess({ bodyKey_ }, now));
+    if (wasRefused) {
+        logEvent(EventId::RefusedRequestCleared,
+                 { { "request", facts_.id },
+                   { "endpoint", servingEndpoint_.id.str() },
+                   { "body", bodyDigest_ } });
+    }
 }
 
 } // namespace zinniadoor::gateway
--- a/src/zinniadoor/gateway/exchange_standby.cpp
+++ b/src/zinniadoor/gateway/exchange_standby.cpp
@@ -13,8 +13,10 @@
     // The silent endpoint may have executed the request.
     if (auto reason = reasonNotToRepeat(mayHaveRunCount_ + 1))
         return reason;
-    if (hasHarmfulPart())
-        return "crashing_part";
+    if (onTrial_) // May have crashed the silent endpoint.
+        return "on_trial";
+    if (auto reason = reasonOfHarm())
+        return reason;
     std::vector<base::EndpointId> avoided = tried_;
     avoided.push_back(servingEndpoint_.id);
     ChoiceFacts facts = choiceFacts();
@@ -48,7 +50,6 @@
     dispatch.prefixSource = prefixSourceAddress(*choice);
     if (streamStarted_)
         dispatch.resumeAfter = lastEventId_;
-    context_.crashes.begin(bodyDigest_, standby.endpoint.id);
     standby.call
         = context_.client.start({ standby.endpoint.address, standby.endpoint.id.str() },
                                 context_.endpointDialect.run(request_, dispatch), callOptions(),
@@ -166,7 +167,6 @@
     lastSignAt_ = standby.startedAt;
     silent_ = false;
     paused_ = false;
-    bodyTracked_ = true;
     mayHaveQueued_ = true; // The time until the switch says nothing about the engine's speed.
     phase_ = Phase::Running;
     armSilenceTimer(standby.head ? silenceTimeout() : firstByteTimeout());
@@ -179,10 +179,8 @@
 void Exchange::onStandbyFailed(const CallOutcome &outcome)
 {
     const base::EndpointId endpoint = standby_->endpoint.id;
-    if (outcome.crashed) {
-        context_.crashes.noteAccepted(bodyDigest_, endpoint);
+    if (outcome.crashed)
         noteCrash(endpoint);
-    }
     if (!outcome.arrived)
         arrivals_.noteUnconnected();
     noteCallFailed(endpoint, outcome);
@@ -197,7 +195,6 @@
     const Standby standby = std::move(*standby_);
     standby_.reset();
     standby.call->cancel();
-    context_.crashes.end(bodyDigest_, standby.endpoint.id, false);
     if (mayHaveRun)
         ++mayHaveRunCount_;
     tried_.push_back(standby.endpoint.id);
--- a/src/zinniadoor/gateway/exchange_state.hpp
+++ b/src/zinniadoor/gateway/exchange_state.hpp
@@ -141,7 +141,10 @@
     void logQuota() const;
     void dispatch();
     bool refuseIfHarmful(); ///< Returns whether the request was refused.
-    bool hasHarmfulPart() const;
+    /// Why the request must not be sent: its body, or a part of its prompt, crashes endpoints.
+    std::optional<std::string> reasonOfHarm() const;
+    void noteTrial(); ///< The request is about to be sent, perhaps although its body is refused.
+    void noteAnswered(); ///< The endpoint has answered the request to its end.
     void refuseWithoutEndpoint();
     void send(const EndpointChoice &choice);
     void startPrefill(const EndpointChoice &choice);
@@ -171,10 +174,7 @@
     void noteCallFailed(const base::EndpointId &endpoint, const CallOutcome &outcome);
     void noteMisdirected(const base::EndpointId &endpoint, const AnswerFacts &facts);
     void noteExecutionStarted();
-    void noteBodyAccepted();
     void noteCrash(const base::EndpointId &endpoint);
-    void countCrashOfBodies(const base::EndpointId &endpoint, absl::Time at);
-    void endCrashTracking(); ///< The serving endpoint no longer works on the body.
     void deliverEvents(absl::string_view bytes);
 
     /// Counts the bytes held for the caller. May end the current call.
@@ -231,6 +231,7 @@
     std::vector<serving::KeyedSegment> parts_;
     std::vector<serving::SuspectKey> sharedParts_;
     std::string bodyDigest_;
+    serving::SuspectKey bodyKey_ = 0; ///< Of `bodyDigest_`.
     double quotaCost_ = 0;
     bool quotaConsumed_ = false;
 
@@ -251,8 +252,7 @@
     LoadReservation prefillLoad_;
     LoadReservation servingLoad_;
     std::optional<PromptHandle> prompt_;
-    bool bodyTracked_ = false; ///< `crashes` expects the end of the current run.
-    bool bodyAccepted_ = false; ///< The serving endpoint has, or may have, started the request.
+    bool onTrial_ = false; ///< Sent although the body is refused; no endpoint has crashed since.
     bool promptTransferred_ = false; ///< The answer has started, so the prompt was fetched.
     std::shared_ptr<net::Call> call_;
     std::optional<Standby> standby_;
--- a/src/zinniadoor/gateway/gateway.cpp
+++ b/src/zinniadoor/gateway/gateway.cpp
@@ -140,7 +140,7 @@
                      EndpointDirectory(DirectoryOptions {}),
                      serving::EngineView(),
                      serving::OutlierEjection(serving::EjectionOptions {}),
-                     serving::CrashList(serving::CrashListOptions {}),
+                     serving::CrashEvidence(serving::CrashEvidenceOptions::ofBodies()),
                      serving::CrashEvidence(serving::CrashEvidenceOptions {}),
                      Quota(quotaOptions(settings, start_)),
                      RetryBudget(budgetOptions(settings)),
@@ -256,9 +256,9 @@
     {
         peerLink_->announceParts(engine, parts, held);
     }
-    void announceCrashes(const std::vector<serving::CrashEntry> &crashes) override
+    void announceBodyReports(const serving::CrashReports &reports) override
     {
-        peerLink_->announceCrashes(crashes);
+        peerLink_->announceBodyReports(reports);
     }
     void announcePartReports(const serving::CrashReports &reports) override
     {
--- a/src/zinniadoor/gateway/peer_link.cpp
+++ b/src/zinniadoor/gateway/peer_link.cpp
@@ -13,6 +13,7 @@
 #include "zinniadoor/base/events.hpp"
 #include "zinniadoor/gateway/burst_order.hpp"
 #include "zinniadoor/gateway/consumption_totals.hpp"
+#include "zinniadoor/gateway/crash_report_link.hpp"
 #include "zinniadoor/gateway/crash_report_queue.hpp"
 #include "zinniadoor/gateway/failure_link.hpp"
 #include "zinniadoor/gateway/paced_queue.hpp"
@@ -55,12 +56,6 @@
 constexpr std::size_t MaxCrashesRepeated = 8;
 constexpr absl::Duration RepeatInterval = absl::Seconds(2);
 
-/// The same, of crashes of bodies, which have messages of their own. The first number allows for
-/// the sound bodies that were in flight beside harmful ones.
-constexpr std::size_t MaxBodyCrashesPerMessage = 12;
-constexpr std::size_t MaxBodyCrashesResent = 60;
-constexpr std::size_t MaxBodyCrashesRepeated = 12;
-
 /// Older queued updates are dropped: after this many messages they are out of date.
 constexpr std::size_t MaxPrefixesQueued = 4 * MaxPrefixesPerSums;
 
@@ -132,9 +127,7 @@
         , peers_(peers)
         , onPart_(std::move(onPart))
         , failures_(context, self, serving, [this](const auto &bytes) { sendReport(bytes); })
-        , crashes_([](const serving::CrashEntry &a, const serving::CrashEntry &b) {
-            return a.bodyDigest == b.bodyDigest && a.endpoint == b.endpoint && a.id == b.id;
-        })
+        , bodyReports_(context, self, serving, [this](const auto &bytes) { sendReport(bytes); })
     { }
 
     base::Status open(boost::asio::io_context &context, const std::string &address)
@@ -182,10 +175,9 @@
             prefixes_.push_back(std::move(update));
     }
 
-    void announceCrashes(const std::vector<serving::CrashEntry> &crashes) override
+    void announceBodyReports(const serving::CrashReports &reports) override
     {
-        crashes_.push(crashes, now());
-        sendCrashReports(); // Each instance that does not know yet may lose two more endpoints.
+        bodyReports_.announce(reports);
     }
 
     void announcePartReports(const serving::CrashReports &reports) override
@@ -369,17 +361,6 @@
         }
     }
 
-    void sendCrashReports()
-    {
-        CrashReportsMessage message;
-        message.sender = self_;
-        for (const serving::CrashEntry &entry : crashes_.take(MaxBodyCrashesPerMessage, now()))
-            message.crashes.push_back({ entry, entry.id });
-        if (message.crashes.empty())
-            return;
-        sendReport(base::encode(message));
-    }
-
     void sendReport(const std::string &bytes)
     {
         if (group_.hasLeaders() && !leader_)
@@ -686,8 +667,8 @@
             receiveUsageWritten(bytes, from);
         else if (formatOf(bytes) == LimitsMessage::CurrentFormat)
             receiveLimits(bytes, from);
-        else if (formatOf(bytes) == CrashReportsMessage::CurrentFormat)
-            receiveCrashReports(bytes, from);
+        else if (formatOf(bytes) == BodyReportsMessage::CurrentFormat)
+            receiveBodyReports(bytes, from);
         else if (formatOf(bytes) == EndpointFailuresMessage::CurrentFormat)
             receiveFailures(bytes, from);
         else
@@ -774,29 +755,11 @@
             logRejected(from, received.lastReason().text);
     }
 
-    void receiveCrashReports(const std::string &bytes, const std::string &from)
-    {
-        const auto message = base::decode<CrashReportsMessage>(bytes);
-        if (!message) {
-            logRejected(from, message.lastReason().text);
-            return;
-        }
-        if (message->sender == self_)
-            return;
-        std::vector<serving::CrashEntry> entries;
-        for (const CrashReport &report : message->crashes) {
-            entries.push_back(report.entry);
-            entries.back().id = report.id;
-        }
-        mergeCrashes(entries);
-    }
-
-    void mergeCrashes(const std::vector<serving::CrashEntry> &entries)
+    void receiveBodyReports(const std::string &bytes, const std::string &from)
     {
-        const absl::Time time = now();
-        const std::vector<serving::CrashEntry> added = serving_.crashes.merge(entries, time);
-        if (group_.hasLeaders() && !leader_)
-            crashes_.push(added, time); // For those that the sender does not reach.
+        const base::Status received = bodyReports_.receive(bytes, group_.hasLeaders() && !leader_);
+        if (!received)
+            logRejected(from, received.lastReason().text);
     }
 
     void receiveSums(const std::string &bytes, const std::string &from)
@@ -855,8 +818,7 @@
             if (applyPrefixUpdate(update) && !message.toMember)
                 enqueueBounded(otherPrefixes_, update);
         }
-        mergeCrashes(message.crashes);
-        partReports_.push(serving_.partCrashes.merge(message.partReports, time), time);
+        partReports_.push(serving_.partCrashes.merge(message.partReports, time).reply, time);
         if (!message.toMember)
             otherPartReports_.push(message.partReports, time);
     }
@@ -957,8 +919,7 @@
             if (group_.hasLeaders())
                 paused_[endpoint] = std::max(paused_[endpoint], until);
         }
-        mergeCrashes(message->crashes);
-        partReports_.push(serving_.partCrashes.merge(message->partReports, now), now);
+        partReports_.push(serving_.partCrashes.merge(message->partReports, now).reply, now);
         if (group_.hasLeaders())
             partReports_.push(message->partReports, now);
     }
@@ -989,7 +950,6 @@
             peerFound = peerFound || change.reachable;
         }
         resendReports(peerFound, now);
-        sendCrashReports();
     }
 
     void updateLimits(absl::Time now)
@@ -1003,6 +963,7 @@
         }
         serving_.directory.failures().setInstances(self_.instance, std::move(neighbours));
         serving_.directory.cold().setInstances(self_.instance, instances, now);
+        serving_.bodyCrashes.setInstances(self_.instance, instances);
         serving_.directory.limits().setInstances(self_.instance, std::move(instances), now);
     }
 
@@ -1011,7 +972,7 @@
     void resendReports(bool peerFound, absl::Time now)
     {
         serving_.partCrashes.expire(now);
-        serving_.crashes.expire(now);
+        serving_.bodyCrashes.expire(now);
         const std::uint64_t heard = peers_.heardProcesses();
         const bool isNew = peerFound || heard != heardProcesses_;
         heardProcesses_ = heard;
@@ -1020,10 +981,10 @@
             return; // The leader does it.
         if (isNew && !isMember) {
             partReports_.pushAgain(serving_.partCrashes.entries(now, MaxCrashesResent), now);
-            crashes_.pushAgain(serving_.crashes.entries(now, MaxBodyCrashesResent), now);
+            bodyReports_.resend();
         } else if (isNew || now - repeatedAt_ >= RepeatInterval) {
             partReports_.pushOnce(serving_.partCrashes.entries(now, MaxCrashesRepeated), now);
-            crashes_.push(serving_.crashes.entries(now, MaxBodyCrashesRepeated), 1, now);
+            bodyReports_.repeat();
         } else {
             return;
         }
@@ -1133,7 +1094,7 @@
     ConsumedCounts sentCounts_;
     std::vector<PrefixUpdate> prefixes_;
     FailureLink failures_;
-    ReportQueue<serving::CrashEntry> crashes_; ///< Of bodies.
+    CrashReportLink bodyReports_;
     CrashReportQueue partReports_;
     std::uint64_t heardProcesses_ = 0; ///< When reports were last sent again.
     absl::Time repeatedAt_ = absl::InfinitePast();
--- a/src/zinniadoor/serving/crash_list.cpp
+++ b/src/zinniadoor/serving/crash_list.cpp
@@ -1,26 +1,23 @@
 #include "zinniadoor/serving/crash_list.hpp"
 
 #include <algorithm>
-#include <functional>
-#include <tuple>
+#include <utility>
+
+#include "zinniadoor/serving/engine_view.hpp"
 
 namespace zinniadoor::serving {
 
 namespace {
 
-/// Instances that observe one crash.
-constexpr std::size_t MaxIdsPerCrash = 16;
-
-/// Differs between the crashes that one instance observes, and most likely between instances.
-std::uint64_t crashId(const base::EndpointId &endpoint, absl::Time at)
+SuspectKey keyOf(const std::string &bodyDigest)
 {
-    return std::hash<std::string>()(endpoint.str() + "/" + std::to_string(absl::ToUnixNanos(at)));
+    return stableDigest(bodyDigest);
 }
 
 } // namespace
 
-CrashList::CrashList(const CrashListOptions &options)
-    : options_(options)
+CrashList::CrashList(const CrashEvidenceOptions &options)
+    : evidence_(options)
 { }
 
 void CrashList::begin(const std::string &bodyDigest, const base::EndpointId &endpoint)
@@ -55,15 +52,6 @@
 }
 
 std::vector<CrashEntry> CrashList::endpointCrashed(const base::EndpointId &endpoint, absl::Time now)
-{
-    std::vector<CrashEntry> reported = suspectedCrashes(endpoint, now);
-    for (const CrashEntry &entry : reported)
-        add(entry, now);
-    return reported;
-}
-
-std::vector<CrashEntry> CrashList::suspectedCrashes(const base::EndpointId &endpoint,
-                                                    absl::Time now)
 {
     std::vector<CrashEntry> reported;
     const auto bodies = inFlight_.find(endpoint);
@@ -73,85 +61,59 @@
         if (copies.accepted == 0)
             continue;
         copies.accepted = 0; // Counted once; `end` is still called for each copy.
-        const CrashEntry entry { bodyDigest, endpoint, absl::ZeroDuration(),
-                                 crashId(endpoint, now) };
-        reported.push_back(entry);
+        constexpr std::uint64_t UnknownRequest = 0;
+        if (!evidence_.noteCrash({ keyOf(bodyDigest) }, UnknownRequest, endpoint, now).empty())
+            reported.push_back({ bodyDigest, endpoint, absl::ZeroDuration() });
     }
     return reported;
 }
 
-std::vector<CrashEntry> CrashList::merge(const std::vector<CrashEntry> &entries, absl::Time now)
+void CrashList::noteAnswered(const std::string &bodyDigest, absl::Time now)
 {
-    std::vector<CrashEntry> added;
-    for (const CrashEntry &entry : entries) {
-        const absl::Duration age = std::max(entry.age, absl::ZeroDuration());
-        if (age < options_.retention - options_.reportMargin && add(entry, now - age))
-            added.push_back(entry);
-    }
-    return added;
+    report(evidence_.noteSuccess({ keyOf(bodyDigest) }, now));
 }
 
-bool CrashList::add(const CrashEntry &entry, absl::Time at)
+void CrashList::merge(const std::vector<CrashEntry> &entries, absl::Time now)
 {
-    if (!crashes_.contains(entry.bodyDigest) && crashes_.size() >= options_.capacity)
-        evictOne();
-    std::vector<Crash> &crashes = crashes_[entry.bodyDigest];
-    for (Crash &other : crashes) {
-        if (other.endpoint != entry.endpoint)
-            continue;
-        // A report may be received late, and again; then it seems to be of a later crash.
-        if (std::find(other.ids.begin(), other.ids.end(), entry.id) != other.ids.end())
-            return false;
-        if (absl::AbsDuration(other.at - at) < options_.duplicateWindow) {
-            if (entry.id != 0 && other.ids.size() < MaxIdsPerCrash)
-                other.ids.push_back(entry.id);
-            return false;
-        }
-    }
-    // Further crashes don't change the verdict.
-    if (crashes.size() >= options_.crashesToRefuse)
-        return false;
-    crashes.push_back({ entry.endpoint, at, {} });
-    if (entry.id != 0)
-        crashes.back().ids.push_back(entry.id);
-    return true;
+    CrashReports reports;
+    for (const CrashEntry &entry : entries)
+        reports.crashes.push_back({ keyOf(entry.bodyDigest), 0, entry.endpoint, entry.age });
+    report(evidence_.merge(reports, now).reply);
 }
 
-// Evicts suspect bodies before refused ones, which have crashed endpoints repeatedly.
-void CrashList::evictOne()
+void CrashList::merge(const CrashReports &reports, absl::Time now)
 {
-    auto victim = crashes_.begin();
-    for (auto entry = crashes_.begin(); entry != crashes_.end(); ++entry) {
-        const auto &a = entry->second;
-        const auto &b = victim->second;
-        if (a.size() < b.size() || (a.size() == b.size() && a.back().at < b.back().at))
-            victim = entry;
-    }
-    if (victim != crashes_.end())
-        crashes_.erase(victim);
+    evidence_.merge(reports, now);
 }
 
 CrashVerdict CrashList::verdict(const std::string &bodyDigest, absl::Time now) const
 {
-    const auto found = crashes_.find(bodyDigest);
-    if (found == crashes_.end())
-        return CrashVerdict::Clear;
-    const auto recent
-        = std::count_if(found->second.begin(), found->second.end(),
-                        [&](const Crash &crash) { return now - crash.at < options_.retention; });
-    if (recent >= static_cast<std::ptrdiff_t>(options_.crashesToRefuse))
+    const SuspectKey key = keyOf(bodyDigest);
+    if (evidence_.isRefused(key, now))
         return CrashVerdict::Refused;
-    return recent > 0 ? CrashVerdict::Suspect : CrashVerdict::Clear;
+    return evidence_.isSuspected(key, now) ? CrashVerdict::Suspect : CrashVerdict::Clear;
+}
+
+bool CrashList::mayTry(const std::string &bodyDigest, absl::Time now) const
+{
+    return evidence_.mayTry(keyOf(bodyDigest), now);
+}
+
+void CrashList::noteTrial(const std::string &bodyDigest, absl::Time now)
+{
+    report(evidence_.noteTrial(keyOf(bodyDigest), now));
+}
+
+void CrashList::setInstances(const std::string &self, std::vector<std::string> instances)
+{
+    evidence_.setInstances(self, std::move(instances));
 }
 
 base::Reason CrashList::reason(const std::string &bodyDigest) const
 {
     std::string text = "this request was running on endpoints that crashed:";
-    const auto found = crashes_.find(bodyDigest);
-    if (found != crashes_.end()) {
-        for (const Crash &crash : found->second)
-            text += " " + crash.endpoint.str();
-    }
+    for (const base::EndpointId &endpoint : evidence_.crashedEndpoints(keyOf(bodyDigest)))
+        text += " " + endpoint.str();
     return { base::ReasonCode::Forbidden, text };
 }
 
@@ -165,39 +127,11 @@
     return copies;
 }
 
-std::vector<CrashEntry> CrashList::entries(absl::Time now, std::size_t limit) const
-{
-    using Ranked = std::pair<bool, CrashEntry>;
-    std::vector<Ranked> all;
-    for (const auto &[bodyDigest, crashes] : crashes_) {
-        const bool isAccepted = verdict(bodyDigest, now) != CrashVerdict::Refused;
-        for (const Crash &crash : crashes) {
-            const std::uint64_t id = crash.ids.empty() ? 0 : crash.ids.front();
-            if (now - crash.at < options_.retention)
-                all.push_back({ isAccepted, { bodyDigest, crash.endpoint, now - crash.at, id } });
-        }
-    }
-    std::sort(all.begin(), all.end(), [](const Ranked &a, const Ranked &b) {
-        return std::tie(a.first, a.second.age) < std::tie(b.first, b.second.age);
-    });
-    std::vector<CrashEntry> entries;
-    for (std::size_t i = 0; i < std::min(limit, all.size()); ++i)
-        entries.push_back(std::move(all[i].second));
-    return entries;
-}
-
-void CrashList::expire(absl::Time now)
+void CrashList::report(const CrashReports &reports)
 {
-    for (auto entry = crashes_.begin(); entry != crashes_.end();) {
-        auto &crashes = entry->second;
-        crashes.erase(std::remove_if(
-                          crashes.begin(), crashes.end(),
-                          [&](const Crash &crash) { return now - crash.at >= options_.retention; }),
-                      crashes.end());
-        const auto current = entry++;
-        if (crashes.empty())
-            crashes_.erase(current);
-    }
+    reports_.successes.insert(reports_.successes.end(), reports.successes.begin(),
+                              reports.successes.end());
+    reports_.trials.insert(reports_.trials.end(), reports.trials.begin(), reports.trials.end());
 }
 
 } // namespace zinniadoor::serving
