--- a/src/zinniadoor/gateway/exchange.cpp
+++ b/src/zinniadoor/gateway/exchange.cpp
@@ -39,7 +39,7 @@
         refuse(RefusalKind::NotRun, "too_late", choice->firstByte - limit);
         return;
     }
-    noteTrial();
+    noteTrialIfRefused();
     send(*choice);
 }
 
--- a/src/zinniadoor/gateway/exchange_retry.cpp
+++ b/src/zinniadoor/gateway/exchange_retry.cpp
@@ -193,7 +193,7 @@
                { "parts", absl::StrJoin(sharedParts, ",") } });
 }
 
-void Exchange::noteTrial()
+void Exchange::noteTrialIfRefused()
 {
     const absl::Time now = context_.clock.now();
     if (!context_.bodyCrashes.isRefused(bodyKey_, now))
--- a/src/zinniadoor/gateway/exchange_state.hpp
+++ b/src/zinniadoor/gateway/exchange_state.hpp
@@ -143,7 +143,7 @@
     bool refuseIfHarmful(); ///< Returns whether the request was refused.
     /// Why the request must not be sent: its body, or a part of its prompt, crashes endpoints.
     std::optional<std::string> reasonOfHarm() const;
-    void noteTrial(); ///< The request is about to be sent, perhaps although its body is refused.
+    void noteTrialIfRefused(); ///< The request is about to be sent to its first endpoint.
     void noteAnswered(); ///< The endpoint has answered the request to its end.
     void refuseWithoutEndpoint();
     void send(const EndpointChoice &choice);
