--- a/tests/standins/engine_test.cpp
+++ b/tests/standins/engine_test.cpp
@@ -205,7 +205,7 @@
     Completion deferable;
     deferable.id = "deferable";
     deferable.headers = { "Zinniadoor-Priority: deferable" };
-    deferable.maxTokens = 1;
+    deferable.maxTokens = 10; // Two clients read the ends, which must not be close together.
     Completion urgent = deferable;
     urgent.id = "urgent";
     urgent.headers = { "Zinniadoor-Priority: urgent" };
