Give the message of body reports a format of its own

GatewayRecordsTest/formatOf_eachMessageType_isUnique left out three types of message; it names all eight now and failed before (7 different formats).

--- a/include/zinniadoor/gateway/peer_message.hpp
+++ b/include/zinniadoor/gateway/peer_message.hpp
@@ -216,7 +216,7 @@
 struct BodyReportsMessage
 {
     static constexpr std::uint8_t CurrentFormat
-        = 15; ///< Distinct from that of every other message.
+        = 16; ///< Distinct from that of every other message.
 
     std::uint8_t format = CurrentFormat;
     ProcessName sender;
--- a/src/zinniadoor/gateway/records_test.cpp
+++ b/src/zinniadoor/gateway/records_test.cpp
@@ -11,6 +11,7 @@
 #include "zinniadoor/gateway/configuration.hpp"
 #include "zinniadoor/gateway/crash_report_queue.hpp"
 #include "zinniadoor/gateway/endpoint_directory.hpp"
+#include "zinniadoor/gateway/endpoint_failures_message.hpp"
 #include "zinniadoor/gateway/event_framer.hpp"
 #include "zinniadoor/gateway/gateway_settings.hpp"
 #include "zinniadoor/gateway/journal.hpp"
@@ -307,12 +308,18 @@
     BOOST_TEST(formatOf(base::encode(ConsumptionMessage {})) == ConsumptionMessage::CurrentFormat);
     BOOST_TEST(formatOf(base::encode(LeaderMessage {})) == LeaderMessage::CurrentFormat);
     BOOST_TEST(formatOf(base::encode(UsageWrittenNotice {})) == UsageWrittenNotice::CurrentFormat);
+    BOOST_TEST(formatOf(base::encode(LimitsMessage {})) == LimitsMessage::CurrentFormat);
+    BOOST_TEST(formatOf(base::encode(EndpointFailuresMessage {}))
+               == EndpointFailuresMessage::CurrentFormat);
+    BOOST_TEST(formatOf(base::encode(BodyReportsMessage {})) == BodyReportsMessage::CurrentFormat);
     BOOST_TEST(formatOf("") == 0);
-    const std::set<std::uint8_t> formats { PeerMessage::CurrentFormat, LogPart::CurrentFormat,
-                                           ConsumptionMessage::CurrentFormat,
-                                           LeaderMessage::CurrentFormat,
-                                           UsageWrittenNotice::CurrentFormat };
-    BOOST_TEST(formats.size() == 5u);
+    const std::set<std::uint8_t> formats {
+        PeerMessage::CurrentFormat,        LogPart::CurrentFormat,
+        ConsumptionMessage::CurrentFormat, LeaderMessage::CurrentFormat,
+        UsageWrittenNotice::CurrentFormat, LimitsMessage::CurrentFormat,
+        BodyReportsMessage::CurrentFormat, EndpointFailuresMessage::CurrentFormat,
+    };
+    BOOST_TEST(formats.size() == 8u);
 }
 
 BOOST_AUTO_TEST_CASE(peerMessage_truncatedAnywhere_isRejected)
