--- a/src/zinniadoor/serving/trial_turns_test.cpp
+++ b/src/zinniadoor/serving/trial_turns_test.cpp
@@ -31,7 +31,7 @@
         return instances;
     }
 
-    const TrialTurnsOptions options;
+    const TrialTurnsOptions options {};
 };
 
 BOOST_FIXTURE_TEST_SUITE(TrialTurnsTest, TurnsFixture)
