--- a/include/zinniadoor/gateway/crash_report_link.hpp
+++ b/include/zinniadoor/gateway/crash_report_link.hpp
@@ -21,7 +21,7 @@
 public:
     using Send = std::function<void(const std::string &bytes)>;
 
-    static constexpr absl::Duration Interval = absl::Milliseconds(20);
+    static constexpr absl::Duration Interval = absl::Milliseconds(200);
 
     CrashReportLink(boost::asio::io_context &io, const ProcessName &self, ServingContext &serving,
                     Send send);
