Log and count every read of a log that fails

Of reads of the logs of configuration and endpoints that fail, only the first was logged, without its size. store_read_failed shows the log, the cause of the read, the bytes received in vain, the time taken and the number and age of the records that are missing; log_records_read shows the bytes. zinniadoor_log_bytes_dropped_total sums the former. No decision changes.

gateway_test, fetch_test, base_test and platform_test pass.

--- a/include/zinniadoor/base/events.hpp
+++ b/include/zinniadoor/base/events.hpp
@@ -73,6 +73,7 @@
     LogPartsDelayed = 755,
     LogRecordsRead = 756,
     QuotaReached = 757,
+    StoreReadFailed = 758,
     SpillShareChanged = 760,
     EndpointColdnessChanged = 770,
     EvacuationsChanged = 771,
--- a/include/zinniadoor/base/outcome.hpp
+++ b/include/zinniadoor/base/outcome.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <utility>
@@ -29,6 +30,7 @@
 {
     ReasonCode code = ReasonCode::Internal;
     std::string text;
+    std::size_t droppedBytes = 0; ///< Received of an incomplete response, and not used.
 };
 
 /// A value, or the reason why there is none.
--- a/include/zinniadoor/gateway/gateway_metrics.hpp
+++ b/include/zinniadoor/gateway/gateway_metrics.hpp
@@ -29,6 +29,7 @@
     void countSpilledAnswer(std::size_t bytes);
     void countStoreFailure(const char *call);
     void countLogRead(const char *log, const char *cause);
+    void countDroppedLogBytes(const char *log, std::size_t bytes); ///< Of reads that failed.
     void observeFirstByte(absl::Duration time);
     void observeDuration(absl::Duration time);
     void observeLogPartWait(absl::Duration time);
--- a/src/zinniadoor/base/events.cpp
+++ b/src/zinniadoor/base/events.cpp
@@ -282,6 +282,9 @@
           "This instance read records of a log, and why it did." },
         { EventId::QuotaReached, EventLevel::Info, "quota_reached",
           "An organisation reached its quota; the fields show this instance's view of it." },
+        { EventId::StoreReadFailed, EventLevel::Warning, "store_read_failed",
+          "A read of a log failed; the fields show its size and how old the records it lacks "
+          "are." },
         { EventId::SpillShareChanged, EventLevel::Info, "spill_share_changed",
           "The share of a service's requests that may leave the data centre changed." },
         { EventId::EndpointColdnessChanged, EventLevel::Info, "endpoint_coldness_changed",
--- a/src/zinniadoor/gateway/gateway.cpp
+++ b/src/zinniadoor/gateway/gateway.cpp
@@ -327,6 +327,8 @@
         void onFailure(const base::Reason &reason) override
         {
             gateway_.metrics_.countStoreFailure("read_configuration");
+            gateway_.metrics_.countDroppedLogBytes(nameOf(LogName::Configuration),
+                                                   reason.droppedBytes);
             gateway_.storeDependency_.noteFailure(reason.text);
         }
         void onRead(ReadCause cause) override
@@ -375,6 +377,7 @@
         void onFailure(const base::Reason &reason) override
         {
             gateway_.metrics_.countStoreFailure("read_endpoints");
+            gateway_.metrics_.countDroppedLogBytes(nameOf(LogName::Endpoints), reason.droppedBytes);
             gateway_.feed_.noteFailure(now());
             gateway_.endpointsDependency_.noteFailure(reason.text);
         }
--- a/src/zinniadoor/gateway/gateway_metrics.cpp
+++ b/src/zinniadoor/gateway/gateway_metrics.cpp
@@ -53,6 +53,11 @@
               .Name("zinniadoor_log_reads_total")
               .Help("Reads of the logs of configuration and endpoints, by log and cause.")
               .Register(registry);
+    prometheus::Family<prometheus::Counter> &droppedLogBytes
+        = prometheus::BuildCounter()
+              .Name("zinniadoor_log_bytes_dropped_total")
+              .Help("Bytes received by reads of logs that failed, by log.")
+              .Register(registry);
     prometheus::Counter &retries = prometheus::BuildCounter()
                                        .Name("zinniadoor_retries_total")
                                        .Help("Sendings of a request to a further endpoint.")
@@ -171,6 +176,11 @@
     impl_->logReads.Add({ { "log", log }, { "cause", cause } }).Increment();
 }
 
+void GatewayMetrics::countDroppedLogBytes(const char *log, std::size_t bytes)
+{
+    impl_->droppedLogBytes.Add({ { "log", log } }).Increment(static_cast<double>(bytes));
+}
+
 void GatewayMetrics::observeFirstByte(absl::Duration time)
 {
     impl_->firstByte.Observe(absl::ToDoubleSeconds(time));
--- a/src/zinniadoor/gateway/log_follower.cpp
+++ b/src/zinniadoor/gateway/log_follower.cpp
@@ -62,6 +62,11 @@
     return RecordOverhead + record.key.size() + (record.value ? record.value->size() : 0);
 }
 
+std::string millisecondsOf(absl::Duration time)
+{
+    return std::to_string(absl::ToInt64Milliseconds(time));
+}
+
 class EventThreadTimer : public DelayTimer
 {
 public:
@@ -110,7 +115,7 @@
                 if (!self->handler_)
                     return;
                 if (!newest) {
-                    self->handler_->onFailure(newest.lastReason());
+                    self->noteFailure(ReadCause::Start, requestedAt, newest.lastReason());
                     self->scheduleRead(self->schedule_.noteFailure(true));
                     return;
                 }
@@ -125,7 +130,7 @@
                 self->discardUpdatesBefore(newest->end);
                 self->tailing_ = true;
                 self->handler_->onNewest(*newest);
-                self->handler_->onCurrent();
+                self->noteCurrent();
                 if (self->isBehind()) // A notice came during the read.
                     self->scheduleGapRead();
                 else
@@ -163,7 +168,7 @@
         }
         next_ = part.to;
         discardUpdatesBefore(part.from);
-        handler_->onCurrent();
+        noteCurrent();
         if (hasReader && !reading_)
             scheduleNextRead();
     }
@@ -229,7 +234,7 @@
                         if (!self->handler_)
                             return;
                         if (!read) {
-                            self->handler_->onFailure(read.lastReason());
+                            self->noteFailure(self->cause_, requestedAt, read.lastReason());
                             const absl::Duration retry = self->schedule_.noteFailure(
                                 self->isBehind(), self->clock_.now() - requestedAt);
                             if (self->isBehind())
@@ -267,6 +272,30 @@
 
     bool isBehind() const { return next_ < knownEnd_; }
 
+    void noteFailure(ReadCause cause, absl::Time requestedAt, const base::Reason &reason)
+    {
+        const absl::Time now = clock_.now();
+        const absl::Time since = isBehind() ? knownEndAt_ : currentAt_;
+        const bool sameEra = next_.era == knownEnd_.era;
+        logEvent(EventId::StoreReadFailed,
+                 { { "log", nameOf(options_.log) },
+                   { "cause", nameOf(cause) },
+                   { "from", std::to_string(next_.offset) },
+                   { "missing",
+                     isBehind() && sameEra ? std::to_string(knownEnd_.offset - next_.offset) : "" },
+                   { "age_ms", since == absl::InfinitePast() ? "" : millisecondsOf(now - since) },
+                   { "bytes", std::to_string(reason.droppedBytes) },
+                   { "took_ms", millisecondsOf(now - requestedAt) },
+                   { "reason", reason.text } });
+        handler_->onFailure(reason);
+    }
+
+    void noteCurrent()
+    {
+        currentAt_ = clock_.now();
+        handler_->onCurrent();
+    }
+
     void logRead(LogPosition from, const LogRecords &read, absl::Time requestedAt) const
     {
         // Endpoints write all the time; their reader would log each of its reads.
@@ -274,15 +303,18 @@
             return;
         const absl::Time now = clock_.now();
         const absl::Time lastShown = schedule_.lastShown();
-        const std::string silent = lastShown == absl::InfinitePast()
-            ? ""
-            : std::to_string(absl::ToInt64Milliseconds(now - lastShown));
+        const std::string silent
+            = lastShown == absl::InfinitePast() ? "" : millisecondsOf(now - lastShown);
+        std::size_t bytes = 0;
+        for (const std::string &record : read.records)
+            bytes += record.size();
         logEvent(EventId::LogRecordsRead,
                  { { "log", nameOf(options_.log) },
                    { "cause", nameOf(cause_) },
                    { "from", std::to_string(from.offset) },
                    { "records", std::to_string(read.records.size()) },
-                   { "took_ms", std::to_string(absl::ToInt64Milliseconds(now - requestedAt)) },
+                   { "bytes", std::to_string(bytes) },
+                   { "took_ms", millisecondsOf(now - requestedAt) },
                    { "silent_ms", silent } });
     }
 
@@ -301,7 +333,7 @@
             ++offset;
         }
         next_.offset = std::max(next_.offset, offset);
-        handler_->onCurrent();
+        noteCurrent();
     }
 
     void applyRecord(LogOffset offset, const KeyedRecord &record)
@@ -403,6 +435,7 @@
     LogPosition next_; ///< Of the next record to apply.
     LogPosition knownEnd_; ///< Largest end of a part, or end of the last read if that is newer.
     absl::Time knownEndAt_ = absl::InfinitePast(); ///< When a part last raised it.
+    absl::Time currentAt_ = absl::InfinitePast(); ///< When records were last applied.
     std::deque<LogPartRecord> updates_; ///< From `updatesFrom_` to `next_`, without heartbeats.
     LogPosition updatesFrom_;
     std::uint32_t ageMs_ = 0; ///< Of what the last read showed, when it was answered.
--- a/src/zinniadoor/net/fetch.cpp
+++ b/src/zinniadoor/net/fetch.cpp
@@ -59,7 +59,7 @@
     {
         response_.body.append(bytes);
         if (response_.body.size() > maxBodyBytes_)
-            finish(Reason { ReasonCode::OutcomeUnknown, "the response is too long" });
+            fail(ReasonCode::OutcomeUnknown, "the response is too long");
     }
 
     void onEnd() override
@@ -74,14 +74,19 @@
         closeIdle();
         const ReasonCode code
             = failure.sendStarted ? ReasonCode::OutcomeUnknown : ReasonCode::Unavailable;
-        finish(Reason { code, absl::StrCat(nameOf(failure.error), ": ", failure.text) });
+        fail(code, absl::StrCat(nameOf(failure.error), ": ", failure.text));
     }
 
 private:
     void onTimeout()
     {
         closeIdle();
-        finish(Reason { ReasonCode::OutcomeUnknown, "response timeout" });
+        fail(ReasonCode::OutcomeUnknown, "response timeout");
+    }
+
+    void fail(ReasonCode code, std::string text)
+    {
+        finish(Reason { code, std::move(text), response_.body.size() });
     }
 
     // What has broken one connection may have broken all; a repeated call must not find out one
