Let a long response of the store take as long as it arrives

Callers were rejected, or served by a configuration replaced long before, at instances on thin links. A call had 800 ms for its whole response, and a response that was cut was dropped: what had to be read grew with the backlog and the size of the configuration, the time did not, and each repetition began anew on the link that the one before had filled.

Of a response that is cut, the whole records are used; pages of newest records that were read are kept for the next reading.

--- a/include/zinniadoor/gateway/platform_ports.hpp
+++ b/include/zinniadoor/gateway/platform_ports.hpp
@@ -40,8 +40,20 @@
     LogPosition end; ///< End of the log at the time of the read.
     bool trimmed = false; ///< The log lacks the requested offset; `first` is the oldest available.
     std::vector<std::string> records;
+    bool wasDeclined = false; ///< `ReadChoice` returned false: there are no records.
+    std::optional<base::Reason> cut; ///< Why records before `end` may be missing.
 };
 
+/// What the beginning of a response shows of a read.
+struct ReadProspect
+{
+    LogPosition end; ///< Of the log.
+    std::size_t bytes = 0; ///< Of the whole response; 0 if unknown.
+};
+
+/// Returns whether the records are to be received.
+using ReadChoice = std::function<bool(const ReadProspect &)>;
+
 /// A record of a log that keeps the newest record of each key.
 struct KeyedRecord
 {
@@ -76,13 +88,38 @@
                       std::function<void(base::Outcome<LogRecords>)> done)
         = 0;
 
+    /// Like `read`, but asks `wants` once the end of the log is known. A read that is cut returns
+    /// the records received by then, if there are any.
+    virtual void readIf(LogName log, LogPosition from, absl::Duration wait, const ReadChoice &wants,
+                        std::function<void(base::Outcome<LogRecords>)> done);
+
     virtual void readNewest(LogName log, std::function<void(base::Outcome<NewestRecords>)> done)
         = 0;
 
+    /// Reads only keys that follow `key`, where the store can tell.
+    virtual void readNewestAfter(LogName log, const std::string &,
+                                 std::function<void(base::Outcome<NewestRecords>)> done)
+    {
+        readNewest(log, std::move(done));
+    }
+
     /// The latest era that a response has named.
     virtual StoreEra era() const = 0;
 };
 
+inline void LogStore::readIf(LogName log, LogPosition from, absl::Duration wait,
+                             const ReadChoice &wants,
+                             std::function<void(base::Outcome<LogRecords>)> done)
+{
+    read(log, from, wait, [wants, done = std::move(done)](base::Outcome<LogRecords> read) {
+        if (read && !read->trimmed && wants && !wants({ read->end, 0 })) {
+            read->records.clear();
+            read->wasDeclined = true;
+        }
+        done(std::move(read));
+    });
+}
+
 /// Decodes records written by operators and endpoints.
 class RecordDecoder
 {
--- a/include/zinniadoor/net/fetch.hpp
+++ b/include/zinniadoor/net/fetch.hpp
@@ -2,20 +2,24 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include <boost/asio/io_context.hpp>
 
 #include "zinniadoor/base/outcome.hpp"
 #include "zinniadoor/net/http_client.hpp"
+#include "zinniadoor/net/transfer_limit.hpp"
 
 namespace zinniadoor::net {
 
-/// A response with its complete body.
+/// A response with its complete body, unless `FetchOptions` allow less.
 struct FullResponse
 {
     ResponseHead head;
     std::string body;
+    bool wasDeclined = false; ///< `FetchOptions::wantsRest` ended it.
+    std::optional<base::Reason> cut; ///< Why the body is incomplete.
 };
 
 /// On failure the reason code is OutcomeUnknown if the request may have taken effect, otherwise
@@ -25,6 +29,9 @@
 struct FetchOptions
 {
     absl::Duration timeout; ///< For the whole exchange, connecting included.
+
+    /// The exchange may take longer than the timeout while the response arrives at this pace.
+    std::optional<TransferPace> pace;
     bool newConnection = false; ///< See `CallOptions::newConnection`.
 
     /// The call fails if the body of the response is longer. The longest responses of the platform
@@ -36,6 +43,13 @@
 
     /// See `CallOptions::matchesCall`.
     std::function<bool(const ResponseHead &)> matchesCall;
+
+    /// Called as bytes of the body arrive; false ends the call with what has arrived. Empty: the
+    /// whole response is received.
+    std::function<bool(const FullResponse &)> wantsRest;
+
+    /// A response that is cut within its body is delivered as far as it arrived.
+    bool keepsCutResponse = false;
 };
 
 /// `FetchOptions::maxBodyBytes` of calls to endpoints, whose responses to them are short.
--- a/src/zinniadoor/gateway/usage_duty.cpp
+++ b/src/zinniadoor/gateway/usage_duty.cpp
@@ -33,6 +33,9 @@
 /// How much the estimates of cluster time of two instances may differ.
 constexpr absl::Duration ClockTolerance = absl::Milliseconds(500);
 
+/// Bytes of the records of one append.
+constexpr std::size_t MaxAppendBytes = std::size_t { 64 } * 1024;
+
 /// Windows of this many report delays are written again after a restoration of the store. Older
 /// ones have been committed.
 constexpr double RewriteAge = 2;
@@ -209,6 +212,21 @@
             parts_.peers.notifyUsageWritten(notice);
     }
 
+    /// As many as one call carries: after an outage there may be more than a thin link transfers
+    /// within the limit of a call.
+    std::vector<std::string> nextRecords() const
+    {
+        std::vector<std::string> records;
+        std::size_t bytes = 0;
+        for (const std::string &record : unwritten_) {
+            bytes += record.size();
+            if (!records.empty() && bytes > MaxAppendBytes)
+                break;
+            records.push_back(record);
+        }
+        return records;
+    }
+
     // Repeating an append with unknown outcome is safe: only the first record counts.
     void write()
     {
@@ -219,7 +237,7 @@
         }
         writing_ = true;
         auto self = shared_from_this();
-        const std::vector<std::string> records(unwritten_.begin(), unwritten_.end());
+        const std::vector<std::string> records = nextRecords();
         parts_.store.append(
             LogName::Journal, records, std::nullopt,
             [self, count = records.size()](const base::Outcome<AppendResult> &result) {
@@ -249,6 +267,8 @@
                     self->writeAt_ = self->parts_.clock.now() + WriteRetryDelay;
                 if (self->stopped_ && (!result || self->unwritten_.empty()))
                     self->finishStop();
+                else if (result && !self->unwritten_.empty())
+                    self->write();
             });
     }
 
@@ -300,6 +320,12 @@
             else if (record->kind == JournalRecordKind::Stopped)
                 parts_.peers.noteStopped(record->process);
         }
+        if (next_ < read.end) { // The rest follows.
+            lastRead_ = absl::InfinitePast();
+            if (!read.records.empty())
+                readJournal(absl::ZeroDuration());
+            return;
+        }
         journalReadAt_ = parts_.clock.now();
         if (announced_)
             parts_.peers.noteJournalRead(journalReadAt_);
--- a/src/zinniadoor/net/fetch.cpp
+++ b/src/zinniadoor/net/fetch.cpp
@@ -1,5 +1,8 @@
 #include "zinniadoor/net/fetch.hpp"
 
+#include <algorithm>
+#include <chrono>
+
 #include <boost/asio/steady_timer.hpp>
 
 #include "absl/strings/str_cat.h"
@@ -11,6 +14,9 @@
 using base::Reason;
 using base::ReasonCode;
 
+/// Timers have whole milliseconds.
+constexpr absl::Duration MinTimerWait = absl::Milliseconds(1);
+
 class Fetch : public CallHandler, public Call, public std::enable_shared_from_this<Fetch>
 {
 public:
@@ -26,11 +32,10 @@
     {
         auto self = shared_from_this();
         maxBodyBytes_ = fetchOptions.maxBodyBytes;
-        timer_.expires_after(absl::ToChronoMilliseconds(fetchOptions.timeout));
-        timer_.async_wait([self](boost::system::error_code error) {
-            if (!error)
-                self->onTimeout();
-        });
+        keepsCutResponse_ = fetchOptions.keepsCutResponse;
+        wantsRest_ = std::move(fetchOptions.wantsRest);
+        limit_ = TransferLimit(fetchOptions.timeout, fetchOptions.pace);
+        armTimer(fetchOptions.timeout);
         CallOptions options;
         options.connectTimeout = fetchOptions.timeout;
         options.newConnection = fetchOptions.newConnection;
@@ -58,8 +63,14 @@
     void onBody(std::string bytes) override
     {
         response_.body.append(bytes);
-        if (response_.body.size() > maxBodyBytes_)
+        limit_.noteBytes(bytes.size(), sinceStart());
+        if (response_.body.size() > maxBodyBytes_) {
+            keepsCutResponse_ = false; // A repetition would be too long as well.
             fail(ReasonCode::OutcomeUnknown, "the response is too long");
+        } else if (wantsRest_ && !wantsRest_(response_)) {
+            response_.wasDeclined = true;
+            finish(std::move(response_));
+        }
     }
 
     void onEnd() override
@@ -78,6 +89,31 @@
     }
 
 private:
+    absl::Duration sinceStart() const
+    {
+        return absl::FromChrono(std::chrono::steady_clock::now() - startedAt_);
+    }
+
+    /// `time`: until the call has taken too long, if nothing arrives.
+    void armTimer(absl::Duration time)
+    {
+        auto self = shared_from_this();
+        timer_.expires_after(absl::ToChronoMilliseconds(time));
+        timer_.async_wait([self](boost::system::error_code error) {
+            if (!error)
+                self->checkLimit();
+        });
+    }
+
+    void checkLimit()
+    {
+        const absl::Duration left = limit_.limit() - sinceStart();
+        if (left > absl::ZeroDuration())
+            armTimer(std::max(left, MinTimerWait));
+        else
+            onTimeout();
+    }
+
     void onTimeout()
     {
         closeIdle();
@@ -86,7 +122,13 @@
 
     void fail(ReasonCode code, std::string text)
     {
-        finish(Reason { code, std::move(text), response_.body.size() });
+        Reason reason { code, std::move(text), response_.body.size() };
+        if (keepsCutResponse_ && !response_.body.empty()) {
+            response_.cut = std::move(reason);
+            finish(std::move(response_));
+        } else {
+            finish(std::move(reason));
+        }
     }
 
     // What has broken one connection may have broken all; a repeated call must not find out one
@@ -117,6 +159,10 @@
     std::shared_ptr<Call> call_;
     FullResponse response_;
     std::size_t maxBodyBytes_ = 0;
+    bool keepsCutResponse_ = false;
+    std::function<bool(const FullResponse &)> wantsRest_;
+    TransferLimit limit_ { absl::ZeroDuration(), std::nullopt };
+    std::chrono::steady_clock::time_point startedAt_ = std::chrono::steady_clock::now();
 };
 
 } // namespace
