Read only the newest of a backlog of long configurations

The rest of what held callers up at late instances: all versions that were missed were read, one after the other, though only the newest counts, and the instance that reads for its data centre notified the others only when it had the version itself, so that its thin link delayed all of them.

The beginning of a response shows the log's end and the length. If a long response would bring records that a later one replaces, it is declined, and the last record is read by itself; then the few keys beside the configuration, so that evacuations in between are not lost. Where records are too long to be relayed, others are notified as soon as the end of the log is known.

--- a/src/zinniadoor/gateway/log_follower.cpp
+++ b/src/zinniadoor/gateway/log_follower.cpp
@@ -34,6 +34,9 @@
 /// Larger updates are read from the store by each instance: relaying them would take too long.
 constexpr std::size_t MaxRelayedBytes = std::size_t { 8 } * 1024;
 
+/// Of longer responses only the newest record is received, where it replaces the earlier ones.
+constexpr std::size_t MaxBacklogBytes = std::size_t { 32 } * 1024;
+
 /// Limit of the age given to a part; receivers add their own delays to it.
 constexpr std::int64_t MaxAgeMs = std::int64_t { 24 } * 3600 * 1000;
 
@@ -228,46 +231,169 @@
         const absl::Duration wait
             = cause_ == ReadCause::Poll ? options_.readWait : absl::ZeroDuration();
         handler_->onRead(cause_);
-        store_.read(options_.log, from, wait,
-                    [self, requestedAt, from, wait](const base::Outcome<LogRecords> &read) {
-                        self->reading_ = false;
-                        if (!self->handler_)
-                            return;
-                        if (!read) {
-                            self->noteFailure(self->cause_, requestedAt, read.lastReason());
-                            const absl::Duration retry = self->schedule_.noteFailure(
-                                self->isBehind(), self->clock_.now() - requestedAt);
-                            if (self->isBehind())
-                                self->scheduleRead(retry);
-                            else
-                                self->scheduleNextRead(retry);
-                            return;
-                        }
-                        if (read->end.era < self->next_.era) { // A late response of the store.
-                            self->scheduleRead(self->schedule_.noteFailure(true));
-                            return;
-                        }
-                        self->schedule_.noteAnswer();
-                        if (read->trimmed || read->end.era != from.era || read->end < from) {
-                            self->readNewest();
-                            return;
-                        }
-                        self->logRead(from, *read, requestedAt);
-                        self->apply(from, *read);
-                        if (self->cause_ != ReadCause::Gap) // Otherwise others have relayed it.
-                            self->relayUpdates(from, requestedAt + wait);
-                        self->discardUpdatesBefore(from);
-                        if (requestedAt >= self->knownEndAt_) // Newer than any notice.
-                            self->knownEnd_ = read->end;
-                        if (self->next_ < read->end) {
-                            self->scheduleRead(absl::ZeroDuration());
-                            return;
-                        }
-                        if (self->isBehind()) // A notice came during the read.
-                            self->scheduleGapRead();
-                        else
-                            self->scheduleNextRead();
-                    });
+        const absl::Time answerDue = requestedAt + wait;
+        store_.readIf(
+            options_.log, from, wait,
+            [self, from, answerDue](const ReadProspect &prospect) {
+                self->announce(prospect, answerDue);
+                return !self->isReplaced(from, prospect);
+            },
+            [self, requestedAt, from, answerDue](const base::Outcome<LogRecords> &read) {
+                self->reading_ = false;
+                if (!self->isUsable(read, requestedAt))
+                    return;
+                if (read->trimmed || read->end.era != from.era || read->end < from) {
+                    self->readNewest();
+                    return;
+                }
+                if (read->wasDeclined) {
+                    self->noteEnd(read->end, requestedAt);
+                    self->readLast(read->end);
+                    return;
+                }
+                self->logRead(from, *read, requestedAt);
+                self->apply(from, *read);
+                if (self->cause_ != ReadCause::Gap) // Otherwise others have relayed it.
+                    self->relayUpdates(from, answerDue);
+                self->discardUpdatesBefore(from);
+                self->noteEnd(read->end, requestedAt);
+                self->continueTo(read->end);
+            });
+    }
+
+    /// Reads the last record. If its key is the one whose newest record replaces all earlier ones,
+    /// only the other keys remain to be read.
+    void readLast(LogPosition end)
+    {
+        auto self = shared_from_this();
+        reading_ = true;
+        const absl::Time requestedAt = clock_.now();
+        const LogPosition from { end.era, end.offset - 1 };
+        handler_->onRead(cause_);
+        store_.readIf(
+            options_.log, from, absl::ZeroDuration(),
+            [self, from](const ReadProspect &prospect) {
+                return !self->isReplaced(from, prospect);
+            },
+            [self, requestedAt, from](const base::Outcome<LogRecords> &read) {
+                self->reading_ = false;
+                if (!self->isUsable(read, requestedAt))
+                    return;
+                if (read->wasDeclined) { // More versions were written meanwhile.
+                    self->noteEnd(read->end, requestedAt);
+                    self->readLast(read->end);
+                    return;
+                }
+                const auto last = read->trimmed || read->records.empty()
+                    ? std::nullopt
+                    : self->replacingRecord(read->records.front());
+                if (!last || read->end.era != from.era || from < self->next_) {
+                    self->readNewest();
+                    return;
+                }
+                self->logRead(from, *read, requestedAt);
+                self->next_ = from;
+                self->discardUpdatesBefore(from);
+                self->apply(from, *read);
+                if (self->cause_ != ReadCause::Gap)
+                    self->relayUpdates(from, requestedAt);
+                self->noteEnd(read->end, requestedAt);
+                self->readOthers(*last, read->end, requestedAt);
+            });
+    }
+
+    void readOthers(const KeyedRecord &last, LogPosition end, absl::Time requestedAt)
+    {
+        auto self = shared_from_this();
+        reading_ = true;
+        store_.readNewestAfter(
+            options_.log, last.key,
+            [self, last, end, requestedAt](const base::Outcome<NewestRecords> &newest) {
+                self->reading_ = false;
+                if (!self->handler_)
+                    return;
+                if (!newest || newest->end.era != self->next_.era) {
+                    if (!newest)
+                        self->noteFailure(ReadCause::Start, requestedAt, newest.lastReason());
+                    self->tailing_ = false; // The next read is one of all keys.
+                    self->scheduleRead(self->schedule_.noteFailure(true));
+                    return;
+                }
+                NewestRecords all = *newest;
+                all.records.push_back(last);
+                self->handler_->onNewest(all);
+                self->noteCurrent();
+                self->continueTo(end);
+            });
+    }
+
+    std::optional<KeyedRecord> replacingRecord(const std::string &bytes) const
+    {
+        const auto record = decoder_.keyed(bytes);
+        if (!record || record->key != decoder_.configurationKey())
+            return std::nullopt;
+        return *record;
+    }
+
+    /// Whether a response from `from` brings long records that a later one replaces.
+    bool isReplaced(LogPosition from, const ReadProspect &prospect) const
+    {
+        return options_.log == LogName::Configuration && prospect.bytes > MaxBacklogBytes
+            && prospect.end.era == from.era && prospect.end.offset > from.offset + 1;
+    }
+
+    /// Handles a read that failed or is outdated. Returns whether it can be used.
+    bool isUsable(const base::Outcome<LogRecords> &read, absl::Time requestedAt)
+    {
+        if (!handler_)
+            return false;
+        if (!read) {
+            noteFailure(cause_, requestedAt, read.lastReason());
+            const absl::Duration retry
+                = schedule_.noteFailure(isBehind(), clock_.now() - requestedAt);
+            if (isBehind())
+                scheduleRead(retry);
+            else
+                scheduleNextRead(retry);
+            return false;
+        }
+        if (read->end.era < next_.era) { // A late response of the store.
+            scheduleRead(schedule_.noteFailure(true));
+            return false;
+        }
+        if (read->cut)
+            noteFailure(cause_, requestedAt, *read->cut);
+        schedule_.noteAnswer();
+        return true;
+    }
+
+    /// The log ended there when a read was requested.
+    void noteEnd(LogPosition end, absl::Time requestedAt)
+    {
+        if (requestedAt >= knownEndAt_ || end > knownEnd_) // Newer than any notice.
+            knownEnd_ = end;
+    }
+
+    void continueTo(LogPosition end)
+    {
+        if (next_ < end)
+            scheduleRead(absl::ZeroDuration());
+        else if (isBehind()) // A notice came during the read.
+            scheduleGapRead();
+        else
+            scheduleNextRead();
+    }
+
+    /// Notifies others of records that are too long to be relayed before they have been received.
+    void announce(const ReadProspect &prospect, absl::Time answerDue)
+    {
+        if (!handler_ || cause_ == ReadCause::Gap || !schedule_.isReader()
+            || prospect.bytes <= MaxRelayedBytes || prospect.end <= next_)
+            return;
+        noteAge(answerDue);
+        LogPart part = newPart(prospect.end, false);
+        part.to = prospect.end;
+        relay_.publish(part);
     }
 
     bool isBehind() const { return next_ < knownEnd_; }
@@ -353,9 +479,7 @@
         logReaderChange();
         if (!schedule_.isReader()) // Heard another reader meanwhile, which must not yield to this.
             return;
-        const absl::Duration late = std::max(absl::ZeroDuration(), clock_.now() - answerDue);
-        ageMs_ = static_cast<std::uint32_t>(
-            std::min<std::int64_t>(absl::ToInt64Milliseconds(late), MaxAgeMs));
+        noteAge(answerDue);
         const std::size_t capacity = std::min(MaxRelayedBytes, relay_.capacity());
         if (options_.relaysRecords && bytesOfUpdates() > capacity)
             discardUpdatesBefore(from); // Without the repetition, they may fit.
@@ -365,6 +489,13 @@
             relay_.publish(newPart(updatesFrom_, false));
     }
 
+    void noteAge(absl::Time answerDue)
+    {
+        const absl::Duration late = std::max(absl::ZeroDuration(), clock_.now() - answerDue);
+        ageMs_ = static_cast<std::uint32_t>(
+            std::min<std::int64_t>(absl::ToInt64Milliseconds(late), MaxAgeMs));
+    }
+
     std::size_t bytesOfUpdates() const
     {
         std::size_t bytes = 0;
