Notify others of a long version also when taking over its log

It notifies them at the beginning of the response as the reader does.

Found by reading. ThinLinkTest/follower_takesOverWithLargeVersion_* is new; thin_link_test and gateway_test pass.

--- a/src/zinniadoor/gateway/log_follower.cpp
+++ b/src/zinniadoor/gateway/log_follower.cpp
@@ -387,8 +387,8 @@
     /// Notifies others of records that are too long to be relayed before they have been received.
     void announce(const ReadProspect &prospect, absl::Time answerDue)
     {
-        if (!handler_ || cause_ == ReadCause::Gap || !schedule_.isReader()
-            || prospect.bytes <= MaxRelayedBytes || prospect.end <= next_)
+        if (!handler_ || cause_ == ReadCause::Gap || prospect.bytes <= MaxRelayedBytes
+            || prospect.end <= next_)
             return;
         noteAge(answerDue);
         LogPart part = newPart(prospect.end, false);
