Continue a stream only at the software version that began it

Cause: the version in an endpoint's record was dropped, so each choice was made among endpoints of all versions; and only the instance that served a stream could know where it had begun. The class: a continuation is placed by rules for a beginning.

The version is noted with the first event, here and, by a datagram of some 100 bytes, at four instances that the hash of the stream's id names. A take-up names the request that brought the first event (Resumes); an instance that does not know it asks these four. What is not known is not guessed, unless no other version has been listed for 15 s; then, and if no endpoint of the version accepts work, the stream is rejected at once.

--- a/include/zinniadoor/base/events.hpp
+++ b/include/zinniadoor/base/events.hpp
@@ -80,6 +80,8 @@
     EndpointFailureReported = 780,
     EndpointFailureApplied = 781,
     FailureReporterDisbelieved = 782,
+    StreamTakenUp = 790,
+    StreamRejected = 791,
 };
 
 /// One row of the event table.
--- a/include/zinniadoor/gateway/endpoint_directory.hpp
+++ b/include/zinniadoor/gateway/endpoint_directory.hpp
@@ -13,6 +13,7 @@
 #include "zinniadoor/serving/cold_endpoints.hpp"
 #include "zinniadoor/serving/endpoint_limits.hpp"
 #include "zinniadoor/serving/failure_reports.hpp"
+#include "zinniadoor/serving/stream_origins.hpp"
 
 namespace zinniadoor::gateway {
 
@@ -76,6 +77,9 @@
     serving::ColdEndpoints &cold() { return cold_; }
     const serving::ColdEndpoints &cold() const { return cold_; }
 
+    /// The software versions that the endpoints of each service have had.
+    const serving::ServiceVersions &versions() const { return versions_; }
+
     /// Nothing may be sent to endpoints of these data centres. Those of data centres that are no
     /// longer in the set count as cold.
     void setEvacuated(const absl::btree_set<base::DataCentreId> &dataCentres, absl::Time now);
@@ -89,8 +93,10 @@
 
     /// Earliest time at which an endpoint of the service may be called; nothing if none accepts
     /// work.
+    /// With `version`, only endpoints of that software version count.
     std::optional<absl::Time> availableFrom(const std::string &service, absl::Time now,
-                                            const AllowedRegions *regions = nullptr) const;
+                                            const AllowedRegions *regions = nullptr,
+                                            const std::string *version = nullptr) const;
 
     std::vector<const EndpointRecord *> all() const;
     bool empty() const { return entries_.empty(); }
@@ -153,6 +159,7 @@
     serving::EndpointLimits limits_;
     serving::FailureReports failures_;
     serving::ColdEndpoints cold_;
+    serving::ServiceVersions versions_;
     absl::btree_set<base::DataCentreId> evacuated_;
     absl::flat_hash_map<base::EndpointId, Entry> entries_;
     absl::flat_hash_map<std::uint64_t, base::EndpointId> byDigest_;
--- a/include/zinniadoor/gateway/endpoint_record.hpp
+++ b/include/zinniadoor/gateway/endpoint_record.hpp
@@ -26,6 +26,7 @@
     base::EndpointId id;
     std::string service;
     std::string address; ///< IP:port.
+    std::string version; ///< Of its software; empty if not stated.
     base::DataCentreId dataCentre;
     std::uint32_t slots = 1;
     Stage stage = Stage::Plain;
--- a/include/zinniadoor/gateway/gateway_metrics.hpp
+++ b/include/zinniadoor/gateway/gateway_metrics.hpp
@@ -27,6 +27,8 @@
     /// Bytes of a request's body, or of its answer, to or from another data centre.
     void countSpilledRequest(std::size_t bytes);
     void countSpilledAnswer(std::size_t bytes);
+    /// Of a stream that its caller takes up, or that cannot go on.
+    void countTakeUp(const char *outcome, const char *source);
     void countStoreFailure(const char *call);
     void countLogRead(const char *log, const char *cause);
     void countDroppedLogBytes(const char *log, std::size_t bytes); ///< Of reads that failed.
--- a/include/zinniadoor/gateway/peer_link.hpp
+++ b/include/zinniadoor/gateway/peer_link.hpp
@@ -23,6 +23,9 @@
     virtual void announcePartReports(const serving::CrashReports &reports) = 0;
     virtual void announcePause(const base::EndpointId &endpoint, absl::Duration time) = 0;
     virtual void announceFailure(const serving::FailureReport &report) = 0;
+    virtual void announceOrigin(std::uint64_t stream, const std::string &version) = 0;
+    virtual void askOrigin(std::uint64_t stream, const std::string &service, OriginCallback done)
+        = 0;
     virtual void start() = 0;
 
     /// Advertises that this instance is shutting down: it gives up leadership and takes no duties.
--- a/include/zinniadoor/gateway/peer_table.hpp
+++ b/include/zinniadoor/gateway/peer_table.hpp
@@ -40,6 +40,9 @@
     /// Addresses of all peers that have not stopped.
     std::vector<std::string> addresses() const;
 
+    /// The same, by instance.
+    std::map<std::string, std::string> addressesByInstance() const;
+
     /// The same, restricted to one data centre.
     std::vector<std::string> addressesIn(const base::DataCentreId &dataCentre) const;
 
--- a/include/zinniadoor/gateway/request_facts.hpp
+++ b/include/zinniadoor/gateway/request_facts.hpp
@@ -20,6 +20,10 @@
     std::string key; ///< API key; empty if none was sent.
     std::optional<absl::Duration> timeout; ///< How long the caller waits for the answer.
     std::optional<std::uint64_t> lastEventId; ///< Last event that the caller received.
+
+    /// Id of the request that brought the first event of a stream that the caller takes up again;
+    /// empty if not given.
+    std::string resumes;
     std::string model;
     bool hasTokenCounts = false;
     std::uint32_t promptTokens = 0;
--- a/include/zinniadoor/gateway/serving_context.hpp
+++ b/include/zinniadoor/gateway/serving_context.hpp
@@ -2,6 +2,8 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
+#include <string>
 
 #include <boost/asio/io_context.hpp>
 
@@ -25,9 +27,13 @@
 #include "zinniadoor/serving/outlier_ejection.hpp"
 #include "zinniadoor/serving/plain_choice.hpp"
 #include "zinniadoor/serving/spill.hpp"
+#include "zinniadoor/serving/stream_origins.hpp"
 
 namespace zinniadoor::gateway {
 
+/// Receives the version that began a stream; nothing if it is not known.
+using OriginCallback = std::function<void(const std::optional<std::string> &version)>;
+
 /// Receives the updates that requests produce for the other parts of this instance and for its
 /// peers.
 class UpdateSink
@@ -53,6 +59,15 @@
 
     /// An endpoint accepts no work for this time.
     virtual void announcePause(const base::EndpointId &endpoint, absl::Duration time) = 0;
+
+    /// A stream, given by the digest of its id, has begun at a software version.
+    virtual void announceOrigin(std::uint64_t, const std::string &) { }
+
+    /// Asks other instances which version of the service began a stream.
+    virtual void askOrigin(std::uint64_t, const std::string &, OriginCallback done)
+    {
+        done(std::nullopt);
+    }
 };
 
 /// State shared by all requests; owned by the event thread.
@@ -82,6 +97,7 @@
     RegionTable regions {};
     serving::Spill spill { {}, {} };
     ExchangeRegistry exchanges {};
+    serving::StreamOrigins origins {};
     std::shared_ptr<serving::HeldAnswers> heldAnswers
         = std::make_shared<serving::HeldAnswers>(serving::HeldAnswersOptions {});
 
--- a/src/zinniadoor/base/events.cpp
+++ b/src/zinniadoor/base/events.cpp
@@ -297,6 +297,10 @@
           "Another instance's report changed whether an endpoint is avoided." },
         { EventId::FailureReporterDisbelieved, EventLevel::Warning, "failure_reporter_disbelieved",
           "An instance reports so many endpoints that its own connection is assumed faulty." },
+        { EventId::StreamTakenUp, EventLevel::Info, "stream_taken_up",
+          "A caller takes a stream up, which goes on at the software version that began it." },
+        { EventId::StreamRejected, EventLevel::Warning, "stream_rejected",
+          "A stream cannot go on: the version that began it is not known, or no longer serves." },
     };
     return table;
 }
--- a/src/zinniadoor/gateway/endpoint_choice.cpp
+++ b/src/zinniadoor/gateway/endpoint_choice.cpp
@@ -74,6 +74,8 @@
     std::vector<serving::PlainCandidate> candidates;
     for (const EndpointRecord *endpoint :
          context.directory.usable(facts.service, now, facts.excluded, facts.regions)) {
+        if (facts.version && endpoint->version != *facts.version)
+            continue;
         serving::PlainCandidate candidate;
         candidate.id = endpoint->id;
         candidate.slots = endpoint->slots;
@@ -149,6 +151,10 @@
     prompt.dataCentre = context.dataCentre;
     prompt.rank = facts.rank;
     const serving::EngineTimings speeds = context.speeds.engine(facts.service);
+    const auto hasVersion = [&](const serving::EngineInfo &engine) {
+        const EndpointRecord *record = facts.version ? context.directory.find(engine.id) : nullptr;
+        return !facts.version || (record && record->version == *facts.version);
+    };
     // Relaxed step by step: paused endpoints are preferred to suspected ones.
     enum class Eligibility : std::uint8_t { Healthy, Usable, Answering, Any };
     for (const Eligibility eligibility :
@@ -160,7 +166,7 @@
                 return false;
             if (facts.regions && !facts.regions->allows(engine.dataCentre))
                 return false;
-            if (!context.directory.hasRoom(engine.id, now))
+            if (!hasVersion(engine) || !context.directory.hasRoom(engine.id, now))
                 return false;
             if (eligibility == Eligibility::Any)
                 return true;
--- a/src/zinniadoor/gateway/endpoint_choice.hpp
+++ b/src/zinniadoor/gateway/endpoint_choice.hpp
@@ -32,6 +32,7 @@
     bool localPrefill = false; ///< Rules out a remote prefill.
     const std::vector<base::EndpointId> *tried = nullptr; ///< Endpoints of earlier attempts.
     const AllowedRegions *regions = nullptr; ///< Also of the sources of copies.
+    const std::string *version = nullptr; ///< Of the software; null: any.
     const base::EndpointId *excluded = nullptr; ///< Never chosen, even if there is no other.
 };
 
--- a/src/zinniadoor/gateway/endpoint_directory.cpp
+++ b/src/zinniadoor/gateway/endpoint_directory.cpp
@@ -35,7 +35,8 @@
     return before.service == after.service && before.address == after.address
         && before.dataCentre == after.dataCentre && before.slots == after.slots
         && before.stage == after.stage && before.leaving == after.leaving
-        && before.reclaimable == after.reclaimable && before.startTimeMs == after.startTimeMs
+        && before.version == after.version && before.reclaimable == after.reclaimable
+        && before.startTimeMs == after.startTimeMs
         && impliesColdness(before.coldLeft, after.coldLeft);
 }
 
@@ -61,6 +62,7 @@
     const auto [it, inserted] = entries_.try_emplace(record.id);
     if (inserted)
         byDigest_[digestOf(record.id)] = record.id;
+    versions_.noteListed(record.service, record.version, now);
     Entry &entry = it->second;
     if (now - entry.replacedAt > DirectoryLag)
         entry.replacedAt = absl::InfiniteFuture();
@@ -161,12 +163,15 @@
 
 std::optional<absl::Time> EndpointDirectory::availableFrom(const std::string &service,
                                                            absl::Time now,
-                                                           const AllowedRegions *regions) const
+                                                           const AllowedRegions *regions,
+                                                           const std::string *version) const
 {
     std::optional<absl::Time> first;
     for (const auto &[id, entry] : entries_) {
         if (entry.record.service != service || !acceptsWork(entry))
             continue;
+        if (version && entry.record.version != *version)
+            continue;
         if (regions && !regions->allows(entry.record.dataCentre))
             continue;
         const absl::Time from = std::max(
--- a/src/zinniadoor/gateway/exchange.cpp
+++ b/src/zinniadoor/gateway/exchange.cpp
@@ -55,6 +55,7 @@
     facts.localPrefill = remotePrefillFailed_ || lastEventId_.has_value();
     facts.tried = &tried_;
     facts.regions = &regions_;
+    facts.version = origin_ ? &*origin_ : nullptr;
     facts.objective = route_.objective;
     facts.bodyBytes = request_.body().size();
     return facts;
@@ -63,8 +64,11 @@
 void Exchange::refuseWithoutEndpoint()
 {
     const absl::Time now = context_.clock.now();
-    const auto from = context_.directory.availableFrom(service_, now, &regions_);
-    if (from && *from > now && *from < absl::InfiniteFuture())
+    const std::string *version = origin_ ? &*origin_ : nullptr;
+    const auto from = context_.directory.availableFrom(service_, now, &regions_, version);
+    if (!from && version) { // Nobody else may go on with the stream, now or later.
+        rejectStream("version_gone", OriginSource::Answer);
+    } else if (from && *from > now && *from < absl::InfiniteFuture())
         refuseWithExactRetryAfter(RefusalKind::NotRun, "all_resting", *from - now);
     else
         refuse(RefusalKind::NotRun, "no_endpoint", DefaultRetryAfter);
@@ -123,6 +127,7 @@
              { { "request", facts_.id },
                { "route", route_.name },
                { "endpoint", endpoint.id.str() },
+               { "endpoint_version", endpoint.version },
                { "reader", choice.prefillEngine ? executor.str() : "" },
                { "copied_from", choice.prefixSource ? choice.prefixSource->str() : "" },
                { "sending", std::to_string(attempts_) },
@@ -191,6 +196,7 @@
         facts.localPrefill = true;
         facts.tried = &tried_;
         facts.regions = &regions_;
+        facts.version = origin_ ? &*origin_ : nullptr;
         const auto choice = chooseEndpoint(context_, facts, now);
         const EndpointRecord *other = choice ? context_.directory.find(choice->endpoint) : nullptr;
         if (!other) {
@@ -482,6 +488,7 @@
             firstByteAt_ = context_.clock.now();
             context_.metrics.observeFirstByte(*firstByteAt_ - arrivedAt_);
             noteFirstEvent(*firstByteAt_ - runStartedAt_);
+            noteOrigin();
         }
         servingLoad_.releaseTokens();
         responder_->send(event.bytes);
--- a/src/zinniadoor/gateway/exchange_admission.cpp
+++ b/src/zinniadoor/gateway/exchange_admission.cpp
@@ -66,7 +66,11 @@
             self->onCallerLeft();
     });
     context_.exchanges.add(weak);
-    if (admit())
+    if (!admit())
+        return;
+    if (route_.streaming && lastEventId_)
+        takeUp();
+    else
         dispatch();
 }
 
@@ -119,6 +123,8 @@
         return false;
     parts_ = serving::keySegments(facts_.promptParts);
     lastEventId_ = facts_.lastEventId;
+    stream_ = serving::stableDigest(lastEventId_ && !facts_.resumes.empty() ? facts_.resumes
+                                                                            : facts_.id);
     armDeadlineTimer();
     return consumeQuota();
 }
--- a/src/zinniadoor/gateway/exchange_state.hpp
+++ b/src/zinniadoor/gateway/exchange_state.hpp
@@ -60,6 +60,17 @@
     return std::to_string(absl::ToInt64Milliseconds(time));
 }
 
+/// Where the version that began a stream was known from.
+enum class OriginSource : std::uint8_t {
+    Memory, ///< This instance has served the stream, or keeps its origin.
+    OnlyVersion, ///< No other version has served for as long as streams last.
+    Peers, ///< Other instances were asked.
+    Answer, ///< The stream began in the same answer, or was taken up in it.
+};
+
+/// Stable identifier for logs and metrics.
+const char *nameOf(OriginSource source);
+
 /// Why an attempt did not serve the request.
 struct CallOutcome
 {
@@ -136,6 +147,11 @@
     enum class Phase : std::uint8_t { Deciding, Prefilling, Running, Streaming, Ended };
 
     bool admit();
+    /// Finds out which version began the stream that the caller takes up, then dispatches.
+    void takeUp();
+    void onOrigin(const std::optional<std::string> &version, OriginSource source);
+    void rejectStream(const std::string &reason, OriginSource source);
+    void noteOrigin(); ///< The first event is about to be sent.
     bool authenticate(const Configuration &configuration);
     bool consumeQuota();
     void logQuota() const;
@@ -265,6 +281,8 @@
 
     EventFramer framer_;
     std::optional<std::uint64_t> lastEventId_;
+    std::uint64_t stream_ = 0; ///< Digest of the id of the request that brought the first event.
+    std::optional<std::string> origin_; ///< Version that began the stream; it goes on only there.
     net::ResponseHead answerHead_;
     std::string answerBody_;
     std::shared_ptr<serving::HeldAnswer> held_; ///< Null while the bytes held are few.
--- /dev/null
+++ b/src/zinniadoor/gateway/exchange_take_up.cpp
@@ -0,0 +1,93 @@
+#include <utility>
+
+#include "exchange_state.hpp"
+#include "zinniadoor/base/events.hpp"
+
+namespace zinniadoor::gateway {
+
+namespace {
+
+using base::EventId;
+using base::logEvent;
+
+} // namespace
+
+void Exchange::takeUp()
+{
+    const absl::Time now = context_.clock.now();
+    if (const auto known = context_.origins.find(stream_, now)) {
+        onOrigin(known, OriginSource::Memory);
+        return;
+    }
+    if (const auto only = context_.directory.versions().onlyVersion(service_, now)) {
+        onOrigin(only, OriginSource::OnlyVersion);
+        return;
+    }
+    context_.updates.askOrigin( // The question keeps the exchange alive.
+        stream_, service_, [self = shared_from_this()](const std::optional<std::string> &version) {
+            self->onOrigin(version, OriginSource::Peers);
+        });
+}
+
+void Exchange::onOrigin(const std::optional<std::string> &version, OriginSource source)
+{
+    if (phase_ == Phase::Ended)
+        return;
+    if (!version) {
+        rejectStream("unknown_version", source);
+        return;
+    }
+    origin_ = version;
+    context_.metrics.countTakeUp("continued", nameOf(source));
+    logEvent(EventId::StreamTakenUp,
+             { { "request", facts_.id },
+               { "stream", facts_.resumes },
+               { "last_event", std::to_string(*lastEventId_) },
+               { "service", service_ },
+               { "endpoint_version", *version },
+               { "source", nameOf(source) } });
+    dispatch();
+}
+
+// Another endpoint's events would not fit to those that the caller has, now or later, so that the
+// caller is not asked to come back.
+void Exchange::rejectStream(const std::string &reason, OriginSource source)
+{
+    context_.metrics.countTakeUp("rejected", nameOf(source));
+    logEvent(EventId::StreamRejected,
+             { { "request", facts_.id },
+               { "stream", facts_.resumes },
+               { "last_event", lastEventId_ ? std::to_string(*lastEventId_) : "" },
+               { "service", service_ },
+               { "endpoint_version", origin_.value_or("") },
+               { "source", nameOf(source) },
+               { "reason", reason } });
+    refuse(RefusalKind::NotRun, reason);
+}
+
+void Exchange::noteOrigin()
+{
+    const absl::Time now = context_.clock.now();
+    if (!origin_)
+        origin_ = servingEndpoint_.version;
+    context_.origins.note(stream_, *origin_, now);
+    if (route_.repeatability != Repeatability::AtMostOnce)
+        context_.updates.announceOrigin(stream_, *origin_);
+}
+
+const char *nameOf(OriginSource source)
+{
+    switch (source) {
+    case OriginSource::Memory:
+        return "memory";
+    case OriginSource::OnlyVersion:
+        return "only_version";
+    case OriginSource::Peers:
+        return "peers";
+    case OriginSource::Answer:
+        return "answer";
+    }
+    return "unknown";
+}
+
+} // namespace zinniadoor::gateway
--- a/src/zinniadoor/gateway/gateway.cpp
+++ b/src/zinniadoor/gateway/gateway.cpp
@@ -273,6 +273,14 @@
     {
         peerLink_->announcePause(endpoint, time);
     }
+    void announceOrigin(std::uint64_t stream, const std::string &version) override
+    {
+        peerLink_->announceOrigin(stream, version);
+    }
+    void askOrigin(std::uint64_t stream, const std::string &service, OriginCallback done) override
+    {
+        peerLink_->askOrigin(stream, service, std::move(done));
+    }
 
 private:
     /// Serves the readiness probe and the metrics.
--- a/src/zinniadoor/gateway/gateway_metrics.cpp
+++ b/src/zinniadoor/gateway/gateway_metrics.cpp
@@ -53,6 +53,11 @@
               .Name("zinniadoor_log_reads_total")
               .Help("Reads of the logs of configuration and endpoints, by log and cause.")
               .Register(registry);
+    prometheus::Family<prometheus::Counter> &takeUps
+        = prometheus::BuildCounter()
+              .Name("zinniadoor_stream_take_ups_total")
+              .Help("Streams that go on or are rejected, by where their version was known from.")
+              .Register(registry);
     prometheus::Family<prometheus::Counter> &droppedLogBytes
         = prometheus::BuildCounter()
               .Name("zinniadoor_log_bytes_dropped_total")
@@ -176,6 +181,11 @@
     impl_->logReads.Add({ { "log", log }, { "cause", cause } }).Increment();
 }
 
+void GatewayMetrics::countTakeUp(const char *outcome, const char *source)
+{
+    impl_->takeUps.Add({ { "outcome", outcome }, { "source", source } }).Increment();
+}
+
 void GatewayMetrics::countDroppedLogBytes(const char *log, std::size_t bytes)
 {
     impl_->droppedLogBytes.Add({ { "log", log } }).Increment(static_cast<double>(bytes));
--- a/src/zinniadoor/gateway/peer_link.cpp
+++ b/src/zinniadoor/gateway/peer_link.cpp
@@ -18,6 +18,7 @@
 #include "zinniadoor/gateway/failure_link.hpp"
 #include "zinniadoor/gateway/paced_queue.hpp"
 #include "zinniadoor/gateway/peer_group.hpp"
+#include "zinniadoor/gateway/stream_origin_link.hpp"
 #include "zinniadoor/net/datagram_socket.hpp"
 
 namespace zinniadoor::gateway {
@@ -128,6 +129,9 @@
         , onPart_(std::move(onPart))
         , failures_(context, self, serving, [this](const auto &bytes) { sendReport(bytes); })
         , bodyReports_(context, self, serving, [this](const auto &bytes) { sendReport(bytes); })
+        , origins_(
+              context, self, serving, [this] { return peers_.addressesByInstance(); },
+              [this](const auto &address, const auto &bytes) { socket_->send(address, bytes); })
     { }
 
     base::Status open(boost::asio::io_context &context, const std::string &address)
@@ -190,6 +194,16 @@
         failures_.announce(report);
     }
 
+    void announceOrigin(std::uint64_t stream, const std::string &version) override
+    {
+        origins_.announce(stream, version);
+    }
+
+    void askOrigin(std::uint64_t stream, const std::string &service, OriginCallback done) override
+    {
+        origins_.ask(stream, service, std::move(done));
+    }
+
     void announcePause(const base::EndpointId &endpoint, absl::Duration time) override
     {
         const absl::Time until = serving_.clock.now() + time;
@@ -671,6 +685,8 @@
             receiveBodyReports(bytes, from);
         else if (formatOf(bytes) == EndpointFailuresMessage::CurrentFormat)
             receiveFailures(bytes, from);
+        else if (formatOf(bytes) == StreamOriginMessage::CurrentFormat)
+            receiveOrigin(bytes, from);
         else
             receivePeerMessage(bytes, from);
     }
@@ -755,6 +771,13 @@
             logRejected(from, received.lastReason().text);
     }
 
+    void receiveOrigin(const std::string &bytes, const std::string &from)
+    {
+        const base::Status received = origins_.receive(bytes, from);
+        if (!received)
+            logRejected(from, received.lastReason().text);
+    }
+
     void receiveBodyReports(const std::string &bytes, const std::string &from)
     {
         const base::Status received = bodyReports_.receive(bytes, group_.hasLeaders() && !leader_);
@@ -1095,6 +1118,7 @@
     std::vector<PrefixUpdate> prefixes_;
     FailureLink failures_;
     CrashReportLink bodyReports_;
+    StreamOriginLink origins_;
     CrashReportQueue partReports_;
     std::uint64_t heardProcesses_ = 0; ///< When reports were last sent again.
     absl::Time repeatedAt_ = absl::InfinitePast();
--- a/src/zinniadoor/gateway/peer_table.cpp
+++ b/src/zinniadoor/gateway/peer_table.cpp
@@ -94,6 +94,16 @@
     return addresses;
 }
 
+std::map<std::string, std::string> PeerTable::addressesByInstance() const
+{
+    std::map<std::string, std::string> addresses;
+    for (const auto &[instance, peer] : peers_) {
+        if (!peer.stopped && !peer.address.empty())
+            addresses[instance] = peer.address;
+    }
+    return addresses;
+}
+
 std::vector<std::string> PeerTable::addressesIn(const base::DataCentreId &dataCentre) const
 {
     std::vector<std::string> addresses;
--- /dev/null
+++ b/src/zinniadoor/gateway/stream_origin_link.cpp
@@ -0,0 +1,137 @@
+#include "zinniadoor/gateway/stream_origin_link.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+
+#include "zinniadoor/base/codec.hpp"
+#include "zinniadoor/serving/engine_view.hpp"
+
+namespace zinniadoor::gateway {
+
+StreamOriginLink::StreamOriginLink(boost::asio::io_context &io, const ProcessName &self,
+                                   ServingContext &serving, Peers peers, Send send)
+    : io_(io)
+    , self_(self)
+    , serving_(serving)
+    , peers_(std::move(peers))
+    , send_(std::move(send))
+{ }
+
+void StreamOriginLink::announce(std::uint64_t stream, const std::string &version)
+{
+    StreamOriginMessage notice = newMessage(StreamOriginMessage::Kind::Notice, stream);
+    notice.version = version;
+    const std::string bytes = base::encode(notice);
+    for (const std::string &address : keepersOf(stream))
+        send_(address, bytes);
+}
+
+void StreamOriginLink::ask(std::uint64_t stream, const std::string &service, OriginCallback done)
+{
+    const std::vector<std::string> keepers = keepersOf(stream);
+    if (keepers.empty()) {
+        done(std::nullopt);
+        return;
+    }
+    Question &question = questions_[stream];
+    question.callbacks.push_back(std::move(done));
+    if (question.timer)
+        return; // Asked already.
+    question.unanswered = keepers.size();
+    question.timer = std::make_shared<boost::asio::steady_timer>(io_);
+    question.timer->expires_after(absl::ToChronoMilliseconds(AnswerTime));
+    question.timer->async_wait([this, stream](boost::system::error_code error) {
+        if (!error)
+            finish(stream, std::nullopt);
+    });
+    StreamOriginMessage message = newMessage(StreamOriginMessage::Kind::Question, stream);
+    message.service = service;
+    const std::string bytes = base::encode(message);
+    for (const std::string &address : keepers)
+        send_(address, bytes);
+}
+
+base::Status StreamOriginLink::receive(const std::string &bytes, const std::string &from)
+{
+    const auto message = base::decode<StreamOriginMessage>(bytes);
+    if (!message)
+        return message.lastReason();
+    if (message->sender == self_)
+        return base::Done {};
+    switch (message->kind) {
+    case StreamOriginMessage::Kind::Notice:
+        serving_.origins.note(message->stream, message->version, serving_.clock.now());
+        break;
+    case StreamOriginMessage::Kind::Question:
+        reply(*message, from);
+        break;
+    case StreamOriginMessage::Kind::Answer:
+        applyAnswer(*message);
+        break;
+    }
+    return base::Done {};
+}
+
+// An instance that has followed the service for long can tell without knowing the stream.
+void StreamOriginLink::reply(const StreamOriginMessage &question, const std::string &address)
+{
+    const absl::Time now = serving_.clock.now();
+    auto version = serving_.origins.find(question.stream, now);
+    if (!version)
+        version = serving_.directory.versions().onlyVersion(question.service, now);
+    StreamOriginMessage answer = newMessage(StreamOriginMessage::Kind::Answer, question.stream);
+    answer.isKnown = version.has_value();
+    answer.version = version.value_or("");
+    send_(address, base::encode(answer));
+}
+
+void StreamOriginLink::applyAnswer(const StreamOriginMessage &answer)
+{
+    const auto found = questions_.find(answer.stream);
+    if (found == questions_.end())
+        return;
+    if (answer.isKnown)
+        finish(answer.stream, answer.version);
+    else if (--found->second.unanswered == 0)
+        finish(answer.stream, std::nullopt);
+}
+
+void StreamOriginLink::finish(std::uint64_t stream, const std::optional<std::string> &version)
+{
+    auto question = questions_.extract(stream);
+    if (question.empty())
+        return;
+    question.mapped().timer->cancel();
+    if (version)
+        serving_.origins.note(stream, *version, serving_.clock.now());
+    for (const OriginCallback &done : question.mapped().callbacks)
+        done(version);
+}
+
+std::vector<std::string> StreamOriginLink::keepersOf(std::uint64_t stream) const
+{
+    std::vector<std::pair<std::uint64_t, std::string>> ranked;
+    for (const auto &[instance, address] : peers_())
+        ranked.emplace_back(serving::stableDigest(absl::StrCat(stream, "/", instance)), address);
+    const std::size_t count = std::min(Keepers, ranked.size());
+    std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(count),
+                      ranked.end());
+    std::vector<std::string> addresses;
+    for (std::size_t i = 0; i < count; ++i)
+        addresses.push_back(ranked[i].second);
+    return addresses;
+}
+
+StreamOriginMessage StreamOriginLink::newMessage(StreamOriginMessage::Kind kind,
+                                                 std::uint64_t stream) const
+{
+    StreamOriginMessage message;
+    message.sender = self_;
+    message.kind = kind;
+    message.stream = stream;
+    return message;
+}
+
+} // namespace zinniadoor::gateway
