--- a/include/zinniadoor/gateway/peer_link.hpp
+++ b/include/zinniadoor/gateway/peer_link.hpp
@@ -24,7 +24,8 @@
     virtual void announcePause(const base::EndpointId &endpoint, absl::Duration time) = 0;
     virtual void announceFailure(const serving::FailureReport &report) = 0;
     virtual void announceOrigin(std::uint64_t stream, const std::string &version) = 0;
-    virtual void askOrigin(std::uint64_t stream, const std::string &service, OriginCallback done)
+    virtual void askOrigin(std::uint64_t stream, const std::string &service,
+                           const OriginCallback &done)
         = 0;
     virtual void start() = 0;
 
--- a/include/zinniadoor/gateway/serving_context.hpp
+++ b/include/zinniadoor/gateway/serving_context.hpp
@@ -64,7 +64,7 @@
     virtual void announceOrigin(std::uint64_t, const std::string &) { }
 
     /// Asks other instances which version of the service began a stream.
-    virtual void askOrigin(std::uint64_t, const std::string &, OriginCallback done)
+    virtual void askOrigin(std::uint64_t, const std::string &, const OriginCallback &done)
     {
         done(std::nullopt);
     }
--- a/include/zinniadoor/gateway/stream_origin_link.hpp
+++ b/include/zinniadoor/gateway/stream_origin_link.hpp
@@ -40,7 +40,7 @@
     void announce(std::uint64_t stream, const std::string &version);
 
     /// Asks the keepers of a stream. `done` gets nothing if none of them knows it in time.
-    void ask(std::uint64_t stream, const std::string &service, OriginCallback done);
+    void ask(std::uint64_t stream, const std::string &service, const OriginCallback &done);
 
     /// Returns a failed outcome if the message cannot be decoded.
     base::Status receive(const std::string &bytes, const std::string &from);
--- a/src/zinniadoor/gateway/gateway.cpp
+++ b/src/zinniadoor/gateway/gateway.cpp
@@ -277,9 +277,10 @@
     {
         peerLink_->announceOrigin(stream, version);
     }
-    void askOrigin(std::uint64_t stream, const std::string &service, OriginCallback done) override
+    void askOrigin(std::uint64_t stream, const std::string &service,
+                   const OriginCallback &done) override
     {
-        peerLink_->askOrigin(stream, service, std::move(done));
+        peerLink_->askOrigin(stream, service, done);
     }
 
 private:
--- a/src/zinniadoor/gateway/log_follower.cpp
+++ b/src/zinniadoor/gateway/log_follower.cpp
@@ -1,11 +1,11 @@
 #include "zinniadoor/gateway/log_follower.hpp"
 
 #include <algorithm>
-#include <deque>
 #include <functional>
 
 #include <boost/asio/steady_timer.hpp>
 
+#include "log_updates.hpp"
 #include "zinniadoor/base/events.hpp"
 #include "zinniadoor/serving/engine_view.hpp"
 
@@ -28,21 +28,9 @@
 constexpr double EndpointsPollShare = 0.25;
 constexpr absl::Duration StoreRetryPause = absl::Milliseconds(150);
 
-/// Keeps a part below a usual network MTU.
-constexpr std::size_t MaxPartBytes = 1100;
-
-/// Larger updates are read from the store by each instance: relaying them would take too long.
-constexpr std::size_t MaxRelayedBytes = std::size_t { 8 } * 1024;
-
 /// Of longer responses only the newest record is received, where it replaces the earlier ones.
 constexpr std::size_t MaxBacklogBytes = std::size_t { 32 } * 1024;
 
-/// Limit of the age given to a part; receivers add their own delays to it.
-constexpr std::int64_t MaxAgeMs = std::int64_t { 24 } * 3600 * 1000;
-
-/// Encoded size of a record in addition to its key and value.
-constexpr std::size_t RecordOverhead = 32;
-
 // Ranks are those of leaders, since these have the most complete view of their data centre.
 std::uint64_t rankOf(const ProcessName &process)
 {
@@ -60,11 +48,6 @@
     return schedule;
 }
 
-std::size_t sizeOf(const LogPartRecord &record)
-{
-    return RecordOverhead + record.key.size() + (record.value ? record.value->size() : 0);
-}
-
 std::string millisecondsOf(absl::Duration time)
 {
     return std::to_string(absl::ToInt64Milliseconds(time));
@@ -99,10 +82,10 @@
         , store_(parts.store)
         , decoder_(parts.decoder)
         , clock_(parts.clock)
-        , relay_(parts.relay)
         , handler_(&parts.handler)
         , options_(options)
         , schedule_(scheduleOptions(options))
+        , updates_(options, parts.relay)
     { }
 
     void readNewest()
@@ -130,7 +113,7 @@
                 self->next_ = newest->end;
                 if (requestedAt >= self->knownEndAt_)
                     self->knownEnd_ = newest->end;
-                self->discardUpdatesBefore(newest->end);
+                self->updates_.discardBefore(newest->end);
                 self->tailing_ = true;
                 self->handler_->onNewest(*newest);
                 self->noteCurrent();
@@ -170,7 +153,7 @@
                 applyRecord(record.offset, { record.key, record.value });
         }
         next_ = part.to;
-        discardUpdatesBefore(part.from);
+        updates_.discardBefore(part.from);
         noteCurrent();
         if (hasReader && !reading_)
             scheduleNextRead();
@@ -255,7 +238,7 @@
                 self->apply(from, *read);
                 if (self->cause_ != ReadCause::Gap) // Otherwise others have relayed it.
                     self->relayUpdates(from, answerDue);
-                self->discardUpdatesBefore(from);
+                self->updates_.discardBefore(from);
                 self->noteEnd(read->end, requestedAt);
                 self->continueTo(read->end);
             });
@@ -293,7 +276,7 @@
                 }
                 self->logRead(from, *read, requestedAt);
                 self->next_ = from;
-                self->discardUpdatesBefore(from);
+                self->updates_.discardBefore(from);
                 self->apply(from, *read);
                 if (self->cause_ != ReadCause::Gap)
                     self->relayUpdates(from, requestedAt);
@@ -390,10 +373,8 @@
         if (!handler_ || cause_ == ReadCause::Gap || prospect.bytes <= MaxRelayedBytes
             || prospect.end <= next_)
             return;
-        noteAge(answerDue);
-        LogPart part = newPart(prospect.end, false);
-        part.to = prospect.end;
-        relay_.publish(part);
+        updates_.noteAge(clock_.now() - answerDue);
+        updates_.announce(prospect.end);
     }
 
     bool isBehind() const { return next_ < knownEnd_; }
@@ -466,80 +447,18 @@
     {
         if (!handler_->onRecord(record))
             return;
-        updates_.push_back({ offset, record.key, std::nullopt });
-        if (options_.relaysRecords)
-            updates_.back().value = record.value;
+        updates_.add(offset, record);
     }
 
-    // Repeats the records of the previous part, so that a single lost part is recovered by the
-    // next. `answerDue`: when the store has answered at the latest, unless it or the way is slow.
+    // `answerDue`: when the store has answered at the latest, unless it or the way is slow.
     void relayUpdates(LogPosition from, absl::Time answerDue)
     {
         schedule_.noteRead(clock_.now());
         logReaderChange();
         if (!schedule_.isReader()) // Heard another reader meanwhile, which must not yield to this.
             return;
-        noteAge(answerDue);
-        const std::size_t capacity = std::min(MaxRelayedBytes, relay_.capacity());
-        if (options_.relaysRecords && bytesOfUpdates() > capacity)
-            discardUpdatesBefore(from); // Without the repetition, they may fit.
-        if (updates_.empty() || (options_.relaysRecords && bytesOfUpdates() <= capacity))
-            relayRecords();
-        else
-            relay_.publish(newPart(updatesFrom_, false));
-    }
-
-    void noteAge(absl::Time answerDue)
-    {
-        const absl::Duration late = std::max(absl::ZeroDuration(), clock_.now() - answerDue);
-        ageMs_ = static_cast<std::uint32_t>(
-            std::min<std::int64_t>(absl::ToInt64Milliseconds(late), MaxAgeMs));
-    }
-
-    std::size_t bytesOfUpdates() const
-    {
-        std::size_t bytes = 0;
-        for (const LogPartRecord &record : updates_)
-            bytes += sizeOf(record);
-        return bytes;
-    }
-
-    void relayRecords()
-    {
-        LogPart part = newPart(updatesFrom_, true);
-        std::size_t bytes = 0;
-        for (const LogPartRecord &record : updates_) {
-            if (bytes > 0 && bytes + sizeOf(record) > MaxPartBytes) {
-                part.to = { next_.era, record.offset };
-                relay_.publish(part);
-                part = newPart(part.to, true);
-                bytes = 0;
-            }
-            part.records.push_back(record);
-            bytes += sizeOf(record);
-        }
-        relay_.publish(part);
-    }
-
-    LogPart newPart(LogPosition from, bool includesRecords) const
-    {
-        LogPart part;
-        part.sender = options_.self;
-        part.log = options_.log;
-        part.ageMs = ageMs_;
-        part.from = from;
-        part.to = next_;
-        part.includesRecords = includesRecords;
-        return part;
-    }
-
-    void discardUpdatesBefore(LogPosition position)
-    {
-        if (position.era > updatesFrom_.era)
-            updates_.clear();
-        updatesFrom_ = std::max(updatesFrom_, position);
-        while (!updates_.empty() && updates_.front().offset < updatesFrom_.offset)
-            updates_.pop_front();
+        updates_.noteAge(clock_.now() - answerDue);
+        updates_.relay(from, next_);
     }
 
     void logReaderChange()
@@ -559,7 +478,6 @@
     LogStore &store_;
     const RecordDecoder &decoder_;
     const base::Clock &clock_;
-    LogRelay &relay_;
     FollowerHandler *handler_;
     FollowerOptions options_;
     ReadSchedule schedule_;
@@ -567,9 +485,7 @@
     LogPosition knownEnd_; ///< Largest end of a part, or end of the last read if that is newer.
     absl::Time knownEndAt_ = absl::InfinitePast(); ///< When a part last raised it.
     absl::Time currentAt_ = absl::InfinitePast(); ///< When records were last applied.
-    std::deque<LogPartRecord> updates_; ///< From `updatesFrom_` to `next_`, without heartbeats.
-    LogPosition updatesFrom_;
-    std::uint32_t ageMs_ = 0; ///< Of what the last read showed, when it was answered.
+    LogUpdates updates_;
     ReadCause cause_ = ReadCause::Poll; ///< Of the read under way, or of the next one.
     bool tailing_ = false;
     bool reading_ = false;
--- a/src/zinniadoor/gateway/peer_link.cpp
+++ b/src/zinniadoor/gateway/peer_link.cpp
@@ -199,9 +199,10 @@
         origins_.announce(stream, version);
     }
 
-    void askOrigin(std::uint64_t stream, const std::string &service, OriginCallback done) override
+    void askOrigin(std::uint64_t stream, const std::string &service,
+                   const OriginCallback &done) override
     {
-        origins_.ask(stream, service, std::move(done));
+        origins_.ask(stream, service, done);
     }
 
     void announcePause(const base::EndpointId &endpoint, absl::Duration time) override
--- a/src/zinniadoor/gateway/stream_origin_link.cpp
+++ b/src/zinniadoor/gateway/stream_origin_link.cpp
@@ -28,7 +28,8 @@
         send_(address, bytes);
 }
 
-void StreamOriginLink::ask(std::uint64_t stream, const std::string &service, OriginCallback done)
+void StreamOriginLink::ask(std::uint64_t stream, const std::string &service,
+                           const OriginCallback &done)
 {
     const std::vector<std::string> keepers = keepersOf(stream);
     if (keepers.empty()) {
@@ -36,7 +37,7 @@
         return;
     }
     Question &question = questions_[stream];
-    question.callbacks.push_back(std::move(done));
+    question.callbacks.push_back(done);
     if (question.timer)
         return; // Asked already.
     question.unanswered = keepers.size();
