Let the stand-in's endpoints have versions, continue streams and crash

The soak asked for streams on /resume/, which the stand-in answered with a short body: no caller ever got one whole there. Tests of take-ups need streams that go on after the event that a caller names, records and events that name a software version, and endpoints that crash.

--- a/tests/standins/fleet_standin.cpp
+++ b/tests/standins/fleet_standin.cpp
@@ -46,7 +46,8 @@
     std::uint64_t highestFencingNumber_ = 0;
 };
 
-/// Plain service that records requests and, on `/stream...`, sends an event stream.
+/// Plain service that records requests and, on `/stream...` and `/resume...`, sends an event
+/// stream.
 class Endpoint : public net::RequestHandler
 {
 public:
@@ -59,6 +60,9 @@
         , pause_(pause)
     { }
 
+    void setVersion(const std::string &version) { version_ = version; }
+    const std::string &version() const { return version_; }
+
     void onRequest(net::Request request, std::shared_ptr<net::Responder> responder) override
     {
         EndpointCall call;
@@ -73,13 +77,17 @@
         net::Response response(http::status::ok, 11);
         response.set("X-Zinniadoor-Request-Id", call.requestId);
         response.set("X-Zinniadoor-Server-Signature", "signed-by-" + id_);
-        if (!absl::StartsWith(call.path, "/stream")) {
+        if (!absl::StartsWith(call.path, "/stream") && !absl::StartsWith(call.path, "/resume")) {
             response.body() = absl::StrCat("answer of ", id_, " to ", call.requestId);
             responder->answer(std::move(response));
             return;
         }
         responder->begin(response.base());
-        sendEvent(responder, 1);
+        const auto last = request["Last-Event-Id"];
+        int lastEvent = 0;
+        if (!absl::SimpleAtoi(absl::string_view(last.data(), last.size()), &lastEvent))
+            lastEvent = 0;
+        sendEvent(responder, lastEvent + 1);
     }
 
 private:
@@ -89,7 +97,8 @@
             responder->finish();
             return;
         }
-        responder->send(absl::StrCat("id: ", number, "\ndata: event ", number, "\n\n"));
+        const std::string of = version_.empty() ? "" : absl::StrCat(" of ", version_);
+        responder->send(absl::StrCat("id: ", number, "\ndata: event ", number, of, "\n\n"));
         auto timer = std::make_shared<boost::asio::steady_timer>(io_, pause_);
         timer->async_wait([this, timer, responder, number](boost::system::error_code error) {
             if (!error)
@@ -99,6 +108,7 @@
 
     boost::asio::io_context &io_;
     std::string id_;
+    std::string version_;
     std::vector<EndpointCall> &calls_;
     const int &events_;
     const std::chrono::milliseconds &pause_;
@@ -210,6 +220,8 @@
                         { "State", state } };
         if (startTimeMs > 0)
             record["born"] = startTimeMs;
+        if (!impl_->endpoints[id]->version().empty())
+            record["Version"] = impl_->endpoints[id]->version();
         impl_->store.appendKeyed("keyed.servers", id, record.dump());
     });
 }
@@ -219,6 +231,16 @@
     runOnEventThread([&] { impl_->store.appendKeyed("keyed.servers", id, ""); });
 }
 
+void FleetStandin::setVersion(const std::string &id, const std::string &version)
+{
+    runOnEventThread([&] { impl_->endpoints[id]->setVersion(version); });
+}
+
+void FleetStandin::crashEndpoint(const std::string &id)
+{
+    runOnEventThread([&] { impl_->endpointServers[id]->close(); });
+}
+
 void FleetStandin::publish(const std::string &configuration)
 {
     runOnEventThread([&] { impl_->store.appendKeyed("keyed.op", "config", configuration); });
--- a/tests/standins/fleet_standin.hpp
+++ b/tests/standins/fleet_standin.hpp
@@ -36,8 +36,9 @@
 };
 
 /// In-process stand-in for the operators' platform: log store, HTTP interface for usage reports
-/// and orders, and endpoints. Runs on its own event thread. Endpoints respond to `/stream...` with
-/// an event stream and to other paths with a short body.
+/// and orders, and endpoints. Runs on its own event thread. Endpoints respond to `/stream...` and
+/// `/resume...` with an event stream, from the event after `Last-Event-Id` on, and to other paths
+/// with a short body.
 class FleetStandin
 {
 public:
@@ -60,6 +61,13 @@
     void listEndpoint(const std::string &id, const std::string &service, const std::string &state,
                       const std::string &address = "", std::uint64_t startTimeMs = 0);
     void unlistEndpoint(const std::string &id);
+
+    /// The software version that the endpoint's events name from now on, and its record from the
+    /// next listing on; none if empty.
+    void setVersion(const std::string &id, const std::string &version);
+
+    /// Closes the endpoint and all of its connections, without a change of its record.
+    void crashEndpoint(const std::string &id);
     void publish(const std::string &configuration);
 
     /// While unavailable, the store responds to every request with 503.
