Name in the events of take-ups who knew the version, and the age of the list

The lines could not tell a keeper that concluded the version from an outdated list of endpoints from one that had noted it, nor an old list at the asker from a current one. stream_taken_up and stream_rejected now have answered_by and list_age_ms; request_ended names the version of the endpoint that served last, which differs from the one in request_dispatched after a remote prefill whose decode engine was replaced. No decision changes.

--- a/include/zinniadoor/gateway/serving_context.hpp
+++ b/include/zinniadoor/gateway/serving_context.hpp
@@ -32,8 +32,13 @@
 
 namespace zinniadoor::gateway {
 
-/// Receives the version that began a stream; nothing if it is not known.
-using OriginCallback = std::function<void(const std::optional<std::string> &version)>;
+/// What other instances have told of the version that began a stream.
+struct OriginFinding
+{
+    std::optional<std::string> version; ///< Empty if it is not known.
+    std::string instance {}; ///< The one that knew it.
+};
+using OriginCallback = std::function<void(const OriginFinding &)>;
 
 /// Receives the updates that requests produce for the other parts of this instance and for its
 /// peers.
@@ -67,7 +72,7 @@
     /// Asks other instances which version of the service began a stream.
     virtual void askOrigin(std::uint64_t, const std::string &, const OriginCallback &done)
     {
-        done(std::nullopt);
+        done({});
     }
 };
 
@@ -102,6 +107,9 @@
 
     /// Whether there may be a newer configuration, in force by now, that this instance lacks.
     std::function<bool()> isConfigurationOutdated = [] { return false; };
+
+    /// Time since the directory was last known to be complete.
+    std::function<absl::Duration()> directoryAge = [] { return absl::ZeroDuration(); };
     std::shared_ptr<EndpointPaths> paths = std::make_shared<EndpointPaths>();
     std::shared_ptr<serving::HeldAnswers> heldAnswers
         = std::make_shared<serving::HeldAnswers>(serving::HeldAnswersOptions {});
--- a/include/zinniadoor/gateway/stream_origin_link.hpp
+++ b/include/zinniadoor/gateway/stream_origin_link.hpp
@@ -57,7 +57,7 @@
     std::vector<std::string> keepersOf(std::uint64_t stream) const;
     void reply(const StreamOriginMessage &question, const std::string &address);
     void applyAnswer(const StreamOriginMessage &answer);
-    void finish(std::uint64_t stream, const std::optional<std::string> &version);
+    void finish(std::uint64_t stream, const OriginFinding &finding);
     StreamOriginMessage newMessage(StreamOriginMessage::Kind kind, std::uint64_t stream) const;
 
     boost::asio::io_context &io_;
--- a/src/zinniadoor/gateway/exchange_end.cpp
+++ b/src/zinniadoor/gateway/exchange_end.cpp
@@ -87,6 +87,7 @@
                { "outcome", outcome },
                { "reason", why },
                { "endpoint", attempts_ > 0 ? servingEndpoint_.id.str() : "" },
+               { "endpoint_version", attempts_ > 0 ? servingEndpoint_.version : "" },
                { "sendings", std::to_string(attempts_) },
                { "objective_ms", wholeMs(route_.objective) },
                { "read_ms", prefillTime_ ? wholeMs(*prefillTime_) : "" },
--- a/src/zinniadoor/gateway/exchange_state.hpp
+++ b/src/zinniadoor/gateway/exchange_state.hpp
@@ -151,7 +151,7 @@
     bool admit();
     /// Finds out which version began the stream that the caller takes up, then dispatches.
     void takeUp();
-    void onOrigin(const std::optional<std::string> &version, OriginSource source);
+    void onOrigin(const OriginFinding &origin, OriginSource source);
     void rejectStream(const std::string &reason, OriginSource source);
     void noteOrigin(); ///< The first event is about to be sent.
     bool authenticate(const Configuration &configuration);
--- a/src/zinniadoor/gateway/exchange_take_up.cpp
+++ b/src/zinniadoor/gateway/exchange_take_up.cpp
@@ -16,36 +16,38 @@
 {
     const absl::Time now = context_.clock.now();
     if (const auto known = context_.origins.find(stream_, now)) {
-        onOrigin(known, OriginSource::Memory);
+        onOrigin({ known }, OriginSource::Memory);
         return;
     }
     if (const auto only = context_.directory.versions().onlyVersion(service_, now)) {
-        onOrigin(only, OriginSource::OnlyVersion);
+        onOrigin({ only }, OriginSource::OnlyVersion);
         return;
     }
     context_.updates.askOrigin( // The question keeps the exchange alive.
-        stream_, service_, [self = shared_from_this()](const std::optional<std::string> &version) {
-            self->onOrigin(version, OriginSource::Peers);
+        stream_, service_, [self = shared_from_this()](const OriginFinding &origin) {
+            self->onOrigin(origin, OriginSource::Peers);
         });
 }
 
-void Exchange::onOrigin(const std::optional<std::string> &version, OriginSource source)
+void Exchange::onOrigin(const OriginFinding &origin, OriginSource source)
 {
     if (phase_ == Phase::Ended)
         return;
-    if (!version) {
+    if (!origin.version) {
         rejectStream("unknown_version", source);
         return;
     }
-    origin_ = version;
+    origin_ = origin.version;
     context_.metrics.countTakeUp("continued", nameOf(source));
     logEvent(EventId::StreamTakenUp,
              { { "request", facts_.id },
                { "stream", facts_.resumes },
                { "last_event", std::to_string(*lastEventId_) },
                { "service", service_ },
-               { "endpoint_version", *version },
-               { "source", nameOf(source) } });
+               { "endpoint_version", *origin.version },
+               { "source", nameOf(source) },
+               { "answered_by", origin.instance },
+               { "list_age_ms", wholeMs(context_.directoryAge()) } });
     dispatch();
 }
 
@@ -61,6 +63,7 @@
                { "service", service_ },
                { "endpoint_version", origin_.value_or("") },
                { "source", nameOf(source) },
+               { "list_age_ms", wholeMs(context_.directoryAge()) },
                { "reason", reason } });
     refuse(RefusalKind::NotRun, reason);
 }
--- a/src/zinniadoor/gateway/gateway.cpp
+++ b/src/zinniadoor/gateway/gateway.cpp
@@ -174,6 +174,7 @@
         serving_.regions = settings.regions;
         serving_.isConfigurationOutdated
             = [this] { return configurationLog_.isOutdated(ports_.clock->now()); };
+        serving_.directoryAge = [this] { return endpointsLog_.age(ports_.clock->now()); };
         serving_.spill = serving::Spill(settings.spill, settings.instance);
         serving_.paths = makeRelayedPaths(
             context, *ports.clock, serving_.directory, peers_, settings.dataCentre,
--- a/src/zinniadoor/gateway/stream_origin_link.cpp
+++ b/src/zinniadoor/gateway/stream_origin_link.cpp
@@ -33,7 +33,7 @@
 {
     const std::vector<std::string> keepers = keepersOf(stream);
     if (keepers.empty()) {
-        done(std::nullopt);
+        done({});
         return;
     }
     Question &question = questions_[stream];
@@ -45,7 +45,7 @@
     question.timer->expires_after(absl::ToChronoMilliseconds(AnswerTime));
     question.timer->async_wait([this, stream](boost::system::error_code error) {
         if (!error)
-            finish(stream, std::nullopt);
+            finish(stream, {});
     });
     StreamOriginMessage message = newMessage(StreamOriginMessage::Kind::Question, stream);
     message.service = service;
@@ -94,21 +94,21 @@
     if (found == questions_.end())
         return;
     if (answer.isKnown)
-        finish(answer.stream, answer.version);
+        finish(answer.stream, { answer.version, answer.sender.instance });
     else if (--found->second.unanswered == 0)
-        finish(answer.stream, std::nullopt);
+        finish(answer.stream, {});
 }
 
-void StreamOriginLink::finish(std::uint64_t stream, const std::optional<std::string> &version)
+void StreamOriginLink::finish(std::uint64_t stream, const OriginFinding &finding)
 {
     auto question = questions_.extract(stream);
     if (question.empty())
         return;
     question.mapped().timer->cancel();
-    if (version)
-        serving_.origins.note(stream, *version, serving_.clock.now());
+    if (finding.version)
+        serving_.origins.note(stream, *finding.version, serving_.clock.now());
     for (const OriginCallback &done : question.mapped().callbacks)
-        done(version);
+        done(finding);
 }
 
 std::vector<std::string> StreamOriginLink::keepersOf(std::uint64_t stream) const
