Let a follower catch up with its log when a decision needs it

LogFollower::catchUp reads the store, unless a read that begins later than the call does anyway, and says whether all records of that time have been applied. What relayed parts show is not enough for it: they may have lain somewhere.

--- a/include/zinniadoor/gateway/log_follower.hpp
+++ b/include/zinniadoor/gateway/log_follower.hpp
@@ -70,6 +70,8 @@
     virtual std::size_t capacity() const = 0;
 };
 
+using CatchUpCallback = std::function<void(bool isCurrent)>;
+
 /// Follows a keyed log, starting with its newest records; starts over if the store has trimmed
 /// records that it had not read yet. One instance reads and relays to the others, which read the
 /// store themselves when they receive nothing for the relay timeout (`ReadSchedule`). Records that
@@ -85,6 +87,11 @@
     virtual void onPart(const LogPart &part) = 0;
     virtual void stop() = 0;
 
+    /// Reads the store unless a read that began after this call does anyway. Calls `done(true)`
+    /// once all records that the log holds now have been applied, `done(false)` if the store could
+    /// not be read; neither before this returns nor after `stop`.
+    virtual void catchUp(const CatchUpCallback &done) = 0;
+
     /// Whether all records up to `atLeast` have been applied.
     virtual SnapshotState state(LogPosition atLeast) const = 0;
 
--- a/include/zinniadoor/gateway/read_schedule.hpp
+++ b/include/zinniadoor/gateway/read_schedule.hpp
@@ -12,6 +12,7 @@
     Poll, ///< This instance is the reader.
     Gap, ///< A part showed records that this instance does not have.
     Silence, ///< No parts for the relay timeout.
+    CatchUp, ///< A decision needs all records of its time.
 };
 
 const char *nameOf(ReadCause cause);
--- a/src/zinniadoor/gateway/log_follower.cpp
+++ b/src/zinniadoor/gateway/log_follower.cpp
@@ -127,6 +127,8 @@
                     self->shared_->cancel();
                 if (!newest) {
                     self->noteFailure(ReadCause::Start, requestedAt, newest.lastReason());
+                    self->readAsOf_ = requestedAt;
+                    self->endCatchUps(false);
                     self->repeatAfterFailure();
                     return;
                 }
@@ -136,7 +138,7 @@
                 }
                 if (requestedAt >= self->knownEndAt_)
                     self->knownEnd_ = newest->end;
-                self->completeAsOf_ = requestedAt;
+                self->completeAsOf_ = self->readAsOf_ = requestedAt;
                 self->applyNewest(*newest, requestedAt);
             });
     }
@@ -183,10 +185,18 @@
     {
         handler_ = nullptr;
         timer_->cancel();
+        catchUps_.clear();
         if (shared_)
             shared_->cancel();
     }
 
+    void catchUp(const CatchUpCallback &done)
+    {
+        catchUps_.push_back({ clock_.now(), done });
+        if (!reading_ && tailing_)
+            scheduleCatchUp();
+    }
+
     SnapshotState state(LogPosition atLeast) const
     {
         if (isWhole_ && next_ >= atLeast)
@@ -256,6 +266,7 @@
         isWhole_ = true;
         handler_->onNewest(newest);
         noteCurrent();
+        endCatchUps(true);
         if (lacksRecords()) // A notice came during the read.
             scheduleGapRead();
         else
@@ -294,7 +305,33 @@
         return hasReader;
     }
 
+    /// Reads that were requested before a catch-up may not show what the log held then.
+    void scheduleCatchUp()
+    {
+        if (cause_ != ReadCause::Gap)
+            cause_ = ReadCause::CatchUp;
+        startTimer(absl::ZeroDuration());
+    }
+
+    /// The last read has shown the end of the log, or has failed.
+    void endCatchUps(bool isCurrent)
+    {
+        while (!catchUps_.empty() && catchUps_.front().since <= readAsOf_) {
+            const CatchUpCallback done = std::move(catchUps_.front().done);
+            catchUps_.pop_front();
+            done(isCurrent);
+        }
+    }
+
     void scheduleRead(absl::Duration delay)
+    {
+        if (tailing_ && !catchUps_.empty())
+            scheduleCatchUp();
+        else
+            startTimer(delay);
+    }
+
+    void startTimer(absl::Duration delay)
     {
         auto self = shared_from_this();
         timer_->start(delay, [self] {
@@ -362,12 +399,15 @@
                 }
                 self->logRead(from, *read, requestedAt);
                 self->apply(from, *read);
-                if (self->cause_ != ReadCause::Gap) // Otherwise others have relayed it.
+                if (self->relaysRead())
                     self->relayUpdates(from, answerDue);
                 self->updates_.discardBefore(from);
                 self->noteEnd(read->end, requestedAt);
-                if (self->next_ >= read->end)
+                if (self->next_ >= read->end) {
                     self->completeAsOf_ = std::max(self->completeAsOf_, requestedAt);
+                    self->readAsOf_ = requestedAt;
+                    self->endCatchUps(true);
+                }
                 self->continueTo(read->end);
             });
     }
@@ -408,7 +448,7 @@
                 self->isWhole_ = false; // Until the other keys have been read.
                 self->updates_.discardBefore(from);
                 self->apply(from, *read);
-                if (self->cause_ != ReadCause::Gap)
+                if (self->relaysRead())
                     self->relayUpdates(from, requestedAt);
                 self->noteEnd(read->end, requestedAt);
                 self->readOthers(*last, read->end, requestedAt);
@@ -464,6 +504,8 @@
             return false;
         if (!read) {
             noteFailure(cause_, requestedAt, read.lastReason());
+            readAsOf_ = requestedAt;
+            endCatchUps(false);
             const absl::Duration retry
                 = schedule_.noteFailure(lacksRecords(), clock_.now() - requestedAt);
             if (shared_ && cause_ == ReadCause::Gap && endIsLong_ && lacksRecords()) {
@@ -504,10 +546,16 @@
 
     bool lacksRecords() const { return next_ < knownEnd_; }
 
+    /// Whether others have not been relayed what the current read brings.
+    bool relaysRead() const
+    {
+        return cause_ == ReadCause::CatchUp ? schedule_.isReader() : cause_ != ReadCause::Gap;
+    }
+
     /// Notifies others of records that are too long to be relayed before they have been received.
     void announce(const ReadProspect &prospect, absl::Time answerDue)
     {
-        if (!handler_ || cause_ == ReadCause::Gap || prospect.bytes <= MaxRelayedBytes
+        if (!handler_ || !relaysRead() || prospect.bytes <= MaxRelayedBytes
             || prospect.end <= next_)
             return;
         callsStore_ = true;
@@ -611,6 +659,12 @@
                    { "offset", std::to_string(next_.offset) } });
     }
 
+    struct CatchUp
+    {
+        absl::Time since;
+        CatchUpCallback done;
+    };
+
     std::unique_ptr<DelayTimer> timer_;
     LogStore &store_;
     const RecordDecoder &decoder_;
@@ -626,6 +680,9 @@
     absl::Time knownEndAt_ = absl::InfinitePast(); ///< When a part last raised it.
     absl::Time currentAt_ = absl::InfinitePast(); ///< When records were last applied.
     absl::Time completeAsOf_ = absl::InfinitePast(); ///< The log ended at `next_` then.
+    absl::Time readAsOf_
+        = absl::InfinitePast(); ///< When the last read that has ended was requested.
+    std::deque<CatchUp> catchUps_; ///< In order of time.
     LogUpdates updates_;
     ReadCause cause_ = ReadCause::Poll; ///< Of the read under way, or of the next one.
     bool endIsLong_ = false; ///< The records before `knownEnd_` are too long to be relayed.
@@ -646,6 +703,7 @@
     void start() override { follower_->readNewest(); }
     void onPart(const LogPart &part) override { follower_->onPart(part); }
     void stop() override { follower_->stop(); }
+    void catchUp(const CatchUpCallback &done) override { follower_->catchUp(done); }
     SnapshotState state(LogPosition atLeast) const override { return follower_->state(atLeast); }
     LogPosition position() const override { return follower_->position(); }
     bool isConfirming() const override { return follower_->isConfirming(); }
--- a/src/zinniadoor/gateway/read_schedule.cpp
+++ b/src/zinniadoor/gateway/read_schedule.cpp
@@ -41,6 +41,8 @@
         return "gap";
     case ReadCause::Silence:
         return "silence";
+    case ReadCause::CatchUp:
+        return "catch_up";
     }
     return "unknown";
 }
