Do not take an outdated list of endpoints for proof of a stream's version

Callers whose streams had begun at a new version got events of the old one, after they had taken them up at an instance that had stood still while the new version joined.

The keepers are asked first now. If none knows the stream, the only version counts once a read of the log that began after the question has been applied: whoever began the stream had the endpoint from the log before. Where the store does not answer in time, the caller is rejected with a Retry-After, since it may be known later (version_not_confirmed). An age alone would not do: parts of the log may have lain unread in the sockets of an instance that stood still.

--- a/include/zinniadoor/gateway/serving_context.hpp
+++ b/include/zinniadoor/gateway/serving_context.hpp
@@ -17,6 +17,7 @@
 #include "zinniadoor/gateway/endpoint_paths.hpp"
 #include "zinniadoor/gateway/exchange_registry.hpp"
 #include "zinniadoor/gateway/gateway_metrics.hpp"
+#include "zinniadoor/gateway/log_follower.hpp"
 #include "zinniadoor/gateway/quota.hpp"
 #include "zinniadoor/gateway/retry_budget.hpp"
 #include "zinniadoor/gateway/speed_estimate.hpp"
@@ -32,11 +33,24 @@
 
 namespace zinniadoor::gateway {
 
-/// What other instances have told of the version that began a stream.
+/// Where the version that began a stream was known from.
+enum class OriginSource : std::uint8_t {
+    Memory, ///< This instance has served the stream, or keeps its origin.
+    OnlyVersion, ///< No other version has served for as long as streams last.
+    Peers, ///< Another instance has served it, or keeps its origin.
+    Answer, ///< The stream began in the same answer, or was taken up in it.
+};
+
+/// Stable identifier for logs and metrics.
+const char *nameOf(OriginSource source);
+
+/// What was found out about the version that began a stream.
 struct OriginFinding
 {
     std::optional<std::string> version; ///< Empty if it is not known.
-    std::string instance {}; ///< The one that knew it.
+    OriginSource source = OriginSource::Peers; ///< Or the last one that was tried.
+    std::string instance {}; ///< The peer that knew it.
+    bool mayBeKnownLater = false; ///< A source was not available.
 };
 using OriginCallback = std::function<void(const OriginFinding &)>;
 
@@ -110,6 +124,11 @@
 
     /// Time since the directory was last known to be complete.
     std::function<absl::Duration()> directoryAge = [] { return absl::ZeroDuration(); };
+
+    /// Calls `done(true)` once the directory includes all records of the time of the call, or
+    /// `done(false)` if that takes too long.
+    std::function<void(const CatchUpCallback &done)> catchUpDirectory
+        = [](const CatchUpCallback &done) { done(false); };
     std::shared_ptr<EndpointPaths> paths = std::make_shared<EndpointPaths>();
     std::shared_ptr<serving::HeldAnswers> heldAnswers
         = std::make_shared<serving::HeldAnswers>(serving::HeldAnswersOptions {});
--- a/include/zinniadoor/gateway/stream_origin_link.hpp
+++ b/include/zinniadoor/gateway/stream_origin_link.hpp
@@ -39,7 +39,8 @@
     /// A stream has begun here.
     void announce(std::uint64_t stream, const std::string &version);
 
-    /// Asks the keepers of a stream. `done` gets nothing if none of them knows it in time.
+    /// Asks the keepers of a stream. If none of them knows it in time, the stream can have begun
+    /// only at the service's only version; the list that shows this is made current first.
     void ask(std::uint64_t stream, const std::string &service, const OriginCallback &done);
 
     /// Returns a failed outcome if the message cannot be decoded.
@@ -48,15 +49,17 @@
 private:
     struct Question
     {
+        std::string service;
         std::vector<OriginCallback> callbacks;
         std::size_t unanswered = 0;
-        std::shared_ptr<boost::asio::steady_timer> timer;
+        std::unique_ptr<boost::asio::steady_timer> timer; ///< Null while the list is made current.
     };
 
     /// The instances that come first in an order that depends on the stream.
     std::vector<std::string> keepersOf(std::uint64_t stream) const;
     void reply(const StreamOriginMessage &question, const std::string &address);
     void applyAnswer(const StreamOriginMessage &answer);
+    void onNotNoted(std::uint64_t stream); ///< No keeper knows it.
     void finish(std::uint64_t stream, const OriginFinding &finding);
     StreamOriginMessage newMessage(StreamOriginMessage::Kind kind, std::uint64_t stream) const;
 
--- a/src/zinniadoor/gateway/exchange_state.hpp
+++ b/src/zinniadoor/gateway/exchange_state.hpp
@@ -60,17 +60,6 @@
     return std::to_string(absl::ToInt64Milliseconds(time));
 }
 
-/// Where the version that began a stream was known from.
-enum class OriginSource : std::uint8_t {
-    Memory, ///< This instance has served the stream, or keeps its origin.
-    OnlyVersion, ///< No other version has served for as long as streams last.
-    Peers, ///< Other instances were asked.
-    Answer, ///< The stream began in the same answer, or was taken up in it.
-};
-
-/// Stable identifier for logs and metrics.
-const char *nameOf(OriginSource source);
-
 /// Why an attempt did not serve the request.
 struct CallOutcome
 {
@@ -151,8 +140,10 @@
     bool admit();
     /// Finds out which version began the stream that the caller takes up, then dispatches.
     void takeUp();
-    void onOrigin(const OriginFinding &origin, OriginSource source);
-    void rejectStream(const std::string &reason, OriginSource source);
+    void onOrigin(const OriginFinding &origin);
+    /// The stream cannot go on; with `retryAfter`, it may later.
+    void rejectStream(const std::string &reason, OriginSource source,
+                      std::optional<absl::Duration> retryAfter = std::nullopt);
     void noteOrigin(); ///< The first event is about to be sent.
     bool authenticate(const Configuration &configuration);
     /// Refuses what the configuration does not know; as not run where a newer one may know it.
--- a/src/zinniadoor/gateway/exchange_take_up.cpp
+++ b/src/zinniadoor/gateway/exchange_take_up.cpp
@@ -14,46 +14,44 @@
 
 void Exchange::takeUp()
 {
-    const absl::Time now = context_.clock.now();
-    if (const auto known = context_.origins.find(stream_, now)) {
-        onOrigin({ known }, OriginSource::Memory);
-        return;
-    }
-    if (const auto only = context_.directory.versions().onlyVersion(service_, now)) {
-        onOrigin({ only }, OriginSource::OnlyVersion);
+    if (const auto known = context_.origins.find(stream_, context_.clock.now())) {
+        onOrigin({ known, OriginSource::Memory });
         return;
     }
     context_.updates.askOrigin( // The question keeps the exchange alive.
-        stream_, service_, [self = shared_from_this()](const OriginFinding &origin) {
-            self->onOrigin(origin, OriginSource::Peers);
-        });
+        stream_, service_,
+        [self = shared_from_this()](const OriginFinding &origin) { self->onOrigin(origin); });
 }
 
-void Exchange::onOrigin(const OriginFinding &origin, OriginSource source)
+void Exchange::onOrigin(const OriginFinding &origin)
 {
     if (phase_ == Phase::Ended)
         return;
     if (!origin.version) {
-        rejectStream("unknown_version", source);
+        if (origin.mayBeKnownLater)
+            rejectStream("version_not_confirmed", origin.source, DefaultRetryAfter);
+        else
+            rejectStream("unknown_version", origin.source);
         return;
     }
     origin_ = origin.version;
-    context_.metrics.countTakeUp("continued", nameOf(source));
+    context_.metrics.countTakeUp("continued", nameOf(origin.source));
     logEvent(EventId::StreamTakenUp,
              { { "request", facts_.id },
                { "stream", facts_.resumes },
                { "last_event", std::to_string(*lastEventId_) },
                { "service", service_ },
                { "endpoint_version", *origin.version },
-               { "source", nameOf(source) },
+               { "source", nameOf(origin.source) },
                { "answered_by", origin.instance },
                { "list_age_ms", wholeMs(context_.directoryAge()) } });
     dispatch();
 }
 
-// Another endpoint's events would not fit to those that the caller has, now or later, so that the
-// caller is not asked to come back.
-void Exchange::rejectStream(const std::string &reason, OriginSource source)
+// Another endpoint's events would not fit to those that the caller has. Where that holds later,
+// too, the caller is not asked to come back.
+void Exchange::rejectStream(const std::string &reason, OriginSource source,
+                            std::optional<absl::Duration> retryAfter)
 {
     context_.metrics.countTakeUp("rejected", nameOf(source));
     logEvent(EventId::StreamRejected,
@@ -65,7 +63,7 @@
                { "source", nameOf(source) },
                { "list_age_ms", wholeMs(context_.directoryAge()) },
                { "reason", reason } });
-    refuse(RefusalKind::NotRun, reason);
+    refuse(RefusalKind::NotRun, reason, retryAfter);
 }
 
 void Exchange::noteOrigin()
--- a/src/zinniadoor/gateway/gateway.cpp
+++ b/src/zinniadoor/gateway/gateway.cpp
@@ -6,6 +6,7 @@
 #include "absl/strings/str_join.h"
 
 #include "zinniadoor/base/events.hpp"
+#include "zinniadoor/gateway/catch_up.hpp"
 #include "zinniadoor/gateway/endpoint_feed.hpp"
 #include "zinniadoor/gateway/engine_list.hpp"
 #include "zinniadoor/gateway/evacuations.hpp"
@@ -47,6 +48,9 @@
 
 /// Safety margin for clock drift and network delay, as a share of the lease.
 constexpr double LeaseMarginShare = 0.15;
+/// Limit for reading what the list of endpoints may lack while a caller waits. Spans two calls to a
+/// slow store, since one that is under way has to end first.
+constexpr absl::Duration CatchUpTime = absl::Milliseconds(600);
 constexpr absl::Duration StopPollInterval = absl::Milliseconds(50);
 
 /// How long idle keep-alive connections stay open while stopping.
@@ -175,6 +179,9 @@
         serving_.isConfigurationOutdated
             = [this] { return configurationLog_.isOutdated(ports_.clock->now()); };
         serving_.directoryAge = [this] { return endpointsLog_.age(ports_.clock->now()); };
+        serving_.catchUpDirectory = [this](const CatchUpCallback &done) {
+            catchUpWithin(CatchUpTime, io_, *ports_.clock, endpointsLog_.follower(), done);
+        };
         serving_.spill = serving::Spill(settings.spill, settings.instance);
         serving_.paths = makeRelayedPaths(
             context, *ports.clock, serving_.directory, peers_, settings.dataCentre,
--- a/src/zinniadoor/gateway/stream_origin_link.cpp
+++ b/src/zinniadoor/gateway/stream_origin_link.cpp
@@ -31,21 +31,23 @@
 void StreamOriginLink::ask(std::uint64_t stream, const std::string &service,
                            const OriginCallback &done)
 {
+    const auto [found, isNew] = questions_.try_emplace(stream);
+    Question &question = found->second;
+    question.callbacks.push_back(done);
+    if (!isNew)
+        return;
+    question.service = service;
     const std::vector<std::string> keepers = keepersOf(stream);
+    question.unanswered = keepers.size();
     if (keepers.empty()) {
-        done({});
+        onNotNoted(stream);
         return;
     }
-    Question &question = questions_[stream];
-    question.callbacks.push_back(done);
-    if (question.timer)
-        return; // Asked already.
-    question.unanswered = keepers.size();
-    question.timer = std::make_shared<boost::asio::steady_timer>(io_);
+    question.timer = std::make_unique<boost::asio::steady_timer>(io_);
     question.timer->expires_after(absl::ToChronoMilliseconds(AnswerTime));
     question.timer->async_wait([this, stream](boost::system::error_code error) {
         if (!error)
-            finish(stream, {});
+            onNotNoted(stream);
     });
     StreamOriginMessage message = newMessage(StreamOriginMessage::Kind::Question, stream);
     message.service = service;
@@ -93,10 +95,34 @@
     const auto found = questions_.find(answer.stream);
     if (found == questions_.end())
         return;
-    if (answer.isKnown)
-        finish(answer.stream, { answer.version, answer.sender.instance });
-    else if (--found->second.unanswered == 0)
-        finish(answer.stream, {});
+    if (answer.isKnown) {
+        serving_.origins.note(answer.stream, answer.version, serving_.clock.now());
+        finish(answer.stream, { answer.version, OriginSource::Peers, answer.sender.instance });
+    } else if (found->second.timer && --found->second.unanswered == 0) {
+        onNotNoted(answer.stream);
+    }
+}
+
+// A version that this instance has not heard of may have begun the stream elsewhere: that there is
+// none shows only in what the log of endpoints held after the caller came.
+void StreamOriginLink::onNotNoted(std::uint64_t stream)
+{
+    const auto found = questions_.find(stream);
+    if (found == questions_.end())
+        return;
+    found->second.timer.reset();
+    const std::string service = found->second.service;
+    const auto onlyVersion = [this, service] {
+        return serving_.directory.versions().onlyVersion(service, serving_.clock.now());
+    };
+    if (!onlyVersion()) {
+        finish(stream, {});
+        return;
+    }
+    serving_.catchUpDirectory([this, stream, onlyVersion](bool isCurrent) {
+        const auto version = isCurrent ? onlyVersion() : std::nullopt;
+        finish(stream, { version, OriginSource::OnlyVersion, "", !isCurrent });
+    });
 }
 
 void StreamOriginLink::finish(std::uint64_t stream, const OriginFinding &finding)
@@ -104,9 +130,6 @@
     auto question = questions_.extract(stream);
     if (question.empty())
         return;
-    question.mapped().timer->cancel();
-    if (finding.version)
-        serving_.origins.note(stream, *finding.version, serving_.clock.now());
     for (const OriginCallback &done : question.mapped().callbacks)
         done(finding);
 }
