Answer who asks for a stream's version only from notes

Cause: a keeper that did not know a stream answered from its own list of endpoints. One that had stood still, or was cut off, so misled instances with a current list; the answer was noted under the stream's id, where the first version holds, and handed on when others asked.

Instances now tell only what they have noted: the version of the first event that they, or the sender of a notice, have seen. What can be concluded from a list is left to who needs it, and has to make its list current. The message has a new format (18), since an answer of the version before does not tell the two apart; the service in the question is not needed any more. Instances of the version before neither keep nor answer during an update, as before.

--- a/include/zinniadoor/gateway/stream_origin_link.hpp
+++ b/include/zinniadoor/gateway/stream_origin_link.hpp
@@ -18,7 +18,8 @@
 
 /// Keeps the origin of each stream at a few other instances, which are found by the stream's
 /// digest: a caller may take its stream up at any instance, also after the one that served it has
-/// ended. A notice leaves as the first event does.
+/// ended. A notice leaves as the first event does. Instances tell others only what they have noted,
+/// never what they conclude from their own list of endpoints, which may be outdated.
 class StreamOriginLink
 {
 public:
--- a/include/zinniadoor/gateway/stream_origin_message.hpp
+++ b/include/zinniadoor/gateway/stream_origin_message.hpp
@@ -13,7 +13,7 @@
 struct StreamOriginMessage
 {
     static constexpr std::uint8_t CurrentFormat
-        = 17; ///< Distinct from that of every other message.
+        = 18; ///< Distinct from that of every other message.
 
     enum class Kind : std::uint8_t {
         Notice, ///< The stream has begun at `version`.
@@ -25,14 +25,13 @@
     ProcessName sender;
     Kind kind = Kind::Notice;
     std::uint64_t stream = 0; ///< Digest of its id.
-    std::string service; ///< Of a question.
-    bool isKnown = false; ///< Of an answer: `version` began the stream.
+    bool isKnown = false; ///< Of an answer: the sender has noted that `version` began the stream.
     std::string version;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(format, sender, kind, stream, service, isKnown, version);
+        archive(format, sender, kind, stream, isKnown, version);
     }
 };
 
--- a/src/zinniadoor/gateway/stream_origin_link.cpp
+++ b/src/zinniadoor/gateway/stream_origin_link.cpp
@@ -49,9 +49,7 @@
         if (!error)
             onNotNoted(stream);
     });
-    StreamOriginMessage message = newMessage(StreamOriginMessage::Kind::Question, stream);
-    message.service = service;
-    const std::string bytes = base::encode(message);
+    const std::string bytes = base::encode(newMessage(StreamOriginMessage::Kind::Question, stream));
     for (const std::string &address : keepers)
         send_(address, bytes);
 }
@@ -77,13 +75,9 @@
     return base::Done {};
 }
 
-// An instance that has followed the service for long can tell without knowing the stream.
 void StreamOriginLink::reply(const StreamOriginMessage &question, const std::string &address)
 {
-    const absl::Time now = serving_.clock.now();
-    auto version = serving_.origins.find(question.stream, now);
-    if (!version)
-        version = serving_.directory.versions().onlyVersion(question.service, now);
+    const auto version = serving_.origins.find(question.stream, serving_.clock.now());
     StreamOriginMessage answer = newMessage(StreamOriginMessage::Kind::Answer, question.stream);
     answer.isKnown = version.has_value();
     answer.version = version.value_or("");
