Count a version of a service as long as an endpoint of it is listed

Cause: the time of a version was that of the last record which was applied, but records that change nothing are not relayed, so that only the log's reader sees them. At all other instances a version counted as gone 15 s after the last change of its endpoints, though they were listed and served; with the first endpoint of a new version that one became the only one.

The directory now counts the listed endpoints of each version; the 15 s run from the last one's removal.

EndpointDirectory::remove takes the time, so tests that call it pass it.

--- a/include/zinniadoor/gateway/endpoint_directory.hpp
+++ b/include/zinniadoor/gateway/endpoint_directory.hpp
@@ -38,7 +38,7 @@
     bool set(const EndpointRecord &record, absl::Time now);
 
     /// Returns whether the endpoint was listed.
-    bool remove(const base::EndpointId &id);
+    bool remove(const base::EndpointId &id, absl::Time now);
 
     const EndpointRecord *find(const base::EndpointId &id) const;
 
@@ -77,7 +77,7 @@
     serving::ColdEndpoints &cold() { return cold_; }
     const serving::ColdEndpoints &cold() const { return cold_; }
 
-    /// The software versions that the endpoints of each service have had.
+    /// The software versions that the endpoints of each service have, or had until recently.
     const serving::ServiceVersions &versions() const { return versions_; }
 
     /// Nothing may be sent to endpoints of these data centres. Those of data centres that are no
@@ -155,6 +155,9 @@
             && !failures_.isOutOfUse(entry.record.id, now);
     }
 
+    /// `before`: what was listed of the endpoint; null if nothing was.
+    void noteVersion(const EndpointRecord *before, const EndpointRecord &record, absl::Time now);
+
     DirectoryOptions options_;
     serving::EndpointLimits limits_;
     serving::FailureReports failures_;
--- a/include/zinniadoor/serving/stream_origins.hpp
+++ b/include/zinniadoor/serving/stream_origins.hpp
@@ -54,7 +54,7 @@
     absl::Duration longestStream = absl::Seconds(15);
 };
 
-/// Follows which software versions of each service have served. Not thread-safe.
+/// Follows which software versions of each service may have served. Not thread-safe.
 class ServiceVersions
 {
 public:
@@ -62,18 +62,27 @@
         : options_(options)
     { }
 
-    /// An endpoint of the service is listed with this version.
+    /// An endpoint of the service, or another version of one, is listed from now on.
     void noteListed(const std::string &service, const std::string &version, absl::Time now);
 
-    /// The only version that can have begun a stream which still goes on; nothing if there may be
-    /// several, or if the service has not been followed for long enough.
+    /// It no longer is.
+    void noteUnlisted(const std::string &service, const std::string &version, absl::Time now);
+
+    /// The only version that can have begun a stream which still goes on, if no other endpoints are
+    /// listed than those noted; nothing if there may be several, or if the service has not been
+    /// followed for long enough.
     std::optional<std::string> onlyVersion(const std::string &service, absl::Time now) const;
 
 private:
+    struct Listing
+    {
+        std::size_t endpoints = 0;
+        absl::Time goneAt; ///< If there are none.
+    };
     struct Service
     {
         absl::Time since; ///< When the service was first seen.
-        absl::flat_hash_map<std::string, absl::Time> seenAt; ///< Last, by version.
+        absl::flat_hash_map<std::string, Listing> versions;
     };
 
     ServiceVersionsOptions options_;
--- a/src/zinniadoor/gateway/endpoint_directory.cpp
+++ b/src/zinniadoor/gateway/endpoint_directory.cpp
@@ -62,8 +62,8 @@
     const auto [it, inserted] = entries_.try_emplace(record.id);
     if (inserted)
         byDigest_[digestOf(record.id)] = record.id;
-    versions_.noteListed(record.service, record.version, now);
     Entry &entry = it->second;
+    noteVersion(inserted ? nullptr : &entry.record, record, now);
     if (now - entry.replacedAt > DirectoryLag)
         entry.replacedAt = absl::InfiniteFuture();
     const bool changed = inserted || !equalExceptTimeLeft(entry.record, record);
@@ -86,12 +86,27 @@
     return true;
 }
 
-bool EndpointDirectory::remove(const base::EndpointId &id)
+void EndpointDirectory::noteVersion(const EndpointRecord *before, const EndpointRecord &record,
+                                    absl::Time now)
+{
+    if (before && before->service == record.service && before->version == record.version)
+        return;
+    if (before)
+        versions_.noteUnlisted(before->service, before->version, now);
+    versions_.noteListed(record.service, record.version, now);
+}
+
+bool EndpointDirectory::remove(const base::EndpointId &id, absl::Time now)
 {
     byDigest_.erase(digestOf(id));
     failures_.removeEndpoint(id);
     cold_.forget(id);
-    return entries_.erase(id) > 0;
+    const auto found = entries_.find(id);
+    if (found == entries_.end())
+        return false;
+    versions_.noteUnlisted(found->second.record.service, found->second.record.version, now);
+    entries_.erase(found);
+    return true;
 }
 
 const base::EndpointId *EndpointDirectory::findByDigest(std::uint64_t digest) const
--- a/src/zinniadoor/gateway/endpoint_feed.cpp
+++ b/src/zinniadoor/gateway/endpoint_feed.cpp
@@ -132,7 +132,7 @@
 {
     if (const EndpointRecord *endpoint = directory_.find(id))
         removed_[id] = { endpoint->startTimeMs, now };
-    return directory_.remove(id);
+    return directory_.remove(id, now);
 }
 
 bool EndpointFeed::isOutdated(const KeyedRecord &record) const
--- a/src/zinniadoor/gateway/records_test.cpp
+++ b/src/zinniadoor/gateway/records_test.cpp
@@ -134,7 +134,7 @@
     directory.set(endpoint("f"), at(0));
     BOOST_REQUIRE(directory.findByDigest(digestOf(id)));
     BOOST_TEST(*directory.findByDigest(digestOf(id)) == id);
-    directory.remove(id);
+    directory.remove(id, at(0));
     BOOST_TEST(!directory.findByDigest(digestOf(id)));
 }
 
--- a/src/zinniadoor/serving/stream_origins.cpp
+++ b/src/zinniadoor/serving/stream_origins.cpp
@@ -33,7 +33,15 @@
     const auto [it, isNew] = services_.try_emplace(service);
     if (isNew)
         it->second.since = now;
-    it->second.seenAt[version] = now;
+    ++it->second.versions[version].endpoints;
+}
+
+void ServiceVersions::noteUnlisted(const std::string &service, const std::string &version,
+                                   absl::Time now)
+{
+    Listing &listing = services_[service].versions[version];
+    if (--listing.endpoints == 0)
+        listing.goneAt = now;
 }
 
 std::optional<std::string> ServiceVersions::onlyVersion(const std::string &service,
@@ -43,8 +51,8 @@
     if (found == services_.end() || now - found->second.since < options_.longestStream)
         return std::nullopt;
     std::optional<std::string> only;
-    for (const auto &[version, seenAt] : found->second.seenAt) {
-        if (now - seenAt > options_.longestStream)
+    for (const auto &[version, listing] : found->second.versions) {
+        if (listing.endpoints == 0 && now - listing.goneAt > options_.longestStream)
             continue;
         if (only)
             return std::nullopt;
