Do not conclude from records that were missed that there is only one version

Cause: the time for which a service has been followed began with its first record and ran on while the log was not followed. After a gap (the store has trimmed the log, or was restored from an older copy) only the newest records are read, so that endpoints of another version may have come, begun streams and gone unnoticed. The time now begins anew with the newest records.

--- a/include/zinniadoor/gateway/endpoint_directory.hpp
+++ b/include/zinniadoor/gateway/endpoint_directory.hpp
@@ -40,6 +40,9 @@
     /// Returns whether the endpoint was listed.
     bool remove(const base::EndpointId &id, absl::Time now);
 
+    /// Records between those noted before and those noted from now on may have been missed.
+    void noteGap(absl::Time now) { versions_.noteGap(now); }
+
     const EndpointRecord *find(const base::EndpointId &id) const;
 
     /// The endpoint whose id has this digest; null if there is none.
--- a/include/zinniadoor/serving/stream_origins.hpp
+++ b/include/zinniadoor/serving/stream_origins.hpp
@@ -68,6 +68,9 @@
     /// It no longer is.
     void noteUnlisted(const std::string &service, const std::string &version, absl::Time now);
 
+    /// Endpoints may have been listed and removed unnoticed until now.
+    void noteGap(absl::Time now);
+
     /// The only version that can have begun a stream which still goes on, if no other endpoints are
     /// listed than those noted; nothing if there may be several, or if the service has not been
     /// followed for long enough.
@@ -81,7 +84,7 @@
     };
     struct Service
     {
-        absl::Time since; ///< When the service was first seen.
+        absl::Time since; ///< Followed without a gap.
         absl::flat_hash_map<std::string, Listing> versions;
     };
 
--- a/src/zinniadoor/gateway/endpoint_feed.cpp
+++ b/src/zinniadoor/gateway/endpoint_feed.cpp
@@ -40,6 +40,7 @@
         for (const auto &[id, removed] : removed_)
             unconfirmed_.insert(id);
     }
+    directory_.noteGap(now);
     bool changed = false;
     absl::flat_hash_set<base::EndpointId> listed;
     listed_.clear();
--- a/src/zinniadoor/serving/stream_origins.cpp
+++ b/src/zinniadoor/serving/stream_origins.cpp
@@ -44,6 +44,12 @@
         listing.goneAt = now;
 }
 
+void ServiceVersions::noteGap(absl::Time now)
+{
+    for (auto &[name, service] : services_)
+        service.since = now;
+}
+
 std::optional<std::string> ServiceVersions::onlyVersion(const std::string &service,
                                                         absl::Time now) const
 {
