Read the answers that lie in the sockets before a question ends unanswered

Cause: an instance that stood still while it asked for a stream's version found the time of 150 ms over when it went on, before it had read what had arrived. It rejected the take-up as unknown. The time is extended now while the timer itself was late (AnswerTimer).

--- a/include/zinniadoor/gateway/stream_origin_link.hpp
+++ b/include/zinniadoor/gateway/stream_origin_link.hpp
@@ -9,8 +9,8 @@
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
+#include "zinniadoor/gateway/answer_timer.hpp"
 #include "zinniadoor/gateway/serving_context.hpp"
 #include "zinniadoor/gateway/stream_origin_message.hpp"
 
@@ -53,7 +53,7 @@
         std::string service;
         std::vector<OriginCallback> callbacks;
         std::size_t unanswered = 0;
-        std::unique_ptr<boost::asio::steady_timer> timer; ///< Null while the list is made current.
+        std::unique_ptr<AnswerTimer> timer; ///< Null while the list is made current.
     };
 
     /// The instances that come first in an order that depends on the stream.
--- a/src/zinniadoor/gateway/stream_origin_link.cpp
+++ b/src/zinniadoor/gateway/stream_origin_link.cpp
@@ -43,12 +43,8 @@
         onNotNoted(stream);
         return;
     }
-    question.timer = std::make_unique<boost::asio::steady_timer>(io_);
-    question.timer->expires_after(absl::ToChronoMilliseconds(AnswerTime));
-    question.timer->async_wait([this, stream](boost::system::error_code error) {
-        if (!error)
-            onNotNoted(stream);
-    });
+    question.timer = std::make_unique<AnswerTimer>(io_, serving_.clock, AnswerTime,
+                                                   [this, stream] { onNotNoted(stream); });
     const std::string bytes = base::encode(newMessage(StreamOriginMessage::Kind::Question, stream));
     for (const std::string &address : keepers)
         send_(address, bytes);
