Make the list of endpoints current before a stream's version is said to be gone

Cause: an instance that knew the version of a stream, from its notes or from a keeper, but had not heard of endpoints of it yet, rejected the take-up for good (version_gone). It now catches up with the log first. Only if the store does not answer meanwhile is the caller rejected, with a Retry-After (version_not_listed).

takeUp_knownVersionIsNotListed_goesOnOnceCaughtUp and takeUp_knownVersionIsNotListedAndStoreDoesNotAnswer_isRejectedForNow failed before.

--- a/src/zinniadoor/gateway/exchange_state.hpp
+++ b/src/zinniadoor/gateway/exchange_state.hpp
@@ -141,6 +141,9 @@
     /// Finds out which version began the stream that the caller takes up, then dispatches.
     void takeUp();
     void onOrigin(const OriginFinding &origin);
+    bool isVersionListed() const; ///< An endpoint of the stream's version accepts work.
+    void continueStream(bool isCurrent); ///< `isCurrent`: the directory lacks nothing.
+    std::string directoryAge() const; ///< For logs.
     /// The stream cannot go on; with `retryAfter`, it may later.
     void rejectStream(const std::string &reason, OriginSource source,
                       std::optional<absl::Duration> retryAfter = std::nullopt);
--- a/src/zinniadoor/gateway/exchange_take_up.cpp
+++ b/src/zinniadoor/gateway/exchange_take_up.cpp
@@ -44,8 +44,36 @@
                { "endpoint_version", *origin.version },
                { "source", nameOf(origin.source) },
                { "answered_by", origin.instance },
-               { "list_age_ms", wholeMs(context_.directoryAge()) } });
-    dispatch();
+               { "list_age_ms", directoryAge() } });
+    // What is known of the only version was found out with a current directory.
+    if (origin.source == OriginSource::OnlyVersion || isVersionListed()) {
+        dispatch();
+        return;
+    }
+    context_.catchUpDirectory(
+        [self = shared_from_this()](bool isCurrent) { self->continueStream(isCurrent); });
+}
+
+bool Exchange::isVersionListed() const
+{
+    return context_.directory.availableFrom(service_, context_.clock.now(), &regions_, &*origin_)
+        .has_value();
+}
+
+void Exchange::continueStream(bool isCurrent)
+{
+    if (phase_ == Phase::Ended)
+        return;
+    if (!isCurrent && !isVersionListed())
+        rejectStream("version_not_listed", OriginSource::Answer, DefaultRetryAfter);
+    else
+        dispatch();
+}
+
+std::string Exchange::directoryAge() const
+{
+    const absl::Duration age = context_.directoryAge();
+    return age == absl::InfiniteDuration() ? "" : wholeMs(age);
 }
 
 // Another endpoint's events would not fit to those that the caller has. Where that holds later,
@@ -61,7 +89,7 @@
                { "service", service_ },
                { "endpoint_version", origin_.value_or("") },
                { "source", nameOf(source) },
-               { "list_age_ms", wholeMs(context_.directoryAge()) },
+               { "list_age_ms", directoryAge() },
                { "reason", reason } });
     refuse(RefusalKind::NotRun, reason, retryAfter);
 }
