Make an outdated list of endpoints current before a stream goes on

Cause: an instance that had stood still, or was cut off, sent the continuation of a stream of a known version by its old list. An endpoint that had been started again under its id with another version meanwhile was listed with the one before, and took the stream. Where the log's end has not been seen within the notice, the list is made current first; if the store does not answer, it is all that there is, and the stream goes on by it.

--- a/include/zinniadoor/gateway/serving_context.hpp
+++ b/include/zinniadoor/gateway/serving_context.hpp
@@ -125,6 +125,9 @@
     /// Time since the directory was last known to be complete.
     std::function<absl::Duration()> directoryAge = [] { return absl::ZeroDuration(); };
 
+    /// Whether there may be records of endpoints, in force by now, that this instance lacks.
+    std::function<bool()> isDirectoryOutdated = [] { return false; };
+
     /// Calls `done(true)` once the directory includes all records of the time of the call, or
     /// `done(false)` if that takes too long.
     std::function<void(const CatchUpCallback &done)> catchUpDirectory
--- a/src/zinniadoor/gateway/exchange_state.hpp
+++ b/src/zinniadoor/gateway/exchange_state.hpp
@@ -141,6 +141,8 @@
     /// Finds out which version began the stream that the caller takes up, then dispatches.
     void takeUp();
     void onOrigin(const OriginFinding &origin);
+    /// Whether endpoints of the stream's version may have come, or been replaced, unnoticed.
+    bool mayMissEndpoints() const;
     bool isVersionListed() const; ///< An endpoint of the stream's version accepts work.
     void continueStream(bool isCurrent); ///< `isCurrent`: the directory lacks nothing.
     std::string directoryAge() const; ///< For logs.
--- a/src/zinniadoor/gateway/exchange_take_up.cpp
+++ b/src/zinniadoor/gateway/exchange_take_up.cpp
@@ -46,7 +46,7 @@
                { "answered_by", origin.instance },
                { "list_age_ms", directoryAge() } });
     // What is known of the only version was found out with a current directory.
-    if (origin.source == OriginSource::OnlyVersion || isVersionListed()) {
+    if (origin.source == OriginSource::OnlyVersion || !mayMissEndpoints()) {
         dispatch();
         return;
     }
@@ -60,6 +60,11 @@
         .has_value();
 }
 
+bool Exchange::mayMissEndpoints() const
+{
+    return context_.isDirectoryOutdated() || !isVersionListed();
+}
+
 void Exchange::continueStream(bool isCurrent)
 {
     if (phase_ == Phase::Ended)
--- a/src/zinniadoor/gateway/gateway.cpp
+++ b/src/zinniadoor/gateway/gateway.cpp
@@ -179,6 +179,8 @@
         serving_.isConfigurationOutdated
             = [this] { return configurationLog_.isOutdated(ports_.clock->now()); };
         serving_.directoryAge = [this] { return endpointsLog_.age(ports_.clock->now()); };
+        serving_.isDirectoryOutdated
+            = [this] { return endpointsLog_.isOutdated(ports_.clock->now()); };
         serving_.catchUpDirectory = [this](const CatchUpCallback &done) {
             catchUpWithin(CatchUpTime, io_, *ports_.clock, endpointsLog_.follower(), done);
         };
