Do not note a version that the endpoint may no longer have had

Cause: a request is sent by the record that is listed then. Where the endpoint had been started again under its id with another version, and the record was read only after that, the first event was noted with the version before, here and at the keepers, where the first note holds; take-ups and retries went to endpoints of it. Such a stream is not noted now, and is neither retried nor taken up elsewhere, since nothing tells which of the two processes wrote its events.

stream_endpointReplacedUnderItsIdBeforeFirstEvent_isNotNotedNorRetried failed before (three checks).

--- a/src/zinniadoor/gateway/exchange_retry.cpp
+++ b/src/zinniadoor/gateway/exchange_retry.cpp
@@ -71,6 +71,8 @@
     constexpr absl::Duration MinTimeLeft = absl::Milliseconds(30);
     if (streamStarted_ && !lastEventId_)
         return "no_event_to_resume_after";
+    if (firstByteAt_ && !origin_)
+        return "version_not_known";
     if (runs >= route_.maxEndpoints)
         return "endpoints_used_up";
     if (timeLeft() < MinTimeLeft)
--- a/src/zinniadoor/gateway/exchange_state.hpp
+++ b/src/zinniadoor/gateway/exchange_state.hpp
@@ -150,6 +150,7 @@
     void rejectStream(const std::string &reason, OriginSource source,
                       std::optional<absl::Duration> retryAfter = std::nullopt);
     void noteOrigin(); ///< The first event is about to be sent.
+    bool mayBeAnotherVersion() const; ///< Of the endpoint that began the stream.
     bool authenticate(const Configuration &configuration);
     /// Refuses what the configuration does not know; as not run where a newer one may know it.
     void refuseUnknown(RefusalKind kind, const std::string &why);
--- a/src/zinniadoor/gateway/exchange_take_up.cpp
+++ b/src/zinniadoor/gateway/exchange_take_up.cpp
@@ -99,8 +99,17 @@
     refuse(RefusalKind::NotRun, reason, retryAfter);
 }
 
+// Started again under its id since the request was sent there by an older record.
+bool Exchange::mayBeAnotherVersion() const
+{
+    const EndpointRecord *listed = context_.directory.find(servingEndpoint_.id);
+    return listed && listed->version != servingEndpoint_.version;
+}
+
 void Exchange::noteOrigin()
 {
+    if (!origin_ && mayBeAnotherVersion())
+        return;
     const absl::Time now = context_.clock.now();
     if (!origin_)
         origin_ = servingEndpoint_.version;
