Let a version count for longer after its last endpoint was removed

Cause: 15 s after the removal of a version's last endpoint, streams of it were taken for ended. An endpoint may serve on after its removal, and an instance that has not heard of it begins streams there. Found by reading, not seen in a run. The time is that of a whole stream and 40 s before it.

takeUp_endpointOfAnotherVersionServesAfterItsRemoval_isRejected failed before.

--- a/include/zinniadoor/serving/stream_origins.hpp
+++ b/include/zinniadoor/serving/stream_origins.hpp
@@ -52,6 +52,10 @@
 {
     /// Streams that began longer ago have ended.
     absl::Duration longestStream = absl::Seconds(15);
+
+    /// How long an endpoint that is no longer listed may serve on. Instances that have not heard of
+    /// its removal begin streams there.
+    absl::Duration serviceAfterRemoval = absl::Seconds(40);
 };
 
 /// Follows which software versions of each service may have served. Not thread-safe.
--- a/src/zinniadoor/serving/stream_origins.cpp
+++ b/src/zinniadoor/serving/stream_origins.cpp
@@ -58,7 +58,8 @@
         return std::nullopt;
     std::optional<std::string> only;
     for (const auto &[version, listing] : found->second.versions) {
-        if (listing.endpoints == 0 && now - listing.goneAt > options_.longestStream)
+        if (listing.endpoints == 0
+            && now - listing.goneAt > options_.serviceAfterRemoval + options_.longestStream)
             continue;
         if (only)
             return std::nullopt;
