Keep the time of failed reads apart from that of reads that showed the log's end

Found by reading: after a failed read, newest records of another instance could have ended a catch-up that was asked for at the same instant.

--- a/src/zinniadoor/gateway/log_follower.cpp
+++ b/src/zinniadoor/gateway/log_follower.cpp
@@ -127,8 +127,7 @@
                     self->shared_->cancel();
                 if (!newest) {
                     self->noteFailure(ReadCause::Start, requestedAt, newest.lastReason());
-                    self->readAsOf_ = requestedAt;
-                    self->endCatchUps(false);
+                    self->endCatchUps(requestedAt, false);
                     self->repeatAfterFailure();
                     return;
                 }
@@ -266,7 +265,7 @@
         isWhole_ = true;
         handler_->onNewest(newest);
         noteCurrent();
-        endCatchUps(true);
+        endCatchUps(readAsOf_, true);
         if (lacksRecords()) // A notice came during the read.
             scheduleGapRead();
         else
@@ -313,10 +312,10 @@
         startTimer(absl::ZeroDuration());
     }
 
-    /// The last read has shown the end of the log, or has failed.
-    void endCatchUps(bool isCurrent)
+    /// A read that was requested then has shown the end of the log, or has failed.
+    void endCatchUps(absl::Time requestedAt, bool isCurrent)
     {
-        while (!catchUps_.empty() && catchUps_.front().since <= readAsOf_) {
+        while (!catchUps_.empty() && catchUps_.front().since <= requestedAt) {
             const CatchUpCallback done = std::move(catchUps_.front().done);
             catchUps_.pop_front();
             done(isCurrent);
@@ -406,7 +405,7 @@
                 if (self->next_ >= read->end) {
                     self->completeAsOf_ = std::max(self->completeAsOf_, requestedAt);
                     self->readAsOf_ = requestedAt;
-                    self->endCatchUps(true);
+                    self->endCatchUps(requestedAt, true);
                 }
                 self->continueTo(read->end);
             });
@@ -504,8 +503,7 @@
             return false;
         if (!read) {
             noteFailure(cause_, requestedAt, read.lastReason());
-            readAsOf_ = requestedAt;
-            endCatchUps(false);
+            endCatchUps(requestedAt, false);
             const absl::Duration retry
                 = schedule_.noteFailure(lacksRecords(), clock_.now() - requestedAt);
             if (shared_ && cause_ == ReadCause::Gap && endIsLong_ && lacksRecords()) {
@@ -681,7 +679,7 @@
     absl::Time currentAt_ = absl::InfinitePast(); ///< When records were last applied.
     absl::Time completeAsOf_ = absl::InfinitePast(); ///< The log ended at `next_` then.
     absl::Time readAsOf_
-        = absl::InfinitePast(); ///< When the last read that has ended was requested.
+        = absl::InfinitePast(); ///< Like `completeAsOf_`, by this instance's reads.
     std::deque<CatchUp> catchUps_; ///< In order of time.
     LogUpdates updates_;
     ReadCause cause_ = ReadCause::Poll; ///< Of the read under way, or of the next one.
