Pace the reads of catch-ups, and let them stand in for reads that are due

Found by the review: a store that fails was read once for each caller (300 reads for 300 calls), and 7,987 times in 200 ms where it answered of an earlier era; continuous catch-ups kept an instance from ever becoming the reader; and newest records ended a catch-up although the store client goes on with the pages of a reading that began before it. Reads now keep to the delay after a failure, and while reads keep failing a catch-up fails at once; a read that is due keeps its cause, so that it is relayed; only a read of the tail ends a catch-up.

--- a/include/zinniadoor/gateway/log_follower.hpp
+++ b/include/zinniadoor/gateway/log_follower.hpp
@@ -89,7 +89,7 @@
 
     /// Reads the store unless a read that began after this call does anyway. Calls `done(true)`
     /// once all records that the log holds now have been applied, `done(false)` if the store could
-    /// not be read; neither before this returns nor after `stop`.
+    /// not be read, at once where it keeps failing; not after `stop`.
     virtual void catchUp(const CatchUpCallback &done) = 0;
 
     /// Whether all records up to `atLeast` have been applied.
--- a/include/zinniadoor/gateway/read_schedule.hpp
+++ b/include/zinniadoor/gateway/read_schedule.hpp
@@ -76,6 +76,9 @@
 
     bool isReader() const { return role_ == Role::Reader; }
 
+    /// Consecutive failed reads, up to a limit.
+    int failures() const { return retries_; }
+
     /// The latest time as of which a part showed the end of the log.
     absl::Time lastShown() const { return lastShown_; }
 
--- a/src/zinniadoor/gateway/log_follower.cpp
+++ b/src/zinniadoor/gateway/log_follower.cpp
@@ -137,7 +137,7 @@
                 }
                 if (requestedAt >= self->knownEndAt_)
                     self->knownEnd_ = newest->end;
-                self->completeAsOf_ = self->readAsOf_ = requestedAt;
+                self->completeAsOf_ = requestedAt;
                 self->applyNewest(*newest, requestedAt);
             });
     }
@@ -191,6 +191,10 @@
 
     void catchUp(const CatchUpCallback &done)
     {
+        if (schedule_.failures() > 1) { // The store is called at the pace of its failures.
+            done(false);
+            return;
+        }
         catchUps_.push_back({ clock_.now(), done });
         if (!reading_ && tailing_)
             scheduleCatchUp();
@@ -265,7 +269,6 @@
         isWhole_ = true;
         handler_->onNewest(newest);
         noteCurrent();
-        endCatchUps(readAsOf_, true);
         if (lacksRecords()) // A notice came during the read.
             scheduleGapRead();
         else
@@ -304,12 +307,17 @@
         return hasReader;
     }
 
-    /// Reads that were requested before a catch-up may not show what the log held then.
+    /// Reads that were requested before a catch-up may not show what the log held then. Nor may the
+    /// newest records, whose reading the store client goes on with after a failure.
     void scheduleCatchUp()
     {
-        if (cause_ != ReadCause::Gap)
-            cause_ = ReadCause::CatchUp;
-        startTimer(absl::ZeroDuration());
+        const absl::Time now = clock_.now();
+        if (cause_ != ReadCause::Gap) {
+            const ReadSchedule::Next next = schedule_.next(now);
+            const bool isDue = next.delay <= absl::ZeroDuration(); // Others rely on it.
+            cause_ = isDue ? next.cause : ReadCause::CatchUp;
+        }
+        startTimer(std::max(absl::ZeroDuration(), failedUntil_ - now));
     }
 
     /// A read that was requested then has shown the end of the log, or has failed.
@@ -404,7 +412,6 @@
                 self->noteEnd(read->end, requestedAt);
                 if (self->next_ >= read->end) {
                     self->completeAsOf_ = std::max(self->completeAsOf_, requestedAt);
-                    self->readAsOf_ = requestedAt;
                     self->endCatchUps(requestedAt, true);
                 }
                 self->continueTo(read->end);
@@ -503,6 +510,7 @@
             return false;
         if (!read) {
             noteFailure(cause_, requestedAt, read.lastReason());
+            failedUntil_ = clock_.now() + options_.retryDelay;
             endCatchUps(requestedAt, false);
             const absl::Duration retry
                 = schedule_.noteFailure(lacksRecords(), clock_.now() - requestedAt);
@@ -516,6 +524,7 @@
             return false;
         }
         if (read->end.era < next_.era) { // A late response of the store.
+            failedUntil_ = clock_.now() + options_.retryDelay;
             scheduleRead(schedule_.noteFailure(true));
             return false;
         }
@@ -678,9 +687,8 @@
     absl::Time knownEndAt_ = absl::InfinitePast(); ///< When a part last raised it.
     absl::Time currentAt_ = absl::InfinitePast(); ///< When records were last applied.
     absl::Time completeAsOf_ = absl::InfinitePast(); ///< The log ended at `next_` then.
-    absl::Time readAsOf_
-        = absl::InfinitePast(); ///< Like `completeAsOf_`, by this instance's reads.
     std::deque<CatchUp> catchUps_; ///< In order of time.
+    absl::Time failedUntil_ = absl::InfinitePast(); ///< No read for them before it.
     LogUpdates updates_;
     ReadCause cause_ = ReadCause::Poll; ///< Of the read under way, or of the next one.
     bool endIsLong_ = false; ///< The records before `knownEnd_` are too long to be relayed.
