Extend a wait for answers once

Found by the review: on a machine where each timer is late the wait had no end but the request's. answerTimer_isLateEachTime_endsAllTheSame failed before.

--- a/include/zinniadoor/gateway/answer_timer.hpp
+++ b/include/zinniadoor/gateway/answer_timer.hpp
@@ -13,8 +13,8 @@
 namespace zinniadoor::gateway {
 
 /// Limits a wait for answers. If the process stood still until the time was over, the answers may
-/// lie unread in its sockets, and the wait is extended until they have been read. For the event
-/// thread only.
+/// lie unread in its sockets, and the wait is extended once, so that they can be read. For the
+/// event thread only.
 class AnswerTimer
 {
 public:
@@ -34,6 +34,7 @@
         const base::Clock &clock;
         std::function<void()> timedOut; ///< Empty once it was called or is no longer wanted.
         absl::Time due {};
+        bool isExtended = false;
     };
     static void wait(const std::shared_ptr<State> &state, absl::Duration time);
 
--- a/src/zinniadoor/gateway/answer_timer.cpp
+++ b/src/zinniadoor/gateway/answer_timer.cpp
@@ -35,7 +35,8 @@
     state->timer.async_wait([state](boost::system::error_code error) {
         if (error || !state->timedOut)
             return;
-        if (state->clock.now() - state->due > MaxLateness) {
+        const bool isLate = state->clock.now() - state->due > MaxLateness;
+        if (isLate && !std::exchange(state->isExtended, true)) {
             wait(state, Extension);
             return;
         }
