Draw the service of a weighted route by the stream's id when it is taken up

Found by the review: the id of the new request was used, so that a stream that one service had begun could go on at another, whose version may have the same name. A change of the weights in between still moves it. takeUp_routeWithTwoServices_staysAtTheServiceThatBeganTheStream failed before.

--- a/src/zinniadoor/gateway/exchange_admission.cpp
+++ b/src/zinniadoor/gateway/exchange_admission.cpp
@@ -104,7 +104,9 @@
         return false;
     }
     route_ = *route;
-    service_ = pickService(route_, facts_.id);
+    const bool isTakeUp = facts_.lastEventId && !facts_.resumes.empty();
+    const std::string &streamId = isTakeUp ? facts_.resumes : facts_.id;
+    service_ = pickService(route_, streamId);
     absl::Duration longest = facts_.timeout.value_or(DefaultRequestTimeout);
     if (route_.timeout > absl::ZeroDuration())
         longest = std::min(longest, route_.timeout);
@@ -123,8 +125,7 @@
         return false;
     parts_ = serving::keySegments(facts_.promptParts);
     lastEventId_ = facts_.lastEventId;
-    stream_ = serving::stableDigest(lastEventId_ && !facts_.resumes.empty() ? facts_.resumes
-                                                                            : facts_.id);
+    stream_ = serving::stableDigest(streamId);
     armDeadlineTimer();
     return consumeQuota();
 }
