Follow a service for as long as removed endpoints serve before one version is the only one

Found by the review: 15 s after a start or a gap the rule forgot what is kept for longer once it was seen. Both times are the same now: 15 s for an endpoint that serves after its removal, and 15 s for a stream. Where the service has not been followed for that long, or a keeper has not answered, the caller gets a Retry-After, since the version may be known later or elsewhere.

--- a/include/zinniadoor/serving/stream_origins.hpp
+++ b/include/zinniadoor/serving/stream_origins.hpp
@@ -55,7 +55,10 @@
 
     /// How long an endpoint that is no longer listed may serve on. Instances that have not heard of
     /// its removal begin streams there.
-    absl::Duration serviceAfterRemoval = absl::Seconds(40);
+    absl::Duration serviceAfterRemoval = absl::Seconds(15);
+
+    /// Streams at endpoints that were removed longer ago have ended.
+    absl::Duration longestAfterRemoval() const { return serviceAfterRemoval + longestStream; }
 };
 
 /// Follows which software versions of each service may have served. Not thread-safe.
@@ -80,7 +83,13 @@
     /// followed for long enough.
     std::optional<std::string> onlyVersion(const std::string &service, absl::Time now) const;
 
+    /// Whether there is one version as far as the service has been followed.
+    bool isOneListed(const std::string &service, absl::Time now) const;
+
 private:
+    /// The version that is listed, or was until recently, if there is one.
+    std::optional<std::string> singleVersion(const std::string &service, absl::Time now) const;
+
     struct Listing
     {
         std::size_t endpoints = 0;
--- a/src/zinniadoor/gateway/stream_origin_link.cpp
+++ b/src/zinniadoor/gateway/stream_origin_link.cpp
@@ -106,7 +106,12 @@
         return serving_.directory.versions().onlyVersion(service, serving_.clock.now());
     };
     if (!onlyVersion()) {
-        finish(stream, {});
+        // Those that did not answer may know it, and who has followed the service for longer may
+        // tell from its list.
+        OriginFinding unknown;
+        unknown.mayBeKnownLater = found->second.unanswered > 0
+            || serving_.directory.versions().isOneListed(service, serving_.clock.now());
+        finish(stream, unknown);
         return;
     }
     serving_.catchUpDirectory([this, stream, onlyVersion](bool isCurrent) {
--- a/src/zinniadoor/serving/stream_origins.cpp
+++ b/src/zinniadoor/serving/stream_origins.cpp
@@ -54,12 +54,25 @@
                                                         absl::Time now) const
 {
     const auto found = services_.find(service);
-    if (found == services_.end() || now - found->second.since < options_.longestStream)
+    if (found == services_.end() || now - found->second.since < options_.longestAfterRemoval())
+        return std::nullopt;
+    return singleVersion(service, now);
+}
+
+bool ServiceVersions::isOneListed(const std::string &service, absl::Time now) const
+{
+    return singleVersion(service, now).has_value();
+}
+
+std::optional<std::string> ServiceVersions::singleVersion(const std::string &service,
+                                                          absl::Time now) const
+{
+    const auto found = services_.find(service);
+    if (found == services_.end())
         return std::nullopt;
     std::optional<std::string> only;
     for (const auto &[version, listing] : found->second.versions) {
-        if (listing.endpoints == 0
-            && now - listing.goneAt > options_.serviceAfterRemoval + options_.longestStream)
+        if (listing.endpoints == 0 && now - listing.goneAt > options_.longestAfterRemoval())
             continue;
         if (only)
             return std::nullopt;
