Check the version of endpoints wherever a stream goes on, with a current list

Found by the review: retries and standbys were placed by an outdated list; what the list showed by the time of the first event was looked at only where a stream began; and an instance that was cut off from the log noted, and handed on, the version of its old list. Retries and standbys of a stream catch up with an outdated list first, a continuation at an endpoint whose version has changed is given up before its event is passed on, and a stream that begins by an outdated list is noted once the list is current (or the store does not answer).

--- a/src/zinniadoor/gateway/exchange.cpp
+++ b/src/zinniadoor/gateway/exchange.cpp
@@ -480,6 +480,12 @@
         onRunFailed(outcome);
         return;
     }
+    const bool mayRepeat = route_.repeatability != Repeatability::AtMostOnce;
+    if (mayRepeat && origin_ && !events->empty() && mayBeAnotherVersion()) {
+        outcome.reason = "endpoint_replaced";
+        onRunFailed(outcome);
+        return;
+    }
     for (const StreamEvent &event : *events) {
         if (event.id && lastEventId_ && *event.id <= *lastEventId_) {
             onRunFailed(outcome); // Ids must increase: not a continuation of the stream.
--- a/src/zinniadoor/gateway/exchange_end.cpp
+++ b/src/zinniadoor/gateway/exchange_end.cpp
@@ -176,8 +176,21 @@
     outcome.reason = "silent";
     if (!silent_)
         noteCallFailed(servingEndpoint_.id, outcome);
-    noteSilence(standby_ ? "wait" : startStandby().value_or("standby"));
     armSilenceTimer(silenceTimeout());
+    if (standby_ || !needsCurrentDirectory()) {
+        beginStandby();
+        return;
+    }
+    context_.catchUpDirectory([self = shared_from_this(), since = lastSignAt_](bool) {
+        const bool isSilent = self->call_ && self->lastSignAt_ == since && !self->paused_;
+        if (isSilent && self->phase_ != Phase::Ended)
+            self->beginStandby();
+    });
+}
+
+void Exchange::beginStandby()
+{
+    noteSilence(standby_ ? "wait" : startStandby().value_or("standby"));
 }
 
 // A prefill executes nothing, so any request may be sent elsewhere in its place.
--- a/src/zinniadoor/gateway/exchange_retry.cpp
+++ b/src/zinniadoor/gateway/exchange_retry.cpp
@@ -157,6 +157,18 @@
 void Exchange::retryOrFail(const CallOutcome &outcome)
 {
     phase_ = Phase::Deciding;
+    if (!needsCurrentDirectory()) {
+        retryByDirectory(outcome);
+        return;
+    }
+    context_.catchUpDirectory([self = shared_from_this(), outcome](bool) {
+        if (self->phase_ != Phase::Ended)
+            self->retryByDirectory(outcome);
+    });
+}
+
+void Exchange::retryByDirectory(const CallOutcome &outcome)
+{
     if (outcome.relayFailed)
         arrivals_.noteRelayFailed();
     else if (!outcome.arrived)
--- a/src/zinniadoor/gateway/exchange_state.hpp
+++ b/src/zinniadoor/gateway/exchange_state.hpp
@@ -141,8 +141,8 @@
     /// Finds out which version began the stream that the caller takes up, then dispatches.
     void takeUp();
     void onOrigin(const OriginFinding &origin);
-    /// Whether endpoints of the stream's version may have come, or been replaced, unnoticed.
-    bool mayMissEndpoints() const;
+    /// A stream goes on, and endpoints may have been replaced under their ids unnoticed.
+    bool needsCurrentDirectory() const;
     bool isVersionListed() const; ///< An endpoint of the stream's version accepts work.
     void continueStream(bool isCurrent); ///< `isCurrent`: the directory lacks nothing.
     std::string directoryAge() const; ///< For logs.
@@ -150,7 +150,9 @@
     void rejectStream(const std::string &reason, OriginSource source,
                       std::optional<absl::Duration> retryAfter = std::nullopt);
     void noteOrigin(); ///< The first event is about to be sent.
-    bool mayBeAnotherVersion() const; ///< Of the endpoint that began the stream.
+    void noteFirstVersion(); ///< The stream began at the serving endpoint.
+    void announceOrigin();
+    bool mayBeAnotherVersion() const; ///< The serving endpoint, than when it was sent the request.
     bool authenticate(const Configuration &configuration);
     /// Refuses what the configuration does not know; as not run where a newer one may know it.
     void refuseUnknown(RefusalKind kind, const std::string &why);
@@ -168,6 +170,7 @@
     void abandonPrefill(const CallOutcome &outcome);
     void run();
     void retryOrFail(const CallOutcome &outcome);
+    void retryByDirectory(const CallOutcome &outcome);
     /// Takes a retry with its endpoint; returns the reason if there is none.
     std::optional<std::string> takeRetry(const CallOutcome &outcome, EndpointChoice &choice);
     bool takeBudget(); ///< For the next attempt, where it is an extra arrival.
@@ -177,6 +180,7 @@
     /// Takes a retry in place of the prefill, with its endpoint; returns the reason if there is
     /// none.
     std::optional<std::string> takeRetryOfPrefill(EndpointChoice &choice);
+    void beginStandby(); ///< The current call is silent.
     /// Returns the reason if there is no standby.
     std::optional<std::string> startStandby();
     void keepStandby(); ///< Gives up the silent call.
--- a/src/zinniadoor/gateway/exchange_take_up.cpp
+++ b/src/zinniadoor/gateway/exchange_take_up.cpp
@@ -46,7 +46,8 @@
                { "answered_by", origin.instance },
                { "list_age_ms", directoryAge() } });
     // What is known of the only version was found out with a current directory.
-    if (origin.source == OriginSource::OnlyVersion || !mayMissEndpoints()) {
+    if (origin.source == OriginSource::OnlyVersion
+        || (!needsCurrentDirectory() && isVersionListed())) {
         dispatch();
         return;
     }
@@ -60,9 +61,9 @@
         .has_value();
 }
 
-bool Exchange::mayMissEndpoints() const
+bool Exchange::needsCurrentDirectory() const
 {
-    return context_.isDirectoryOutdated() || !isVersionListed();
+    return origin_ && context_.isDirectoryOutdated();
 }
 
 void Exchange::continueStream(bool isCurrent)
@@ -108,12 +109,28 @@
 
 void Exchange::noteOrigin()
 {
-    if (!origin_ && mayBeAnotherVersion())
+    if (origin_) {
+        announceOrigin();
         return;
-    const absl::Time now = context_.clock.now();
-    if (!origin_)
-        origin_ = servingEndpoint_.version;
-    context_.origins.note(stream_, *origin_, now);
+    }
+    if (!context_.isDirectoryOutdated()) {
+        noteFirstVersion();
+        return;
+    }
+    context_.catchUpDirectory([self = shared_from_this()](bool) { self->noteFirstVersion(); });
+}
+
+void Exchange::noteFirstVersion()
+{
+    if (mayBeAnotherVersion())
+        return;
+    origin_ = servingEndpoint_.version;
+    announceOrigin();
+}
+
+void Exchange::announceOrigin()
+{
+    context_.origins.note(stream_, *origin_, context_.clock.now());
     if (route_.repeatability != Repeatability::AtMostOnce)
         context_.updates.announceOrigin(stream_, *origin_);
 }
