Count the time that a part of a log lay unread in the receiver's socket

After an instance had stood still, parts of a log that were as old as its pause counted as current: zinniadoor_log_age_seconds was too low, and callers with a key or a route of a newer configuration got 401 or 404 instead of 503 until the next part. Cause: the age of a part includes the delays of senders, but not the time in the socket of the receiver, whose process was stopped or busy.

The socket of datagrams now notes when it was last found empty, by a read of all that there is and at least every 100 ms, and gives each datagram an upper bound of its wait. Up to 250 ms count as none, so that nothing changes in ordinary operation. The receiver of parts adds it to their age, also for those that it passes on. All reads of a socket are made by one function, so the order is kept; 64 datagrams at a time, so that other handlers run between.

--- a/include/zinniadoor/net/datagram_socket.hpp
+++ b/include/zinniadoor/net/datagram_socket.hpp
@@ -6,10 +6,23 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include "absl/time/time.h"
+
+#include "zinniadoor/base/clock.hpp"
 #include "zinniadoor/base/outcome.hpp"
 
 namespace zinniadoor::net {
 
+struct Datagram
+{
+    std::string bytes;
+    std::string from; ///< IP:port of the sender.
+
+    /// Upper bound of the time for which it lay in the socket, because the process stood still or
+    /// was busy. Zero in ordinary operation.
+    absl::Duration waited;
+};
+
 /// UDP socket. `send` never blocks: a datagram that does not fit the send buffer is dropped, as it
 /// could be in the network.
 class DatagramSocket
@@ -21,9 +34,9 @@
 };
 
 /// Binds a socket to `address` (IP:port). `received` is called on the event thread with each
-/// datagram and its sender's IP:port.
+/// datagram.
 base::Outcome<std::unique_ptr<DatagramSocket>>
 openDatagramSocket(boost::asio::io_context &context, const std::string &address,
-                   std::function<void(const std::string &bytes, const std::string &from)> received);
+                   const base::Clock &clock, std::function<void(const Datagram &)> received);
 
 } // namespace zinniadoor::net
--- a/src/zinniadoor/gateway/log_follower_test.cpp
+++ b/src/zinniadoor/gateway/log_follower_test.cpp
@@ -114,10 +114,7 @@
                                options);
     }
 
-    bool until(const std::function<bool()> &condition)
-    {
-        return test::runUntil(io, condition);
-    }
+    bool until(const std::function<bool()> &condition) { return test::runUntil(io, condition); }
 
     /// Four followers lose parts while the store changes and is sometimes down; with `restores`, it
     /// also goes back to older copies. Returns whether all reach its final values.
@@ -300,6 +297,23 @@
     }));
 }
 
+BOOST_AUTO_TEST_CASE(log_partsAreOld_isNotCurrent)
+{
+    auto advancing = std::make_unique<OffsetClock>();
+    OffsetClock &offset = *advancing;
+    clock = std::move(advancing);
+    const auto passive = follower(store, listener, nameWhich(true));
+    BOOST_REQUIRE(until([&] { return listener.current > 0; }));
+    offset.offset += absl::Minutes(1);
+    LogPart part = partOf(0, 0);
+    part.ageMs = 30000; // It lay unread.
+    passive->onPart(part);
+    BOOST_TEST((clock->now() - passive->completeAsOf() >= absl::Seconds(30)));
+    part.ageMs = 0;
+    passive->onPart(part);
+    BOOST_TEST((clock->now() - passive->completeAsOf() < absl::Seconds(30)));
+}
+
 BOOST_AUTO_TEST_CASE(follower_partAfterGap_readsAtOnce)
 {
     store.log = { "e1=1" };
--- a/src/zinniadoor/gateway/peer_link.cpp
+++ b/src/zinniadoor/gateway/peer_link.cpp
@@ -136,9 +136,9 @@
 
     base::Status open(boost::asio::io_context &context, const std::string &address)
     {
-        auto socket = net::openDatagramSocket(
-            context, address,
-            [this](const std::string &bytes, const std::string &from) { receive(bytes, from); });
+        auto socket
+            = net::openDatagramSocket(context, address, serving_.clock,
+                                      [this](const net::Datagram &datagram) { receive(datagram); });
         if (!socket)
             return socket.lastReason();
         socket_ = std::move(*socket);
@@ -670,10 +670,12 @@
         from.erase(from.begin(), from.begin() + count);
     }
 
-    void receive(const std::string &bytes, const std::string &from)
+    void receive(const net::Datagram &datagram)
     {
+        const std::string &bytes = datagram.bytes;
+        const std::string &from = datagram.from;
         if (formatOf(bytes) == LogPart::CurrentFormat)
-            receivePart(bytes, from);
+            receivePart(datagram);
         else if (formatOf(bytes) == ConsumptionMessage::CurrentFormat)
             receiveConsumption(bytes, from);
         else if (formatOf(bytes) == LeaderMessage::CurrentFormat)
@@ -692,15 +694,16 @@
             receivePeerMessage(bytes, from);
     }
 
-    void receivePart(const std::string &bytes, const std::string &from)
+    void receivePart(const net::Datagram &datagram)
     {
-        const auto part = base::decode<LogPart>(bytes);
+        auto part = base::decode<LogPart>(datagram.bytes);
         if (!part) {
-            logRejected(from, part.lastReason().text);
+            logRejected(datagram.from, part.lastReason().text);
             return;
         }
         if (part->sender == self_)
             return;
+        part->ageMs += static_cast<std::uint32_t>(absl::ToInt64Milliseconds(datagram.waited));
         const bool fromElsewhere
             = peers_.dataCentreOf(part->sender.instance) != serving_.dataCentre;
         if (group_.hasLeaders() && !leader_ && fromElsewhere)
--- a/src/zinniadoor/net/datagram_socket.cpp
+++ b/src/zinniadoor/net/datagram_socket.cpp
@@ -3,6 +3,8 @@
 #include <array>
 
 #include <boost/asio/ip/udp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/strings/str_cat.h"
@@ -20,13 +22,24 @@
 /// Largest UDP payload over IPv4.
 constexpr std::size_t MaxDatagramBytes = 65507;
 
+/// A socket that no datagram reaches is found empty this often.
+constexpr absl::Duration EmptyInterval = absl::Milliseconds(100);
+
+/// Shorter waits are those of ordinary operation: the interval, and work that delays its timer.
+constexpr absl::Duration OrdinaryWait = absl::Milliseconds(250);
+
+/// Datagrams read at a time, so that other handlers run while more arrive than can be handled.
+constexpr int MaxReadsInTurn = 64;
+
 class Socket : public std::enable_shared_from_this<Socket>
 {
 public:
-    using Received = std::function<void(const std::string &, const std::string &)>;
+    using Received = std::function<void(const Datagram &)>;
 
-    Socket(boost::asio::io_context &context, Received received)
+    Socket(boost::asio::io_context &context, const base::Clock &clock, Received received)
         : socket_(context)
+        , timer_(context)
+        , clock_(clock)
         , received_(std::move(received))
     { }
 
@@ -45,7 +58,9 @@
             return base::Reason { base::ReasonCode::Unavailable,
                                   absl::StrCat("cannot bind ", address, ": ", error.message()) };
         }
+        emptyAt_ = clock_.now();
         receive();
+        checkLater();
         return base::Done {};
     }
 
@@ -68,42 +83,86 @@
     void close()
     {
         received_ = nullptr;
+        timer_.cancel();
         ErrorCode ignored;
         socket_.close(ignored);
     }
 
 private:
-    void deliver(const std::string &bytes, const std::string &from)
+    void deliver(const Datagram &datagram)
     {
         try {
-            received_(bytes, from);
+            received_(datagram);
         } catch (const std::exception &error) {
             base::logEvent(base::EventId::EventHandlerFailed,
-                           { { "peer", from }, { "reason", error.what() } });
+                           { { "peer", datagram.from }, { "reason", error.what() } });
         }
     }
 
     void receive()
     {
-        auto self = shared_from_this();
-        socket_.async_receive_from(
-            boost::asio::buffer(buffer_), sender_, [self](ErrorCode error, std::size_t size) {
-                if (!self->received_ || error == boost::asio::error::operation_aborted)
-                    return;
-                if (!error) {
-                    const std::string from = absl::StrCat(self->sender_.address().to_string(), ":",
-                                                          self->sender_.port());
-                    self->deliver(std::string(self->buffer_.data(), size), from);
-                }
+        socket_.async_wait(udp::socket::wait_read, [self = shared_from_this()](ErrorCode error) {
+            if (self->received_ && error != boost::asio::error::operation_aborted)
+                self->readAll();
+        });
+    }
+
+    void readAll()
+    {
+        const bool isEmpty = readSome();
+        if (!received_)
+            return;
+        if (isEmpty)
+            receive();
+        else
+            boost::asio::post(socket_.get_executor(), [self = shared_from_this()] {
                 if (self->received_)
-                    self->receive();
+                    self->readAll();
             });
     }
 
+    /// Without datagrams, only the timer notes that there are none.
+    void checkLater()
+    {
+        timer_.expires_after(absl::ToChronoMilliseconds(EmptyInterval));
+        timer_.async_wait([self = shared_from_this()](ErrorCode error) {
+            if (error || !self->received_)
+                return;
+            self->readSome();
+            if (self->received_)
+                self->checkLater();
+        });
+    }
+
+    /// Returns whether no datagram is left.
+    bool readSome()
+    {
+        for (int i = 0; i < MaxReadsInTurn && received_; ++i) {
+            const absl::Time readAt = clock_.now();
+            ErrorCode error;
+            udp::endpoint sender;
+            const std::size_t size
+                = socket_.receive_from(boost::asio::buffer(buffer_), sender, 0, error);
+            if (error == boost::asio::error::would_block) {
+                emptyAt_ = readAt;
+                return true;
+            }
+            if (error)
+                continue;
+            const absl::Duration waited = readAt - emptyAt_;
+            deliver({ std::string(buffer_.data(), size),
+                      absl::StrCat(sender.address().to_string(), ":", sender.port()),
+                      waited > OrdinaryWait ? waited : absl::ZeroDuration() });
+        }
+        return false;
+    }
+
     udp::socket socket_;
-    udp::endpoint sender_;
+    boost::asio::steady_timer timer_;
+    const base::Clock &clock_;
     std::array<char, MaxDatagramBytes> buffer_ {};
     Received received_;
+    absl::Time emptyAt_; ///< When no datagram was left unread.
 };
 
 /// Owning handle: closes the socket, which pending callbacks may outlive.
@@ -128,9 +187,9 @@
 
 base::Outcome<std::unique_ptr<DatagramSocket>>
 openDatagramSocket(boost::asio::io_context &context, const std::string &address,
-                   std::function<void(const std::string &, const std::string &)> received)
+                   const base::Clock &clock, std::function<void(const Datagram &)> received)
 {
-    auto socket = std::make_shared<Socket>(context, std::move(received));
+    auto socket = std::make_shared<Socket>(context, clock, std::move(received));
     const base::Status opened = socket->open(address);
     if (!opened)
         return opened.lastReason();
