--- a/src/zinniadoor/gateway/usage_duty.cpp
+++ b/src/zinniadoor/gateway/usage_duty.cpp
@@ -243,7 +243,8 @@
                 // After a restoration, nothing is reported until the journal has been read again.
                 if (result && !std::exchange(self->announced_, true)) {
                     self->announcedIn_ = result->first.era;
-                    self->lastRead_ = self->journalReadAt_ = absl::InfinitePast();
+                    self->lastRead_ = self->journalReadAt_ = self->journalAsOf_
+                        = absl::InfinitePast();
                 }
                 if (result) {
                     auto &pending = self->unwritten_;
@@ -283,14 +284,14 @@
         lastRead_ = now;
         auto self = shared_from_this();
         parts_.store.read(LogName::Journal, next_, absl::ZeroDuration(),
-                          [self, from = next_](const base::Outcome<LogRecords> &read) {
+                          [self, now, from = next_](const base::Outcome<LogRecords> &read) {
                               self->reading_ = false;
                               if (!self->closed_ && read)
-                                  self->applyJournal(from, *read);
+                                  self->applyJournal(from, *read, now);
                           });
     }
 
-    void applyJournal(LogPosition from, const LogRecords &read)
+    void applyJournal(LogPosition from, const LogRecords &read, absl::Time requestedAt)
     {
         // Otherwise the store was restored meanwhile: these records do not follow those read
         // before.
@@ -321,6 +322,7 @@
             return;
         }
         journalReadAt_ = parts_.clock.now();
+        journalAsOf_ = requestedAt;
     }
 
     /// The oldest window that is due and has no record of being reported.
@@ -339,6 +341,16 @@
         return std::nullopt;
     }
 
+    /// Whether the journal was read since others have written their counts of the window. The
+    /// answer to an earlier read may have lain unread since.
+    bool hasReadCountsOf(WindowNumber window) const
+    {
+        const absl::Duration writeTime
+            = std::min(NoticeTimeout, options_.reportDelay * CommitShare / 2);
+        return journalAsOf_ != absl::InfinitePast()
+            && parts_.clusterTime.at(journalAsOf_) >= parts_.counter.endOf(window) + writeTime;
+    }
+
     bool isCommitted(WindowNumber window) const
     {
         return parts_.lease.lease().figuresOf(window) != nullptr;
@@ -362,6 +374,8 @@
             send(*window, *figures);
             return;
         }
+        if (!hasReadCountsOf(*window))
+            return;
         reporting_ = true;
         auto self = shared_from_this();
         const UsageCounts counts = ledger_.sum(*window, reportedAndOwnCounts(*window));
@@ -439,6 +453,7 @@
     LogPosition next_; ///< In the journal.
     absl::Time lastRead_ = absl::InfinitePast();
     absl::Time journalReadAt_ = absl::InfinitePast();
+    absl::Time journalAsOf_ = absl::InfinitePast(); ///< When that read was requested.
     absl::Time retryAt_ = absl::InfinitePast();
     absl::Time writeAt_ = absl::InfinitePast();
     bool announced_ = false; ///< This instance's start is recorded in the journal.
--- a/src/zinniadoor/gateway/usage_duty_test.cpp
+++ b/src/zinniadoor/gateway/usage_duty_test.cpp
@@ -31,13 +31,19 @@
     { }
 };
 
-/// Holds back the answers to reads of the journal, and executes those reads when they are released.
+/// Holds back reads of the journal, or their answers, until they are released.
 class HeldStore : public test::MemoryLogStore
 {
 public:
     void read(LogName name, LogPosition from, absl::Duration wait,
               std::function<void(base::Outcome<LogRecords>)> done) override
     {
+        if (name == LogName::Journal && holdsAnswers) {
+            test::MemoryLogStore::read(name, from, wait, [this, done](const auto &answer) {
+                held.push_back([answer, done] { done(answer); });
+            });
+            return;
+        }
         if (!holds || name != LogName::Journal) {
             test::MemoryLogStore::read(name, from, wait, std::move(done));
             return;
@@ -47,11 +53,16 @@
     }
     void release()
     {
-        holds = false;
+        holds = holdsAnswers = false;
+        releaseHeld();
+    }
+    void releaseHeld()
+    {
         for (const auto &call : std::exchange(held, {}))
             call();
     }
     bool holds = false;
+    bool holdsAnswers = false;
     std::vector<std::function<void()>> held;
 };
 
@@ -77,6 +88,17 @@
         return std::nullopt;
     }
 
+    /// Figures of the window that the holder has committed; nothing without a record.
+    std::optional<UsageCounts> committed(WindowNumber window)
+    {
+        for (const std::string &bytes : store.logs[LogName::Lease]) {
+            const auto record = base::decode<LeaseRecord>(bytes);
+            if (record && record->kind == LeaseRecordKind::UsageFigures && record->window == window)
+                return record->counts;
+        }
+        return std::nullopt;
+    }
+
     bool hasStarted()
     {
         for (const std::string &bytes : store.logs[LogName::Journal]) {
@@ -190,6 +212,45 @@
     }));
 }
 
+// An answer that had lain unread while the process stood still counted as what the journal held
+// when it was read, so that a window was reported without the counts of others.
+BOOST_AUTO_TEST_CASE(journal_answerLiesUnread_windowIsNotCommittedFromIt)
+{
+    const auto holdsLease = [&] {
+        clock.time += absl::Milliseconds(5);
+        return lease->lease().mayAct(clock.now());
+    };
+    const WindowNumber window = counter.windowAt(clock.now());
+    const absl::Time due = counter.endOf(window) + absl::Milliseconds(4500);
+    peers.noteJournalRead(clock.now());
+    lease->start();
+    BOOST_REQUIRE(until(holdsLease));
+    while (clock.now() < due - absl::Seconds(6)) {
+        clock.time += absl::Milliseconds(1000);
+        BOOST_REQUIRE(until(holdsLease));
+    }
+    store.holdsAnswers = true;
+    clock.time += absl::Milliseconds(2100);
+    BOOST_REQUIRE(until([&] { return !store.held.empty(); }));
+    JournalRecord counts;
+    counts.kind = JournalRecordKind::Usage;
+    counts.process = { "b", 1 };
+    counts.window = window;
+    counts.counts["org"] = 7;
+    store.logs[LogName::Journal].push_back(base::encode(counts));
+    while (clock.now() < due + absl::Seconds(2)) {
+        clock.time += absl::Milliseconds(1000);
+        BOOST_REQUIRE(until(holdsLease));
+    }
+    BOOST_REQUIRE(!committed(window).has_value());
+    store.releaseHeld();
+    BOOST_REQUIRE(until([&] { return !store.held.empty(); })); // The next read.
+    BOOST_TEST(!committed(window).has_value());
+    store.release();
+    BOOST_REQUIRE(until([&] { return holdsLease() && committed(window).has_value(); }));
+    BOOST_TEST((committed(window) == counts.counts));
+}
+
 BOOST_AUTO_TEST_CASE(journal_notHolder_isNotRead)
 {
     store.holds = true;
