Order no endpoints and no stages while the list of endpoints is outdated

The platform may have got orders for fewer endpoints than were needed, and engines orders for stages that were planned from roles of long ago. Cause: the holder of the duty lease planned from its list of endpoints however old it was, and took endpoints that were not listed for not running. The lease says nothing of the list: it is kept in another log, which may not have been read yet.

Both duties now wait while the list is outdated. Orders name totals, so that nothing is lost by waiting.

--- a/src/zinniadoor/gateway/fleet_duty.cpp
+++ b/src/zinniadoor/gateway/fleet_duty.cpp
@@ -71,7 +71,8 @@
             unavailable_.clear();
             return;
         }
-        if (busy_ || !parts_.serving.configuration)
+        // Endpoints that are missing in the list may run all the same.
+        if (busy_ || !parts_.serving.configuration || parts_.serving.isDirectoryOutdated())
             return;
         for (const Service &service : parts_.serving.configuration->parts().services) {
             if (service.scaling && orderFor(service, now))
--- a/src/zinniadoor/gateway/stage_duty.cpp
+++ b/src/zinniadoor/gateway/stage_duty.cpp
@@ -67,7 +67,7 @@
     void step()
     {
         const absl::Time now = parts_.serving.clock.now();
-        if (busy_ || !parts_.lease.lease().mayAct(now))
+        if (busy_ || !parts_.lease.lease().mayAct(now) || parts_.serving.isDirectoryOutdated())
             return;
         std::map<std::string, std::vector<serving::StagedEngine>> byService;
         std::size_t engines = 0;
