Do not take the own standstill for the silence of endpoints

After an instance had stood still for a second or more, the endpoints of its running requests counted as silent: failures were noted against them, and may be reported to others, and each request was run a second time at another endpoint. Cause: the silence timer fires when the instance goes on, whatever lies unread in its sockets. Even where the data has just been read, the handler of the expired timer is queued by then and setting the timer anew does not stop it.

A timer that is more than 250 ms late now waits 100 ms more, in which what has arrived is read, and one that was set anew does nothing.

Evidence: by reading; SilentEndpointTest/stream_instanceStoodStill_endpointIsNotSilent failed before (silent, and two calls instead of one).

--- a/src/zinniadoor/gateway/exchange_end.cpp
+++ b/src/zinniadoor/gateway/exchange_end.cpp
@@ -21,6 +21,12 @@
 /// Timeout of a silent stream, in multiples of its target event gap.
 constexpr int SilenceTimeoutGaps = 4;
 
+/// A timer that is later shows that this process stood still, not that the endpoint was silent.
+constexpr absl::Duration MaxTimerDelay = absl::Milliseconds(250);
+
+/// Time to read what has arrived meanwhile.
+constexpr absl::Duration UnreadTime = absl::Milliseconds(100);
+
 /// Callers abandon a stream without a first event after the longest of these times.
 constexpr absl::Duration FirstEventMinTimeout = absl::Seconds(2);
 constexpr double FirstEventTimeoutPerObjective = 4;
@@ -257,10 +263,16 @@
 void Exchange::armSilenceTimer(absl::Duration time)
 {
     const std::weak_ptr<Exchange> weak = weak_from_this();
+    const absl::Time due = context_.clock.now() + time;
     silenceTimer_.expires_after(absl::ToChronoMilliseconds(time));
-    silenceTimer_.async_wait([weak](boost::system::error_code error) {
+    silenceTimer_.async_wait([weak, due, turn = ++silenceTurn_](boost::system::error_code error) {
         const auto self = weak.lock();
-        if (self && !error)
+        // It may have been set anew when its handler was queued already.
+        if (!self || error || turn != self->silenceTurn_)
+            return;
+        if (self->context_.clock.now() - due > MaxTimerDelay)
+            self->armSilenceTimer(UnreadTime);
+        else
             self->onSilenceTimeout();
     });
 }
--- a/src/zinniadoor/gateway/exchange_state.hpp
+++ b/src/zinniadoor/gateway/exchange_state.hpp
@@ -244,6 +244,7 @@
     std::shared_ptr<net::Responder> responder_;
     boost::asio::steady_timer deadlineTimer_;
     boost::asio::steady_timer silenceTimer_;
+    std::uint64_t silenceTurn_ = 0; ///< Counts the times it was set.
     ConfigurationPtr configuration_;
     RequestFacts facts_;
     Route route_;
