Ask others for a stream's version before a take-up is rejected

Notices, questions and answers are datagrams, and an instance that stood still has more of them to read than its socket holds; that these were dropped is suspected, not shown. The rejection at once was wrong either way: only the four keepers had been asked. Those that have not answered, and up to 32 others, are asked for another 150 ms now; in a fleet of up to 33 these are all.

takeUp_onlyServingInstanceKnows_goesOn failed before.

--- a/include/zinniadoor/gateway/stream_origin_link.hpp
+++ b/include/zinniadoor/gateway/stream_origin_link.hpp
@@ -31,7 +31,10 @@
     /// Instances that keep an origin, in addition to the one that serves the stream.
     static constexpr std::size_t Keepers = 4;
 
-    /// How long a question waits for its answers.
+    /// Others that are asked if no keeper knows the stream.
+    static constexpr std::size_t MaxOthers = 32;
+
+    /// How long a question waits for the answers of the keepers, and then of the others.
     static constexpr absl::Duration AnswerTime = absl::Milliseconds(150);
 
     StreamOriginLink(boost::asio::io_context &io, const ProcessName &self, ServingContext &serving,
@@ -40,8 +43,9 @@
     /// A stream has begun here.
     void announce(std::uint64_t stream, const std::string &version);
 
-    /// Asks the keepers of a stream. If none of them knows it in time, the stream can have begun
-    /// only at the service's only version; the list that shows this is made current first.
+    /// Asks the keepers of a stream, then others. If none of them knows it in time, the stream can
+    /// have begun only at the service's only version; the list that shows this is made current
+    /// first.
     void ask(std::uint64_t stream, const std::string &service, const OriginCallback &done);
 
     /// Returns a failed outcome if the message cannot be decoded.
@@ -52,15 +56,18 @@
     {
         std::string service;
         std::vector<OriginCallback> callbacks;
-        std::size_t unanswered = 0;
+        std::set<std::string> unanswered; ///< Addresses.
+        bool askedOthers = false;
         std::unique_ptr<AnswerTimer> timer; ///< Null while the list is made current.
     };
 
-    /// The instances that come first in an order that depends on the stream.
-    std::vector<std::string> keepersOf(std::uint64_t stream) const;
+    /// Addresses of the instances that come first in an order that depends on the stream.
+    std::vector<std::string> firstInOrderOf(std::uint64_t stream, std::size_t limit) const;
+    void sendQuestion(std::uint64_t stream); ///< To those that have not answered.
+    void onRoundOver(std::uint64_t stream);
     void reply(const StreamOriginMessage &question, const std::string &address);
-    void applyAnswer(const StreamOriginMessage &answer);
-    void onNotNoted(std::uint64_t stream); ///< No keeper knows it.
+    void applyAnswer(const StreamOriginMessage &answer, const std::string &from);
+    void onNotNoted(std::uint64_t stream); ///< Nobody who answered knows it.
     void finish(std::uint64_t stream, const OriginFinding &finding);
     StreamOriginMessage newMessage(StreamOriginMessage::Kind kind, std::uint64_t stream) const;
 
--- a/src/zinniadoor/gateway/stream_origin_link.cpp
+++ b/src/zinniadoor/gateway/stream_origin_link.cpp
@@ -24,7 +24,7 @@
     StreamOriginMessage notice = newMessage(StreamOriginMessage::Kind::Notice, stream);
     notice.version = version;
     const std::string bytes = base::encode(notice);
-    for (const std::string &address : keepersOf(stream))
+    for (const std::string &address : firstInOrderOf(stream, Keepers))
         send_(address, bytes);
 }
 
@@ -37,16 +37,42 @@
     if (!isNew)
         return;
     question.service = service;
-    const std::vector<std::string> keepers = keepersOf(stream);
-    question.unanswered = keepers.size();
-    if (keepers.empty()) {
+    const std::vector<std::string> keepers = firstInOrderOf(stream, Keepers);
+    question.unanswered.insert(keepers.begin(), keepers.end());
+    sendQuestion(stream);
+}
+
+// Notices and answers may be lost, above all where an instance that stood still has more to read
+// than its socket holds: then only the instance that served the stream may know it.
+void StreamOriginLink::onRoundOver(std::uint64_t stream)
+{
+    const auto found = questions_.find(stream);
+    if (found == questions_.end())
+        return;
+    Question &question = found->second;
+    question.timer.reset();
+    if (std::exchange(question.askedOthers, true)) {
         onNotNoted(stream);
         return;
     }
+    const std::vector<std::string> others = firstInOrderOf(stream, Keepers + MaxOthers);
+    if (others.size() > Keepers)
+        question.unanswered.insert(others.begin() + Keepers, others.end());
+    sendQuestion(stream);
+}
+
+void StreamOriginLink::sendQuestion(std::uint64_t stream)
+{
+    Question &question = questions_[stream];
+    if (question.unanswered.empty()) {
+        onRoundOver(stream);
+        return;
+    }
     question.timer = std::make_unique<AnswerTimer>(io_, serving_.clock, AnswerTime,
-                                                   [this, stream] { onNotNoted(stream); });
+                                                   [this, stream] { onRoundOver(stream); });
     const std::string bytes = base::encode(newMessage(StreamOriginMessage::Kind::Question, stream));
-    for (const std::string &address : keepers)
+    const std::set<std::string> asked = question.unanswered; // Answers may end the question.
+    for (const std::string &address : asked)
         send_(address, bytes);
 }
 
@@ -65,7 +91,7 @@
         reply(*message, from);
         break;
     case StreamOriginMessage::Kind::Answer:
-        applyAnswer(*message);
+        applyAnswer(*message, from);
         break;
     }
     return base::Done {};
@@ -80,7 +106,7 @@
     send_(address, base::encode(answer));
 }
 
-void StreamOriginLink::applyAnswer(const StreamOriginMessage &answer)
+void StreamOriginLink::applyAnswer(const StreamOriginMessage &answer, const std::string &from)
 {
     const auto found = questions_.find(answer.stream);
     if (found == questions_.end())
@@ -88,20 +114,20 @@
     if (answer.isKnown) {
         serving_.origins.note(answer.stream, answer.version, serving_.clock.now());
         finish(answer.stream, { answer.version, OriginSource::Peers, answer.sender.instance });
-    } else if (found->second.timer && --found->second.unanswered == 0) {
-        onNotNoted(answer.stream);
+        return;
     }
+    Question &question = found->second;
+    question.unanswered.erase(from);
+    if (question.timer && question.unanswered.empty())
+        onRoundOver(answer.stream);
 }
 
 // A version that this instance has not heard of may have begun the stream elsewhere: that there is
 // none shows only in what the log of endpoints held after the caller came.
 void StreamOriginLink::onNotNoted(std::uint64_t stream)
 {
-    const auto found = questions_.find(stream);
-    if (found == questions_.end())
-        return;
-    found->second.timer.reset();
-    const std::string service = found->second.service;
+    const Question &question = questions_.at(stream);
+    const std::string service = question.service;
     const auto onlyVersion = [this, service] {
         return serving_.directory.versions().onlyVersion(service, serving_.clock.now());
     };
@@ -109,7 +135,7 @@
         // Those that did not answer may know it, and who has followed the service for longer may
         // tell from its list.
         OriginFinding unknown;
-        unknown.mayBeKnownLater = found->second.unanswered > 0
+        unknown.mayBeKnownLater = !question.unanswered.empty()
             || serving_.directory.versions().isOneListed(service, serving_.clock.now());
         finish(stream, unknown);
         return;
@@ -129,12 +155,13 @@
         done(finding);
 }
 
-std::vector<std::string> StreamOriginLink::keepersOf(std::uint64_t stream) const
+std::vector<std::string> StreamOriginLink::firstInOrderOf(std::uint64_t stream,
+                                                          std::size_t limit) const
 {
     std::vector<std::pair<std::uint64_t, std::string>> ranked;
     for (const auto &[instance, address] : peers_())
         ranked.emplace_back(serving::stableDigest(absl::StrCat(stream, "/", instance)), address);
-    const std::size_t count = std::min(Keepers, ranked.size());
+    const std::size_t count = std::min(limit, ranked.size());
     std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(count),
                       ranked.end());
     std::vector<std::string> addresses;
