--- a/include/zinniadoor/serving/stream_origins.hpp
+++ b/include/zinniadoor/serving/stream_origins.hpp
@@ -52,9 +52,13 @@
 {
     /// Streams that began longer ago have ended.
     absl::Duration longestStream = absl::Seconds(15);
+
+    /// How long an endpoint that is no longer listed may serve on. Instances that have not heard of
+    /// its removal begin streams there.
+    absl::Duration serviceAfterRemoval = absl::Seconds(40);
 };
 
-/// Follows which software versions of each service have served. Not thread-safe.
+/// Follows which software versions of each service may have served. Not thread-safe.
 class ServiceVersions
 {
 public:
@@ -62,18 +66,30 @@
         : options_(options)
     { }
 
-    /// An endpoint of the service is listed with this version.
+    /// An endpoint of the service, or another version of one, is listed from now on.
     void noteListed(const std::string &service, const std::string &version, absl::Time now);
 
-    /// The only version that can have begun a stream which still goes on; nothing if there may be
-    /// several, or if the service has not been followed for long enough.
+    /// It no longer is.
+    void noteUnlisted(const std::string &service, const std::string &version, absl::Time now);
+
+    /// Endpoints may have been listed and removed unnoticed until now.
+    void noteGap(absl::Time now);
+
+    /// The only version that can have begun a stream which still goes on, if no other endpoints are
+    /// listed than those noted; nothing if there may be several, or if the service has not been
+    /// followed for long enough.
     std::optional<std::string> onlyVersion(const std::string &service, absl::Time now) const;
 
 private:
+    struct Listing
+    {
+        std::size_t endpoints = 0;
+        absl::Time goneAt; ///< If there are none.
+    };
     struct Service
     {
-        absl::Time since; ///< When the service was first seen.
-        absl::flat_hash_map<std::string, absl::Time> seenAt; ///< Last, by version.
+        absl::Time since; ///< Followed without a gap.
+        absl::flat_hash_map<std::string, Listing> versions;
     };
 
     ServiceVersionsOptions options_;
--- a/src/zinniadoor/gateway/endpoint_feed.cpp
+++ b/src/zinniadoor/gateway/endpoint_feed.cpp
@@ -40,6 +40,7 @@
         for (const auto &[id, removed] : removed_)
             unconfirmed_.insert(id);
     }
+    directory_.noteGap(now);
     bool changed = false;
     absl::flat_hash_set<base::EndpointId> listed;
     listed_.clear();
@@ -132,7 +133,7 @@
 {
     if (const EndpointRecord *endpoint = directory_.find(id))
         removed_[id] = { endpoint->startTimeMs, now };
-    return directory_.remove(id);
+    return directory_.remove(id, now);
 }
 
 bool EndpointFeed::isOutdated(const KeyedRecord &record) const
--- a/src/zinniadoor/gateway/stream_origin_link.cpp
+++ b/src/zinniadoor/gateway/stream_origin_link.cpp
@@ -31,25 +31,21 @@
 void StreamOriginLink::ask(std::uint64_t stream, const std::string &service,
                            const OriginCallback &done)
 {
+    const auto [found, isNew] = questions_.try_emplace(stream);
+    Question &question = found->second;
+    question.callbacks.push_back(done);
+    if (!isNew)
+        return;
+    question.service = service;
     const std::vector<std::string> keepers = keepersOf(stream);
+    question.unanswered = keepers.size();
     if (keepers.empty()) {
-        done({});
+        onNotNoted(stream);
         return;
     }
-    Question &question = questions_[stream];
-    question.callbacks.push_back(done);
-    if (question.timer)
-        return; // Asked already.
-    question.unanswered = keepers.size();
-    question.timer = std::make_shared<boost::asio::steady_timer>(io_);
-    question.timer->expires_after(absl::ToChronoMilliseconds(AnswerTime));
-    question.timer->async_wait([this, stream](boost::system::error_code error) {
-        if (!error)
-            finish(stream, {});
-    });
-    StreamOriginMessage message = newMessage(StreamOriginMessage::Kind::Question, stream);
-    message.service = service;
-    const std::string bytes = base::encode(message);
+    question.timer = std::make_unique<AnswerTimer>(io_, serving_.clock, AnswerTime,
+                                                   [this, stream] { onNotNoted(stream); });
+    const std::string bytes = base::encode(newMessage(StreamOriginMessage::Kind::Question, stream));
     for (const std::string &address : keepers)
         send_(address, bytes);
 }
@@ -75,13 +71,9 @@
     return base::Done {};
 }
 
-// An instance that has followed the service for long can tell without knowing the stream.
 void StreamOriginLink::reply(const StreamOriginMessage &question, const std::string &address)
 {
-    const absl::Time now = serving_.clock.now();
-    auto version = serving_.origins.find(question.stream, now);
-    if (!version)
-        version = serving_.directory.versions().onlyVersion(question.service, now);
+    const auto version = serving_.origins.find(question.stream, serving_.clock.now());
     StreamOriginMessage answer = newMessage(StreamOriginMessage::Kind::Answer, question.stream);
     answer.isKnown = version.has_value();
     answer.version = version.value_or("");
@@ -93,10 +85,34 @@
     const auto found = questions_.find(answer.stream);
     if (found == questions_.end())
         return;
-    if (answer.isKnown)
-        finish(answer.stream, { answer.version, answer.sender.instance });
-    else if (--found->second.unanswered == 0)
-        finish(answer.stream, {});
+    if (answer.isKnown) {
+        serving_.origins.note(answer.stream, answer.version, serving_.clock.now());
+        finish(answer.stream, { answer.version, OriginSource::Peers, answer.sender.instance });
+    } else if (found->second.timer && --found->second.unanswered == 0) {
+        onNotNoted(answer.stream);
+    }
+}
+
+// A version that this instance has not heard of may have begun the stream elsewhere: that there is
+// none shows only in what the log of endpoints held after the caller came.
+void StreamOriginLink::onNotNoted(std::uint64_t stream)
+{
+    const auto found = questions_.find(stream);
+    if (found == questions_.end())
+        return;
+    found->second.timer.reset();
+    const std::string service = found->second.service;
+    const auto onlyVersion = [this, service] {
+        return serving_.directory.versions().onlyVersion(service, serving_.clock.now());
+    };
+    if (!onlyVersion()) {
+        finish(stream, {});
+        return;
+    }
+    serving_.catchUpDirectory([this, stream, onlyVersion](bool isCurrent) {
+        const auto version = isCurrent ? onlyVersion() : std::nullopt;
+        finish(stream, { version, OriginSource::OnlyVersion, "", !isCurrent });
+    });
 }
 
 void StreamOriginLink::finish(std::uint64_t stream, const OriginFinding &finding)
@@ -104,9 +120,6 @@
     auto question = questions_.extract(stream);
     if (question.empty())
         return;
-    question.mapped().timer->cancel();
-    if (finding.version)
-        serving_.origins.note(stream, *finding.version, serving_.clock.now());
     for (const OriginCallback &done : question.mapped().callbacks)
         done(finding);
 }
