Soak: releases of endpoints, and streams that are taken up meanwhile

Callers keep the events of streams that break off and take these up at other instances. Checked: order without gaps or repeats, one version per stream, no take-up sent to an endpoint of another version, complete answers are whole.

--- a/tests/e2e/take_up_fleet.cpp
+++ b/tests/e2e/take_up_fleet.cpp
@@ -88,15 +88,18 @@
 
 void TakeUpFleet::awaitTrustInList(std::size_t instance, const std::string &service)
 {
+    std::string last;
     const auto trusts = [&] {
         const Stream unknown { newId(), service, "" };
-        if (takeUp(instance, unknown).status == 200)
+        const HttpResponse response = takeUp(instance, unknown);
+        if (response.status == 200)
             return true;
+        last = describe(instance, unknown, response);
         renew(service);
         absl::SleepFor(TrialInterval);
         return false;
     };
-    BOOST_REQUIRE(waitUntil(trusts, FollowingTimeout));
+    BOOST_REQUIRE_MESSAGE(waitUntil(trusts, FollowingTimeout), last);
 }
 
 void TakeUpFleet::freeze(const Instances &instances)
--- a/tests/soak/gateway_soak.cpp
+++ b/tests/soak/gateway_soak.cpp
@@ -23,6 +23,8 @@
 #include "soak/link_cuts.hpp"
 #include "soak/soak_clients.hpp"
 #include "soak/store_restorations.hpp"
+#include "soak/stream_take_ups.hpp"
+#include "soak/version_releases.hpp"
 #include "standins/fleet_standin.hpp"
 #include "standins/unframed_endpoint.hpp"
 
@@ -38,8 +40,13 @@
 constexpr std::size_t GatewayCount = 3;
 constexpr std::size_t EndpointCount = 3;
 constexpr std::size_t ClientCount = 12;
+/// With releases: so many that most do not know a stream, also while some are frozen. The faults
+/// that are not part of releases hit the first ones only.
+constexpr std::size_t ReleaseGatewayCount = 9;
+constexpr std::size_t StreamCallerCount = 32;
 constexpr int StreamEvents = 5;
 constexpr milliseconds EventPause(30);
+constexpr char ReleasedPath[] = "/resume-released/"; // Served by endpoints of several versions.
 constexpr char UnframedEndpointId[] = "unframed";
 constexpr std::chrono::seconds UsageWindow(2); // As in the instances' settings.
 constexpr std::size_t LaterWindows = 2; // Whose reports are awaited after the faults.
@@ -51,6 +58,8 @@
     std::chrono::seconds faultDuration {};
     bool restoresStore = false;
     bool cutsLinks = false;
+    bool releasesVersions = false;
+    std::chrono::seconds leadIn {}; ///< Time with a single version, before the callers begin.
 };
 
 class Soak
@@ -75,11 +84,15 @@
         platform_.startEndpoint(UnframedEndpointId);
         platform_.listEndpoint(UnframedEndpointId, "unframed", "ready",
                                reachedAt(unframed_.address()));
+        if (options_.releasesVersions)
+            startReleases();
         publish();
         e2e::Deployment deployment;
         if (links_)
             deployment.environment = links_->environment();
-        for (std::size_t i = 0; i < GatewayCount; ++i) {
+        for (std::size_t i = 0; i < gatewayCount(); ++i) {
+            if (i >= GatewayCount) // Instances of a data centre get the store's logs together.
+                deployment.dataCentre = absl::StrCat("dc-", i / GatewayCount);
             storeProxies_.push_back(std::make_unique<FaultProxy>(platform_.storeAddress()));
             gateways_.push_back(std::make_unique<GatewayProcess>(
                 absl::StrCat("gw-", i), storeProxies_[i]->address(), dutiesProxy_.address(),
@@ -95,7 +108,13 @@
         std::vector<std::string> addresses;
         for (const auto &gateway : gateways_)
             addresses.push_back(gateway->url("").substr(7)); // Without "http://".
+        std::this_thread::sleep_for(options_.leadIn);
         SoakClients clients(addresses, ClientCount, options_.seed, paths());
+        if (releases_) {
+            streamCallers_
+                = std::make_unique<StreamCallers>(addresses, StreamCallerCount, options_.seed,
+                                                  absl::StrCat(ReleasedPath, "a"), StreamEvents);
+        }
         if (options_.restoresStore)
             startRestorations();
         if (links_)
@@ -108,11 +127,15 @@
             stepRestorations();
             if (cuts_)
                 cuts_->step();
+            if (releases_)
+                releases_->step();
         }
         if (restorations_)
             restorations_->stop();
         if (cuts_)
             cuts_->stop();
+        if (releases_)
+            releases_->stop();
         runDueActions(SteadyClock::time_point::max());
         if (recovers() && restorations_) {
             platform_.copyStore();
@@ -121,6 +144,8 @@
             recovers();
         }
         calls_ = clients.stop();
+        if (streamCallers_)
+            streams_ = streamCallers_->stop();
         check();
         return violations_;
     }
@@ -128,6 +153,12 @@
     std::size_t callCount() const { return calls_.size(); }
     std::size_t servedCount() const { return served_; }
     int cutCount() const { return cuts_ ? cuts_->count() : 0; }
+    int releaseCount() const { return releases_ ? releases_->count() : 0; }
+    const StreamFigures &streamFigures() const { return streamFigures_; }
+    std::size_t gatewayCount() const
+    {
+        return options_.releasesVersions ? ReleaseGatewayCount : GatewayCount;
+    }
     int restorationCount() const { return restorations_ ? restorations_->count() : 0; }
     std::string log(std::size_t gateway) const
     {
@@ -156,34 +187,45 @@
 
     static std::string versionPath(int version) { return absl::StrCat("/version-", version, "/"); }
 
+    static std::string serviceOf(const std::string &path)
+    {
+        if (path == ReleasedPath)
+            return VersionReleases::Service;
+        return path == "/unframed/" ? "unframed" : "plain";
+    }
+
     void publish()
     {
         ++version_;
         Json routes = Json::array();
-        for (const auto &[path, type] :
-             std::map<std::string, std::string> { { "/once/", "non_idempotent" },
-                                                  { "/again/", "idempotent" },
-                                                  { "/stream/", "streaming" },
-                                                  { "/resume/", "streaming" },
-                                                  { "/unframed/", "streaming" },
-                                                  { versionPath(version_), "idempotent" } }) {
+        std::map<std::string, std::string> types {
+            { "/once/", "non_idempotent" }, { "/again/", "idempotent" },
+            { "/stream/", "streaming" },    { "/resume/", "streaming" },
+            { "/unframed/", "streaming" },  { versionPath(version_), "idempotent" }
+        };
+        Json services = Json::array({ { { "Name", "plain" } }, { { "Name", "unframed" } } });
+        if (releases_) {
+            types[ReleasedPath] = "streaming";
+            services.push_back({ { "Name", VersionReleases::Service } });
+        }
+        for (const auto &[path, type] : types) {
             routes.push_back({ { "Name", path },
                                { "Host", "h" },
                                { "PathPrefix", path },
                                { "RouteType", type },
-                               { "Resumable", path == "/resume/" },
+                               { "Resumable", absl::StartsWith(path, "/resume") },
                                { "TimeoutMs", 4000 },
                                { "TargetLatencyMs", 400 },
                                { "TargetGapMs", 250 },
                                { "MaxAttempts", 2 },
-                               { "Service", path == "/unframed/" ? "unframed" : "plain" } });
+                               { "Service", serviceOf(path) } });
         }
-        const Json configuration = {
-            { "Version", version_ },
-            { "Routes", routes },
-            { "Services", Json::array({ { { "Name", "plain" } }, { { "Name", "unframed" } } }) },
-            { "Tenants", Json::array({ { { "Name", "shop" }, { "ApiKeys", { "key-1" } } } }) }
-        };
+        const Json configuration
+            = { { "Version", version_ },
+                { "Routes", routes },
+                { "Services", services },
+                { "Tenants",
+                  Json::array({ { { "Name", "shop" }, { "ApiKeys", { "key-1" } } } }) } };
         configuration_ = configuration.dump();
         platform_.publish(configuration_);
     }
@@ -224,6 +266,20 @@
             = std::make_unique<StoreRestorations>(platform_, options_.seed, std::move(writers));
     }
 
+    void startReleases()
+    {
+        VersionReleases::InstanceFaults faults;
+        faults.freeze = [this](std::size_t i, milliseconds time) {
+            if (gateways_[i]->process().isRunning())
+                freeze(*gateways_[i], time);
+        };
+        faults.cutFromStore = [this](std::size_t i, milliseconds time) {
+            setLinkState(*storeProxies_[i], LinkState::Silent, time);
+        };
+        releases_ = std::make_unique<VersionReleases>(platform_, ReleaseGatewayCount, GatewayCount,
+                                                      options_.seed, std::move(faults));
+    }
+
     void stepRestorations()
     {
         if (restorations_)
@@ -235,13 +291,31 @@
         const LinkState states[]
             = { LinkState::Slow, LinkState::DropRequests, LinkState::DropAnswers, LinkState::Silent,
                 LinkState::Refusing };
-        proxy.set(states[random_() % 5]);
-        schedule(randomDelay(3000), [&proxy] {
+        const LinkState state = states[random_() % 5];
+        setLinkState(proxy, state, randomDelay(3000));
+    }
+
+    void setLinkState(FaultProxy &proxy, LinkState state, milliseconds time)
+    {
+        proxy.set(state);
+        schedule(time, [&proxy] {
             proxy.set(LinkState::Good);
             proxy.resetOpenConnections(); // They cannot continue after bytes were discarded.
         });
     }
 
+    /// Does nothing with an instance that is frozen already.
+    void freeze(GatewayProcess &gateway, milliseconds time)
+    {
+        if (!frozen_.insert(&gateway).second)
+            return;
+        gateway.process().freeze();
+        schedule(time, [this, &gateway] {
+            frozen_.erase(&gateway);
+            gateway.process().thaw();
+        });
+    }
+
     void injectFault()
     {
         GatewayProcess &gateway = *gateways_[random_() % GatewayCount];
@@ -251,13 +325,7 @@
             return; // Not running; its restart is scheduled.
         switch (kind) {
         case 0:
-            if (!frozen_.insert(&gateway).second)
-                break;
-            gateway.process().freeze();
-            schedule(randomDelay(4000), [this, &gateway] {
-                frozen_.erase(&gateway);
-                gateway.process().thaw();
-            });
+            freeze(gateway, randomDelay(4000));
             break;
         case 1:
             gateway.process().thaw();
@@ -318,6 +386,8 @@
         for (const auto &gateway : gateways_) {
             if (!serves(*gateway, "/again/") || !serves(*gateway, versionPath(version_)))
                 return false;
+            if (releases_ && !serves(*gateway, ReleasedPath))
+                return false;
             // None of them harms endpoints, whatever happened while it was in flight.
             for (const std::string &question : RepeatedQuestions) {
                 if (!serves(*gateway, "/again/", question))
@@ -393,7 +463,7 @@
 
     void reportUnrecovered()
     {
-        for (std::size_t i = 0; i < GatewayCount; ++i) {
+        for (std::size_t i = 0; i < gatewayCount(); ++i) {
             GatewayProcess &gateway = *gateways_[i];
             const bool running = gateway.process().isRunning();
             const auto exit = running ? std::nullopt : gateway.process().wait();
@@ -423,6 +493,12 @@
         }
         for (const CallRecord &call : calls_)
             checkCall(call, runs[call.id]);
+        if (releases_) {
+            for (const std::string &violation :
+                 checkStreams(streams_, StreamEvents, platform_.endpointCalls(),
+                              releases_->versions(), streamFigures_))
+                reportViolation(violation);
+        }
         checkDuties();
     }
 
@@ -489,6 +565,10 @@
     std::vector<std::unique_ptr<FaultProxy>> storeProxies_;
     std::vector<std::unique_ptr<GatewayProcess>> gateways_;
     std::unique_ptr<LinkCuts> cuts_; ///< Draws its own numbers, too.
+    std::unique_ptr<VersionReleases> releases_; ///< As well.
+    std::unique_ptr<StreamCallers> streamCallers_;
+    std::vector<StreamRecord> streams_;
+    StreamFigures streamFigures_;
     std::multimap<SteadyClock::time_point, std::function<void()>> scheduledActions_;
     std::vector<CallRecord> calls_;
     std::vector<std::string> violations_;
@@ -502,6 +582,14 @@
     int probes_ = 0;
 };
 
+void printStreams(const Soak &soak)
+{
+    const StreamFigures &figures = soak.streamFigures();
+    std::cout << ", " << soak.releaseCount() << " releases, " << figures.streams << " streams of "
+              << figures.versions << " versions, " << figures.whole << " whole; " << figures.takenUp
+              << " taken up, " << figures.goneOn << " gone on, " << figures.rejected << " rejected";
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -514,8 +602,16 @@
     TCLAP::SwitchArg restorations("", "restorations", "Also restore the store from older copies.",
                                   line);
     TCLAP::SwitchArg cuts("", "cuts", "Also cut instances off from all endpoints.", line);
+    TCLAP::SwitchArg versions("", "versions",
+                              "Also release versions of endpoints; callers take up streams.", line);
+    TCLAP::ValueArg<int> leadIn("", "lead-in", "Seconds with one version before the faults.", false,
+                                0, "S", line);
     TCLAP::SwitchArg logs("", "logs", "Print the instances' logs after a failed run.", line);
     line.parse(argc, argv);
+    if (versions.getValue() && (restorations.getValue() || cuts.getValue())) {
+        std::cerr << "--versions does not go with --restorations or --cuts\n";
+        return 2;
+    }
     std::signal(SIGPIPE, SIG_IGN);
     std::vector<std::uint32_t> all = seeds.getValue();
     if (all.empty())
@@ -523,15 +619,19 @@
     bool failed = false;
     for (const std::uint32_t seed : all) {
         Soak soak({ seed, std::chrono::seconds(seconds.getValue()), restorations.getValue(),
-                    cuts.getValue() });
+                    cuts.getValue(), versions.getValue(),
+                    std::chrono::seconds(leadIn.getValue()) });
         const auto violations = soak.run();
         std::cout << (violations.empty() ? "PASS" : "FAIL") << " seed " << seed << ": "
                   << soak.callCount() << " calls, " << soak.servedCount() << " served whole, "
-                  << soak.restorationCount() << " restorations, " << soak.cutCount() << " cuts"
-                  << std::endl;
+                  << soak.restorationCount() << " restorations, " << soak.cutCount() << " cuts";
+        if (versions.getValue())
+            printStreams(soak);
+        std::cout << std::endl;
         for (const std::string &violation : violations)
             std::cout << "  " << violation << "\n";
-        for (std::size_t i = 0; logs.getValue() && !violations.empty() && i < GatewayCount; ++i)
+        for (std::size_t i = 0; logs.getValue() && !violations.empty() && i < soak.gatewayCount();
+             ++i)
             std::cout << soak.log(i);
         failed = failed || !violations.empty();
     }
--- a/tests/soak/soak_clients.hpp
+++ b/tests/soak/soak_clients.hpp
@@ -8,24 +8,14 @@
 #include <thread>
 #include <vector>
 
+#include "soak/call_record.hpp"
+
 namespace zinniadoor::soak {
 
 /// Bodies that clients send again and again; other bodies are sent once.
 inline const std::array<std::string, 3> RepeatedQuestions { "question", "question 2",
                                                             "question 3" };
 
-/// A request and its response as seen by a client.
-struct CallRecord
-{
-    std::string id;
-    std::string path;
-    std::string question; ///< Body of the request.
-    unsigned status = 0; ///< 0: no response head was received.
-    bool complete = false; ///< The response was received completely, by its HTTP framing.
-    bool isSigned = false;
-    std::string body;
-};
-
 /// Concurrent clients that send random requests over persistent connections.
 class SoakClients
 {
