--- a/src/zinniadoor/gateway/exchange_end.cpp
+++ b/src/zinniadoor/gateway/exchange_end.cpp
@@ -260,21 +260,22 @@
     });
 }
 
-void Exchange::armSilenceTimer(absl::Duration time)
+void Exchange::armSilenceTimer(absl::Duration time, bool isExtension)
 {
     const std::weak_ptr<Exchange> weak = weak_from_this();
     const absl::Time due = context_.clock.now() + time;
     silenceTimer_.expires_after(absl::ToChronoMilliseconds(time));
-    silenceTimer_.async_wait([weak, due, turn = ++silenceTurn_](boost::system::error_code error) {
-        const auto self = weak.lock();
-        // It may have been set anew when its handler was queued already.
-        if (!self || error || turn != self->silenceTurn_)
-            return;
-        if (self->context_.clock.now() - due > MaxTimerDelay)
-            self->armSilenceTimer(UnreadTime);
-        else
-            self->onSilenceTimeout();
-    });
+    silenceTimer_.async_wait(
+        [weak, due, isExtension, turn = ++silenceTurn_](boost::system::error_code error) {
+            const auto self = weak.lock();
+            // It may have been set anew when its handler was queued already.
+            if (!self || error || turn != self->silenceTurn_)
+                return;
+            if (!isExtension && self->context_.clock.now() - due > MaxTimerDelay)
+                self->armSilenceTimer(UnreadTime, true);
+            else
+                self->onSilenceTimeout();
+        });
 }
 
 absl::Duration Exchange::timeLeft() const
--- a/src/zinniadoor/gateway/exchange_state.hpp
+++ b/src/zinniadoor/gateway/exchange_state.hpp
@@ -226,7 +226,7 @@
     const EndpointRecord &currentEndpoint() const; ///< Of the current call.
     void noteSignOfLife(); ///< The current call has received a head or an event.
     void armDeadlineTimer();
-    void armSilenceTimer(absl::Duration time);
+    void armSilenceTimer(absl::Duration time, bool isExtension = false);
     absl::Duration timeLeft() const;
     absl::Duration firstByteTimeout() const;
     absl::Duration longestExpected() const; ///< Longest expected time to the first byte.
