Let catch-ups read again after failures

They fail at once only until the next read is due now, 500 ms after a failure at the latest. Found by reading; catchUp_storeIsBackAfterFailures_succeeds failed before.

--- a/src/zinniadoor/gateway/catch_up_test.cpp
+++ b/src/zinniadoor/gateway/catch_up_test.cpp
@@ -98,6 +98,23 @@
     BOOST_TEST(!*isCurrent);
 }
 
+// After two failures no catch-up was tried again, though others relayed and the store was back.
+BOOST_AUTO_TEST_CASE(catchUp_storeIsBackAfterFailures_succeeds)
+{
+    store.down = true;
+    for (int i = 0; i < 3; ++i) {
+        isCurrent.reset();
+        follower->catchUp(noteEnd());
+        BOOST_REQUIRE(until([&] { return isCurrent.has_value(); }));
+        BOOST_TEST(!*isCurrent);
+    }
+    store.down = false;
+    BOOST_TEST(until([&] {
+        follower->catchUp(noteEnd());
+        return isCurrent.value_or(false);
+    }));
+}
+
 BOOST_AUTO_TEST_CASE(catchUp_recordsTrimmed_readsNewest)
 {
     store.log = { "e1=2", "e1=3" };
--- a/src/zinniadoor/gateway/log_follower.cpp
+++ b/src/zinniadoor/gateway/log_follower.cpp
@@ -28,6 +28,9 @@
 constexpr double EndpointsPollShare = 0.25;
 constexpr absl::Duration StoreRetryPause = absl::Milliseconds(150);
 
+/// Catch-ups read again at the latest after this time from a failed read.
+constexpr absl::Duration MaxCatchUpPause = absl::Milliseconds(500);
+
 /// Of longer responses only the newest record is received, where it replaces the earlier ones.
 constexpr std::size_t MaxBacklogBytes = std::size_t { 32 } * 1024;
 
@@ -191,7 +194,8 @@
 
     void catchUp(const CatchUpCallback &done)
     {
-        if (schedule_.failures() > 1) { // The store is called at the pace of its failures.
+        // Until the next read is due, one more would fail like the last ones.
+        if (schedule_.failures() > 1 && clock_.now() < failedUntil_) {
             done(false);
             return;
         }
@@ -510,10 +514,10 @@
             return false;
         if (!read) {
             noteFailure(cause_, requestedAt, read.lastReason());
-            failedUntil_ = clock_.now() + options_.retryDelay;
-            endCatchUps(requestedAt, false);
             const absl::Duration retry
                 = schedule_.noteFailure(lacksRecords(), clock_.now() - requestedAt);
+            failedUntil_ = clock_.now() + std::min(retry, MaxCatchUpPause);
+            endCatchUps(requestedAt, false);
             if (shared_ && cause_ == ReadCause::Gap && endIsLong_ && lacksRecords()) {
                 shared_->noteFailure();
                 readNewest(knownEnd_); // More patient where the store is slow.
