Wait for a line of the log in the test of relays

The check looks for the line as soon as the call has ended, while the line reaches the test through a pipe that a thread reads. What is checked is the same.

--- a/tests/e2e/relay_end_test.cpp
+++ b/tests/e2e/relay_end_test.cpp
@@ -177,7 +177,7 @@
                     || !shows(*gateways[2], "zinniadoor_relayed_connections 0")));
         killRelays();
     });
-    BOOST_TEST(gateways[0]->logged("\"relay\":\"127.0.0.1:"));
+    BOOST_TEST(e2e::waitUntil([&] { return gateways[0]->logged("\"relay\":\"127.0.0.1:"); }));
 }
 
 BOOST_AUTO_TEST_CASE(answers_endpointEndsThem_areComplete)
