--- a/review/standins-3/entry_case.cpp
+++ b/review/standins-3/entry_case.cpp
@@ -1,5 +1,6 @@
-// A server leaves: its entry is removed, and it goes on serving for some seconds. Another writer then
-// writes an entry under its id in which fields are missing. Checks which requests reach the server.
+// A server leaves: its entry is removed, and it goes on serving for some seconds. Another writer
+// then writes an entry under its id in which fields are missing. Checks which requests reach the
+// server.
 #include "kit.hpp"
 
 using namespace kit;
@@ -31,12 +32,17 @@
     App(Platform &platform, const std::string &id, bool leaves)
         : platform_(platform)
         , leaves_(leaves)
-        , server_(id, [this](const StreamPtr &stream, const Message &request) { return serve(stream, request); })
-    {
-    }
+        , server_(id, [this](const StreamPtr &stream, const Message &request) {
+            return serve(stream, request);
+        })
+    { }
     Json entry() const
     {
-        return { { "Service", "app" }, { "Address", server_.address() }, { "Zone", "zone-a" }, { "Slots", 6 }, { "State", "ready" } };
+        return { { "Service", "app" },
+                 { "Address", server_.address() },
+                 { "Zone", "zone-a" },
+                 { "Slots", 6 },
+                 { "State", "ready" } };
     }
     void beat()
     {
@@ -50,7 +56,8 @@
     void remove() { platform_.put("keyed.servers", server_.id(), ""); }
     void writeOdd()
     {
-        record().line("another writer: servers/%s = %s", server_.id().c_str(), entry().dump().c_str());
+        record().line("another writer: servers/%s = %s", server_.id().c_str(),
+                      entry().dump().c_str());
         platform_.put("keyed.servers", server_.id(), entry().dump());
     }
 
@@ -64,7 +71,8 @@
             const std::int64_t since = removedAt < 0 ? -1 : nowMs() - removedAt;
             if (since > DrainMs) {
                 ++reachedLate;
-                record().line("request %s reaches %s %lld ms after its removal", request.field("X-Zinniadoor-Request-Id").c_str(),
+                record().line("request %s reaches %s %lld ms after its removal",
+                              request.field("X-Zinniadoor-Request-Id").c_str(),
                               server_.id().c_str(), static_cast<long long>(since));
             } else if (since >= 0) {
                 ++reachedInTime;
@@ -89,7 +97,9 @@
             stream = connectTo(instance.port());
         Message answer;
         const bool got = stream
-            && stream->send(requestText("POST", "/charge/a", "c" + std::to_string(number) + "-" + std::to_string(i), 1000, "body"))
+            && stream->send(requestText("POST", "/charge/a",
+                                        "c" + std::to_string(number) + "-" + std::to_string(i),
+                                        1000, "body"))
             && stream->read(answer, nowMs() + 2000);
         {
             const std::lock_guard<std::mutex> lock(mutex);
@@ -117,16 +127,36 @@
         apps.back()->beat();
     }
     platform.put("keyed.op", "config",
-        Json({ { "Version", 1 },
-               { "Routes", Json::array({ { { "Name", "charge" }, { "Host", "shop.example" }, { "PathPrefix", "/charge/" },
-                   { "RouteType", "non_idempotent" }, { "TimeoutMs", 1000 }, { "TargetLatencyMs", 300 }, { "Priority", 2 },
-                   { "Service", "app" }, { "MaxAttempts", 1 }, { "Public", false }, { "Sticky", false } } }) },
-               { "Services", Json::array({ { { "Name", "app" }, { "HealthPath", "/health" }, { "MaxConnections", 110 } } }) },
-               { "Limits", { { "MaxHeaderBytes", 16384 }, { "MaxBodyBytes", 4194304 }, { "HeaderTimeoutMs", 3000 }, { "IdleTimeoutMs", 15000 } } },
-               { "Tenants", Json::array({ { { "Name", "shop" }, { "ApiKeys", Json::array({ "key-1" }) } } }) } }).dump());
+                 Json({ { "Version", 1 },
+                        { "Routes",
+                          Json::array({ { { "Name", "charge" },
+                                          { "Host", "shop.example" },
+                                          { "PathPrefix", "/charge/" },
+                                          { "RouteType", "non_idempotent" },
+                                          { "TimeoutMs", 1000 },
+                                          { "TargetLatencyMs", 300 },
+                                          { "Priority", 2 },
+                                          { "Service", "app" },
+                                          { "MaxAttempts", 1 },
+                                          { "Public", false },
+                                          { "Sticky", false } } }) },
+                        { "Services",
+                          Json::array({ { { "Name", "app" },
+                                          { "HealthPath", "/health" },
+                                          { "MaxConnections", 110 } } }) },
+                        { "Limits",
+                          { { "MaxHeaderBytes", 16384 },
+                            { "MaxBodyBytes", 4194304 },
+                            { "HeaderTimeoutMs", 3000 },
+                            { "IdleTimeoutMs", 15000 } } },
+                        { "Tenants",
+                          Json::array({ { { "Name", "shop" },
+                                          { "ApiKeys", Json::array({ "key-1" }) } } }) } })
+                     .dump());
     std::vector<std::unique_ptr<Instance>> instances;
     for (int i = 0; i < Instances; ++i) {
-        instances.push_back(std::make_unique<Instance>("frontend-a-" + std::to_string(i), "zone-a", platform, argv[2], 260));
+        instances.push_back(std::make_unique<Instance>("frontend-a-" + std::to_string(i), "zone-a",
+                                                       platform, argv[2], 260));
         instances.back()->start();
     }
     for (const auto &instance : instances) {
@@ -137,7 +167,8 @@
     }
     std::vector<std::thread> threads;
     for (int i = 0; i < Clients; ++i)
-        threads.emplace_back([&, i] { runClient(*instances[static_cast<std::size_t>(i % Instances)], i); });
+        threads.emplace_back(
+            [&, i] { runClient(*instances[static_cast<std::size_t>(i % Instances)], i); });
     const std::int64_t start = nowMs();
     std::int64_t nextBeat = 0;
     std::int64_t nextOdd = -1;
@@ -171,7 +202,8 @@
     const std::lock_guard<std::mutex> lock(mutex);
     for (const auto &[status, count] : statuses)
         record().line("answers with %d: %d", status, count);
-    record().line("requests that reached app-0 within %d ms of its removal: %d, later: %d", static_cast<int>(DrainMs), reachedInTime, reachedLate);
+    record().line("requests that reached app-0 within %d ms of its removal: %d, later: %d",
+                  static_cast<int>(DrainMs), reachedInTime, reachedLate);
     record().line("%s", reachedLate > 0 ? "rule broken" : "rule held");
     for (const auto &instance : instances)
         instance->kill(SIGKILL);
--- a/review/standins-3/keys_case.cpp
+++ b/review/standins-3/keys_case.cpp
@@ -21,15 +21,32 @@
 {
     Json tenants = Json::array();
     for (const auto &[name, key] : keyOfTenant)
-        tenants.push_back({ { "Name", name }, { "ApiKeys", Json::array({ key }) }, { "Priority", 1 } });
-    const Json route = { { "Name", "charge" }, { "Host", "shop.example" }, { "PathPrefix", "/charge/" },
-                         { "RouteType", "non_idempotent" }, { "TimeoutMs", 1000 }, { "TargetLatencyMs", 150 },
-                         { "Priority", 2 }, { "Service", "app" }, { "MaxAttempts", 1 }, { "Public", false },
+        tenants.push_back(
+            { { "Name", name }, { "ApiKeys", Json::array({ key }) }, { "Priority", 1 } });
+    const Json route = { { "Name", "charge" },
+                         { "Host", "shop.example" },
+                         { "PathPrefix", "/charge/" },
+                         { "RouteType", "non_idempotent" },
+                         { "TimeoutMs", 1000 },
+                         { "TargetLatencyMs", 150 },
+                         { "Priority", 2 },
+                         { "Service", "app" },
+                         { "MaxAttempts", 1 },
+                         { "Public", false },
                          { "Sticky", false } };
-    return { { "Version", version }, { "Routes", Json::array({ route }) },
-             { "Services", Json::array({ { { "Name", "app" }, { "HealthPath", "/health" }, { "MaxConnections", 110 } } }) },
-             { "Limits", { { "MaxHeaderBytes", 16384 }, { "MaxBodyBytes", 4194304 }, { "HeaderTimeoutMs", 3000 }, { "IdleTimeoutMs", 15000 } } },
-             { "Tenants", tenants } };
+    return {
+        { "Version", version },
+        { "Routes", Json::array({ route }) },
+        { "Services",
+          Json::array(
+              { { { "Name", "app" }, { "HealthPath", "/health" }, { "MaxConnections", 110 } } }) },
+        { "Limits",
+          { { "MaxHeaderBytes", 16384 },
+            { "MaxBodyBytes", 4194304 },
+            { "HeaderTimeoutMs", 3000 },
+            { "IdleTimeoutMs", 15000 } } },
+        { "Tenants", tenants }
+    };
 }
 
 struct Client
@@ -57,7 +74,8 @@
             if (!stream)
                 stream = connectTo(instances[i]->port());
             const std::string id = "r" + std::to_string(++next);
-            std::string text = "POST /charge/a HTTP/1.1\r\nHost: shop.example\r\nX-Zinniadoor-Request-Id: " + id
+            std::string text
+                = "POST /charge/a HTTP/1.1\r\nHost: shop.example\r\nX-Zinniadoor-Request-Id: " + id
                 + "\r\nX-Zinniadoor-Deadline-Ms: 1000\r\n";
             if (!client.key.empty())
                 text += "Authorization: Bearer " + client.key + "\r\n";
@@ -76,7 +94,8 @@
     std::string statuses;
     for (const auto &[status, count] : outcome.statuses)
         statuses += " " + std::to_string(status) + " x " + std::to_string(count);
-    record().line("%s: sent %d, run by servers %d, answers:%s", client.who, outcome.sent, outcome.ran, statuses.c_str());
+    record().line("%s: sent %d, run by servers %d, answers:%s", client.who, outcome.sent,
+                  outcome.ran, statuses.c_str());
     return outcome;
 }
 
@@ -92,25 +111,35 @@
     std::vector<std::unique_ptr<Entry>> entries;
     for (int i = 0; i < Servers; ++i) {
         const auto self = std::make_shared<Server *>(nullptr);
-        servers.push_back(std::make_unique<Server>("app-" + std::to_string(i), [self](const StreamPtr &stream, const Message &request) {
-            {
-                const std::lock_guard<std::mutex> lock(mutex);
-                ++runs[request.field("X-Zinniadoor-Request-Id")];
-            }
-            record().line("%s runs %s, tenant '%s'", (*self)->id().c_str(), request.field("X-Zinniadoor-Request-Id").c_str(),
-                          request.field("X-Zinniadoor-Tenant").c_str());
-            sleepMs(10);
-            return stream->send((*self)->okFor(request, "done"));
-        }));
+        servers.push_back(std::make_unique<Server>(
+            "app-" + std::to_string(i), [self](const StreamPtr &stream, const Message &request) {
+                {
+                    const std::lock_guard<std::mutex> lock(mutex);
+                    ++runs[request.field("X-Zinniadoor-Request-Id")];
+                }
+                record().line("%s runs %s, tenant '%s'", (*self)->id().c_str(),
+                              request.field("X-Zinniadoor-Request-Id").c_str(),
+                              request.field("X-Zinniadoor-Tenant").c_str());
+                sleepMs(10);
+                return stream->send((*self)->okFor(request, "done"));
+            }));
         *self = servers.back().get();
         entries.push_back(std::make_unique<Entry>(platform, servers.back()->id(),
-            Json({ { "Service", "app" }, { "Address", servers.back()->address() }, { "Zone", "zone-a" }, { "Version", "v1" },
-                   { "Slots", 6 }, { "State", "ready" }, { "ColdRemainingMs", 0 }, { "born", 1700000000000 } })));
+                                                  Json({ { "Service", "app" },
+                                                         { "Address", servers.back()->address() },
+                                                         { "Zone", "zone-a" },
+                                                         { "Version", "v1" },
+                                                         { "Slots", 6 },
+                                                         { "State", "ready" },
+                                                         { "ColdRemainingMs", 0 },
+                                                         { "born", 1700000000000 } })));
     }
-    platform.put("keyed.op", "config", configuration(1, { { "north", "key-north" }, { "south", "key-south" } }).dump());
+    platform.put("keyed.op", "config",
+                 configuration(1, { { "north", "key-north" }, { "south", "key-south" } }).dump());
     std::vector<std::unique_ptr<Instance>> instances;
     for (int i = 0; i < Instances; ++i) {
-        instances.push_back(std::make_unique<Instance>("frontend-a-" + std::to_string(i), "zone-a", platform, argv[2], 260));
+        instances.push_back(std::make_unique<Instance>("frontend-a-" + std::to_string(i), "zone-a",
+                                                       platform, argv[2], 260));
         instances.back()->start();
     }
     for (const auto &instance : instances) {
@@ -126,7 +155,8 @@
     Client keyless { "no key", "", {} };
 
     record().line("version 1: tenants north and south");
-    if (sendAll(north, instances).ran != Instances * RequestsPerKey || sendAll(south, instances).ran != Instances * RequestsPerKey) {
+    if (sendAll(north, instances).ran != Instances * RequestsPerKey
+        || sendAll(south, instances).ran != Instances * RequestsPerKey) {
         record().line("the deployment does not serve");
         return 2;
     }
@@ -149,7 +179,8 @@
         unknown += sendAll(stranger, instances).ran;
         without += sendAll(keyless, instances).ran;
     }
-    record().line("run by servers: %d with a key that no version ever held (ROUTE), %d with a key that was withdrawn more than %d ms "
+    record().line("run by servers: %d with a key that no version ever held (ROUTE), %d with a key "
+                  "that was withdrawn more than %d ms "
                   "before (CONFIG); besides, not counted: %d without a key",
                   unknown, dropped, static_cast<int>(ConfigApplyMs), without);
     const bool isBroken = unknown > 0 || dropped > 0;
--- a/review/standins-3/kit.hpp
+++ b/review/standins-3/kit.hpp
@@ -1,5 +1,5 @@
-// Stand-ins of the operators' platform, of servers and of clients, on loopback addresses, and what a
-// case needs to run instances of the system. One thread for each connection.
+// Stand-ins of the operators' platform, of servers and of clients, on loopback addresses, and what
+// a case needs to run instances of the system. One thread for each connection.
 #pragma once
 
 #include <algorithm>
@@ -321,8 +321,8 @@
 inline std::string response(int status, const std::string &body,
                             const std::string &fields = "Content-Type: application/json\r\n")
 {
-    return "HTTP/1.1 " + std::to_string(status) + " X\r\nContent-Length: "
-        + std::to_string(body.size()) + "\r\n" + fields + "\r\n" + body;
+    return "HTTP/1.1 " + std::to_string(status)
+        + " X\r\nContent-Length: " + std::to_string(body.size()) + "\r\n" + fields + "\r\n" + body;
 }
 
 inline std::map<std::string, std::string> queryOf(const std::string &target)
@@ -342,13 +342,13 @@
 
 inline std::string base64(const std::string &text)
 {
-    static const char digits[]
-        = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+    static const char digits[] = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     std::string out;
     for (std::size_t i = 0; i < text.size(); i += 3) {
         std::uint32_t value = 0;
         for (std::size_t k = 0; k < 3; ++k)
-            value = value << 8 | (i + k < text.size() ? static_cast<unsigned char>(text[i + k]) : 0);
+            value
+                = value << 8 | (i + k < text.size() ? static_cast<unsigned char>(text[i + k]) : 0);
         for (std::size_t k = 0; k < 4; ++k)
             out.push_back(i + k > text.size() ? '=' : digits[value >> (18 - 6 * k) & 63]);
     }
@@ -422,12 +422,14 @@
             for (std::size_t at = 0; at + 4 <= body.size();) {
                 std::size_t size = 0;
                 for (int i = 0; i < 4; ++i)
-                    size = size << 8 | static_cast<unsigned char>(body[at + static_cast<std::size_t>(i)]);
+                    size = size << 8
+                        | static_cast<unsigned char>(body[at + static_cast<std::size_t>(i)]);
                 topic.records.push_back(body.substr(at + 4, size));
                 at += 4 + size;
             }
             changed_.notify_all();
-            return response(200, Json({ { "Offset", first }, { "EndOffset", topic.records.size() } }).dump());
+            return response(
+                200, Json({ { "Offset", first }, { "EndOffset", topic.records.size() } }).dump());
         }
         if (path == "/log-read") {
             const std::size_t from = std::stoull(query["From"]);
@@ -453,9 +455,15 @@
             Json items = Json::array();
             for (const auto &[key, entry] : newest) {
                 if (query.count("after") == 0 || key > query["after"])
-                    items.push_back({ { "Key", key }, { "Value", base64(entry.first) }, { "Offset", entry.second } });
+                    items.push_back({ { "Key", key },
+                                      { "Value", base64(entry.first) },
+                                      { "Offset", entry.second } });
             }
-            return response(200, Json({ { "items", items }, { "HasMore", false }, { "EndOffset", topic.records.size() } }).dump());
+            return response(200,
+                            Json({ { "items", items },
+                                   { "HasMore", false },
+                                   { "EndOffset", topic.records.size() } })
+                                .dump());
         }
         return response(200, "{}");
     }
@@ -511,8 +519,9 @@
                 return;
             const std::string expected = request.field("X-Zinniadoor-Expect-Instance");
             if (!expected.empty() && expected != id_) {
-                stream->send(response(421, "{}",
-                                      "X-Zinniadoor-Not-Executed: 1\r\nX-Zinniadoor-Instance-Id: " + id_ + "\r\n"));
+                stream->send(response(
+                    421, "{}",
+                    "X-Zinniadoor-Not-Executed: 1\r\nX-Zinniadoor-Instance-Id: " + id_ + "\r\n"));
                 continue;
             }
             if (!serve_(stream, request))
@@ -558,8 +567,8 @@
 class Instance
 {
 public:
-    Instance(std::string name, std::string zone, const Platform &platform, const std::string &folder,
-             int memoryMb, const std::string &more = "")
+    Instance(std::string name, std::string zone, const Platform &platform,
+             const std::string &folder, int memoryMb, const std::string &more = "")
         : name_(std::move(name))
         , file_(folder + "/" + name_ + ".yaml")
         , log_(folder + "/" + name_ + ".log")
@@ -576,7 +585,8 @@
             << "\"\n  lease: 3000ms\n  usage_window: 5s\n  usage_due: 10s\n"
             << "stop:\n  time: 8s\nretries:\n  ratio: 0.2\n  slack: 56\n  window: 10s\n"
             << "memory: {limit: " << memoryMb << " }\nquota: {slack_tokens: 190000 }\n"
-            << "regions:\n  \"" << zone << "\": \"region\"\n" << more;
+            << "regions:\n  \"" << zone << "\": \"region\"\n"
+            << more;
     }
     ~Instance() { kill(SIGKILL); }
     Instance(const Instance &) = delete;
@@ -680,8 +690,8 @@
 {
     return method + " " + path + " HTTP/1.1\r\nHost: shop.example\r\nX-Zinniadoor-Request-Id: " + id
         + "\r\nX-Zinniadoor-Deadline-Ms: " + std::to_string(deadlineMs)
-        + "\r\nAuthorization: Bearer key-1\r\n" + more + "Content-Length: "
-        + std::to_string(body.size()) + "\r\n\r\n" + body;
+        + "\r\nAuthorization: Bearer key-1\r\n" + more
+        + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
 } // namespace kit
--- a/review/standins-3/memory_case.cpp
+++ b/review/standins-3/memory_case.cpp
@@ -82,9 +82,12 @@
 
 Json route(const char *name, const char *prefix, const char *service)
 {
-    return { { "Name", name }, { "Host", "shop.example" }, { "PathPrefix", prefix }, { "RouteType", "idempotent" },
-             { "TimeoutMs", 8000 }, { "TargetLatencyMs", 6000 }, { "Priority", 1 }, { "Service", service },
-             { "MaxAttempts", 2 }, { "Public", false }, { "Sticky", false } };
+    return { { "Name", name },         { "Host", "shop.example" },
+             { "PathPrefix", prefix }, { "RouteType", "idempotent" },
+             { "TimeoutMs", 8000 },    { "TargetLatencyMs", 6000 },
+             { "Priority", 1 },        { "Service", service },
+             { "MaxAttempts", 2 },     { "Public", false },
+             { "Sticky", false } };
 }
 
 } // namespace
@@ -111,18 +114,33 @@
                 return stream->send((*self)->okFor(request, std::string(800, 'a')));
             }));
         *self = servers.back().get();
-        entries.push_back(std::make_unique<Entry>(
-            platform, servers.back()->id(),
-            Json({ { "Service", "app" }, { "Address", servers.back()->address() }, { "Zone", "zone-a" },
-                   { "Version", "v1" }, { "Slots", 128 }, { "State", "ready" }, { "ColdRemainingMs", 0 },
-                   { "born", 1700000000000 } }), HeartbeatMs));
+        entries.push_back(std::make_unique<Entry>(platform, servers.back()->id(),
+                                                  Json({ { "Service", "app" },
+                                                         { "Address", servers.back()->address() },
+                                                         { "Zone", "zone-a" },
+                                                         { "Version", "v1" },
+                                                         { "Slots", 128 },
+                                                         { "State", "ready" },
+                                                         { "ColdRemainingMs", 0 },
+                                                         { "born", 1700000000000 } }),
+                                                  HeartbeatMs));
     }
     platform.put("keyed.op", "config",
-        Json({ { "Version", 1 },
-               { "Routes", Json::array({ route("app", "/app/", "app") }) },
-               { "Services", Json::array({ { { "Name", "app" }, { "HealthPath", "/health" }, { "MaxConnections", 620 } } }) },
-               { "Limits", { { "MaxHeaderBytes", 16384 }, { "MaxBodyBytes", LargeBody }, { "HeaderTimeoutMs", 3000 }, { "IdleTimeoutMs", 15000 } } },
-               { "Tenants", Json::array({ { { "Name", "shop" }, { "ApiKeys", Json::array({ "key-1" }) } } }) } }).dump());
+                 Json({ { "Version", 1 },
+                        { "Routes", Json::array({ route("app", "/app/", "app") }) },
+                        { "Services",
+                          Json::array({ { { "Name", "app" },
+                                          { "HealthPath", "/health" },
+                                          { "MaxConnections", 620 } } }) },
+                        { "Limits",
+                          { { "MaxHeaderBytes", 16384 },
+                            { "MaxBodyBytes", LargeBody },
+                            { "HeaderTimeoutMs", 3000 },
+                            { "IdleTimeoutMs", 15000 } } },
+                        { "Tenants",
+                          Json::array({ { { "Name", "shop" },
+                                          { "ApiKeys", Json::array({ "key-1" }) } } }) } })
+                     .dump());
     Instance instance("frontend-a-1", "zone-a", platform, argv[2], MemoryMb);
     instance.start();
     if (!instance.waitReady(15000)) {
@@ -133,7 +151,8 @@
     const auto since = [start] { return nowMs() - start; };
     std::vector<std::thread> threads;
     for (int i = 0; i < SmallClients; ++i)
-        threads.emplace_back([&] { runClient(instance, "/app/small", 600, [&] { return since() < EndAt; }); });
+        threads.emplace_back(
+            [&] { runClient(instance, "/app/small", 600, [&] { return since() < EndAt; }); });
     for (int i = 0; i < LargeClients; ++i) {
         threads.emplace_back([&] {
             runClient(instance, "/app/large", LargeBody, [&] { // Together at most `LargePerSecond`.
@@ -163,12 +182,14 @@
         peak = std::max(peak, kb);
         if (nowMs() - shown >= 2000) {
             shown = nowMs();
-            record().line("resident %zu kB, answered 200: %d, refused or failed: %d", kb, answered.load(), refused.load());
+            record().line("resident %zu kB, answered 200: %d, refused or failed: %d", kb,
+                          answered.load(), refused.load());
         }
         if (instance.hasEnded()) {
             killed = true;
         } else if (kb > static_cast<std::size_t>(MemoryMb) * 1024) {
-            record().line("resident %zu kB: above %d MB, the platform kills the process", kb, MemoryMb);
+            record().line("resident %zu kB: above %d MB, the platform kills the process", kb,
+                          MemoryMb);
             instance.kill(SIGKILL);
             killed = true;
         }
@@ -183,11 +204,14 @@
     for (const auto &[id, sent] : sentById) {
         if (sent.reachedServer && sent.onKept && sent.closed && !sent.answered) {
             ++lost;
-            record().line("lost: %s was at a sound server, its kept connection was closed without an answer", id.c_str());
+            record().line(
+                "lost: %s was at a sound server, its kept connection was closed without an answer",
+                id.c_str());
         }
     }
-    record().line("peak %zu kB, requests %d, answered 200: %d, refused or failed: %d, lost %d (allowed: 3)", peak,
-                  nextId.load(), answered.load(), refused.load(), lost);
+    record().line(
+        "peak %zu kB, requests %d, answered 200: %d, refused or failed: %d, lost %d (allowed: 3)",
+        peak, nextId.load(), answered.load(), refused.load(), lost);
     const int result = killed && lost > 3 ? 1 : 0;
     record().line("%s", result == 1 ? "rule broken" : "rule held");
     instance.kill(SIGKILL);
--- a/review/standins-3/route_case.cpp
+++ b/review/standins-3/route_case.cpp
@@ -1,5 +1,6 @@
-// A new version adds a route to a further service, whose sound and idle servers answer within the time
-// that its callers wait. Compares how often requests on the old and on the added route are served.
+// A new version adds a route to a further service, whose sound and idle servers answer within the
+// time that its callers wait. Compares how often requests on the old and on the added route are
+// served.
 #include "kit.hpp"
 
 using namespace kit;
@@ -30,9 +31,17 @@
 
 Json route(const char *name, const char *prefix, const char *service)
 {
-    return { { "Name", name }, { "Host", "shop.example" }, { "PathPrefix", prefix }, { "RouteType", "idempotent" },
-             { "TimeoutMs", DeadlineMs }, { "TargetLatencyMs", 150 }, { "Priority", 2 }, { "Service", service },
-             { "MaxAttempts", 2 }, { "Public", false }, { "Sticky", false } };
+    return { { "Name", name },
+             { "Host", "shop.example" },
+             { "PathPrefix", prefix },
+             { "RouteType", "idempotent" },
+             { "TimeoutMs", DeadlineMs },
+             { "TargetLatencyMs", 150 },
+             { "Priority", 2 },
+             { "Service", service },
+             { "MaxAttempts", 2 },
+             { "Public", false },
+             { "Sticky", false } };
 }
 
 Json configuration(int version, bool isAdded)
@@ -42,14 +51,23 @@
         routes.push_back(route("added", "/added/", "reports"));
     Json services = Json::array();
     for (const char *name : { "app", "reports" })
-        services.push_back({ { "Name", name }, { "HealthPath", "/health" }, { "MaxConnections", 110 } });
-    return { { "Version", version }, { "Routes", routes }, { "Services", services },
-             { "Limits", { { "MaxHeaderBytes", 16384 }, { "MaxBodyBytes", 4194304 }, { "HeaderTimeoutMs", 3000 }, { "IdleTimeoutMs", 15000 } } },
-             { "Tenants", Json::array({ { { "Name", "shop" }, { "ApiKeys", Json::array({ "key-1" }) } } }) } };
+        services.push_back(
+            { { "Name", name }, { "HealthPath", "/health" }, { "MaxConnections", 110 } });
+    return { { "Version", version },
+             { "Routes", routes },
+             { "Services", services },
+             { "Limits",
+               { { "MaxHeaderBytes", 16384 },
+                 { "MaxBodyBytes", 4194304 },
+                 { "HeaderTimeoutMs", 3000 },
+                 { "IdleTimeoutMs", 15000 } } },
+             { "Tenants",
+               Json::array({ { { "Name", "shop" }, { "ApiKeys", Json::array({ "key-1" }) } } }) } };
 }
 
 /// One request a second; a refused one is sent once more after its Retry-After, as callers do.
-void runClient(const Instance &instance, const char *path, Count &count, const std::atomic<bool> &isMeasured)
+void runClient(const Instance &instance, const char *path, Count &count,
+               const std::atomic<bool> &isMeasured)
 {
     StreamPtr stream;
     while (!stopped) {
@@ -60,14 +78,16 @@
                 stream = connectTo(instance.port());
             Message answer;
             const int left = DeadlineMs - static_cast<int>(nowMs() - begin);
-            const bool got = stream && stream->send(requestText("GET", path, "r" + std::to_string(++nextId), left, ""))
+            const bool got = stream
+                && stream->send(requestText("GET", path, "r" + std::to_string(++nextId), left, ""))
                 && stream->read(answer, nowMs() + left + 500);
             status = got ? answer.status() : 0;
             if (!got || lower(answer.field("connection")) == "close")
                 stream = nullptr;
             if (status != 503 || answer.field("retry-after").empty())
                 break;
-            sleepMs(static_cast<std::int64_t>(1000 * std::atof(answer.field("retry-after").c_str())));
+            sleepMs(
+                static_cast<std::int64_t>(1000 * std::atof(answer.field("retry-after").c_str())));
         }
         if (isMeasured) {
             ++count.sent;
@@ -84,7 +104,8 @@
     std::string statuses;
     for (const auto &[status, times] : count.statuses)
         statuses += " " + std::to_string(status) + " x " + std::to_string(times);
-    record().line("%s route: %d requests, %d served; last answers:%s", name, count.sent.load(), count.served.load(), statuses.c_str());
+    record().line("%s route: %d requests, %d served; last answers:%s", name, count.sent.load(),
+                  count.served.load(), statuses.c_str());
 }
 
 } // namespace
@@ -101,26 +122,37 @@
         for (int i = 0; i < ServersPerService; ++i) {
             const auto self = std::make_shared<Server *>(nullptr);
             const bool isAdded = service == "reports";
-            servers.push_back(std::make_unique<Server>(service + "-" + std::to_string(i), [self, isAdded](const StreamPtr &stream, const Message &request) {
-                if (isAdded) {
-                    ++ranAdded;
-                    record().line("%s runs %s, %d running", (*self)->id().c_str(), request.field("X-Zinniadoor-Request-Id").c_str(), ++running);
-                }
-                sleepMs(isAdded ? AddedWorkMs : OldWorkMs);
-                if (isAdded)
-                    --running;
-                return stream->send((*self)->okFor(request, "done"));
-            }));
+            servers.push_back(std::make_unique<Server>(
+                service + "-" + std::to_string(i),
+                [self, isAdded](const StreamPtr &stream, const Message &request) {
+                    if (isAdded) {
+                        ++ranAdded;
+                        record().line("%s runs %s, %d running", (*self)->id().c_str(),
+                                      request.field("X-Zinniadoor-Request-Id").c_str(), ++running);
+                    }
+                    sleepMs(isAdded ? AddedWorkMs : OldWorkMs);
+                    if (isAdded)
+                        --running;
+                    return stream->send((*self)->okFor(request, "done"));
+                }));
             *self = servers.back().get();
-            entries.push_back(std::make_unique<Entry>(platform, servers.back()->id(),
-                Json({ { "Service", service }, { "Address", servers.back()->address() }, { "Zone", "zone-a" }, { "Version", "v1" },
-                       { "Slots", 6 }, { "State", "ready" }, { "ColdRemainingMs", 0 }, { "born", 1700000000000 } })));
+            entries.push_back(
+                std::make_unique<Entry>(platform, servers.back()->id(),
+                                        Json({ { "Service", service },
+                                               { "Address", servers.back()->address() },
+                                               { "Zone", "zone-a" },
+                                               { "Version", "v1" },
+                                               { "Slots", 6 },
+                                               { "State", "ready" },
+                                               { "ColdRemainingMs", 0 },
+                                               { "born", 1700000000000 } })));
         }
     }
     platform.put("keyed.op", "config", configuration(1, false).dump());
     std::vector<std::unique_ptr<Instance>> instances;
     for (int i = 0; i < Instances; ++i) {
-        instances.push_back(std::make_unique<Instance>("frontend-a-" + std::to_string(i), "zone-a", platform, argv[2], 260));
+        instances.push_back(std::make_unique<Instance>("frontend-a-" + std::to_string(i), "zone-a",
+                                                       platform, argv[2], 260));
         instances.back()->start();
     }
     for (const auto &instance : instances) {
@@ -158,7 +190,8 @@
     const double oldShare = old.sent > 0 ? static_cast<double>(old.served) / old.sent : 0;
     const double addedShare = added.sent > 0 ? static_cast<double>(added.served) / added.sent : 0;
     const bool isBroken = added.sent >= 20 && addedShare < 0.25 * oldShare;
-    record().line("served: old %.3f, added %.3f; servers of the added route ran %d requests", oldShare, addedShare, ranAdded.load());
+    record().line("served: old %.3f, added %.3f; servers of the added route ran %d requests",
+                  oldShare, addedShare, ranAdded.load());
     record().line("%s", isBroken ? "rule broken" : "rule held");
     for (const auto &instance : instances)
         instance->kill(SIGKILL);
