--- a/review/standins-3/memory_case.cpp
+++ b/review/standins-3/memory_case.cpp
@@ -23,8 +23,8 @@
 constexpr std::int64_t HotAt = 5000;
 constexpr std::int64_t HotEvery = 13000;
 constexpr std::int64_t HotMs = 6500;
-constexpr int HotTimes = 3;
-constexpr std::int64_t EndAt = 45000;
+constexpr int HotTimes = 6;
+constexpr std::int64_t EndAt = 84000;
 constexpr std::int64_t HeartbeatMs = 1200;
 
 struct Sent
