Require keys while the operators manage organisations; reject faulty fields

What callers saw: with a version that removes the last organisation, every request of a route that is not public was forwarded, with a withdrawn key, a key that was never issued, and none; no quota applied.

Cause: the decoder made one of "missing", "empty" and "of another type", and a configuration without organisations requires no keys. The same held for all fields: a rate that is a text lifted the limit, a list of routes that is an object dropped all routes.

Change: Configuration::Parts::keyPolicy, set to NotRequired only where the field is missing, is all that authenticate asks. The version before stays in force; an instance without one is not ready.

--- a/include/zinniadoor/gateway/configuration.hpp
+++ b/include/zinniadoor/gateway/configuration.hpp
@@ -52,6 +52,15 @@
 
 enum class QuotaUnit : std::uint8_t { Requests, Tokens };
 
+/// Whether requests need a key of an organisation. Public routes never ask for one.
+enum class KeyPolicy : std::uint8_t {
+    Required, ///< Also while no organisation, or no key, is left.
+    NotRequired, ///< The operators do not manage organisations.
+};
+
+/// Lower-case name for logs.
+const char *nameOf(KeyPolicy policy);
+
 struct Organisation
 {
     base::OrganisationId id;
@@ -110,6 +119,7 @@
         std::uint64_t version = 0;
         std::vector<Route> routes;
         std::vector<Service> services;
+        KeyPolicy keyPolicy = KeyPolicy::Required;
         std::vector<Organisation> organisations;
         CallerLimits limits;
     };
@@ -120,6 +130,7 @@
 
     /// Longest-prefix match of `path` on `host`; null if no route matches.
     const Route *findRoute(absl::string_view host, absl::string_view path) const;
+    /// Null if no organisation has the key; no organisation has an empty one.
     const Organisation *findByKey(absl::string_view key) const;
     const Service *findService(absl::string_view name) const;
 
--- a/src/zinniadoor/gateway/configuration.cpp
+++ b/src/zinniadoor/gateway/configuration.cpp
@@ -17,14 +17,27 @@
     return "unknown";
 }
 
+const char *nameOf(KeyPolicy policy)
+{
+    switch (policy) {
+    case KeyPolicy::Required:
+        return "required";
+    case KeyPolicy::NotRequired:
+        return "not_required";
+    }
+    return "unknown";
+}
+
 Configuration::Configuration(Parts parts)
     : parts_(std::move(parts))
 {
     for (const Route &route : parts_.routes)
         routesOf_[route.host].push_back(&route);
     for (const Organisation &organisation : parts_.organisations) {
-        for (const std::string &key : organisation.keys)
-            organisationOf_[key] = &organisation;
+        for (const std::string &key : organisation.keys) {
+            if (!key.empty())
+                organisationOf_[key] = &organisation;
+        }
     }
 }
 
--- a/src/zinniadoor/gateway/exchange_admission.cpp
+++ b/src/zinniadoor/gateway/exchange_admission.cpp
@@ -132,15 +132,13 @@
 
 bool Exchange::authenticate(const Configuration &configuration)
 {
-    if (!facts_.key.empty())
-        organisation_ = configuration.findByKey(facts_.key);
     if (route_.isPublic)
-        organisation_ = nullptr;
-    else if (!organisation_ && !configuration.parts().organisations.empty()) {
-        refuseUnknown(RefusalKind::UnknownKey, "unknown_key");
-        return false;
-    }
-    return true;
+        return true;
+    organisation_ = configuration.findByKey(facts_.key);
+    if (organisation_ || configuration.parts().keyPolicy == KeyPolicy::NotRequired)
+        return true;
+    refuseUnknown(RefusalKind::UnknownKey, "unknown_key");
+    return false;
 }
 
 void Exchange::refuseUnknown(RefusalKind kind, const std::string &why)
--- a/src/zinniadoor/gateway/gateway.cpp
+++ b/src/zinniadoor/gateway/gateway.cpp
@@ -562,7 +562,8 @@
         metrics_.setConfigurationVersion(version);
         logEvent(EventId::ConfigurationApplied,
                  { { "version", std::to_string(version) },
-                   { "routes", std::to_string(serving_.configuration->parts().routes.size()) } });
+                   { "routes", std::to_string(serving_.configuration->parts().routes.size()) },
+                   { "keys", nameOf(serving_.configuration->parts().keyPolicy) } });
         applyEndpoints();
     }
 
--- a/tests/e2e/gateway_fixture.hpp
+++ b/tests/e2e/gateway_fixture.hpp
@@ -35,6 +35,14 @@
     /// Publishes a configuration with the usual routes and `extraRoutes`.
     void publish(int version, const std::vector<std::string> &keys,
                  const std::vector<std::string> &extraRoutes = {})
+    {
+        publishWith(version, nlohmann::json::array({ { { "Name", "shop" }, { "ApiKeys", keys } } }),
+                    extraRoutes);
+    }
+
+    /// The same with any value as the list of organisations.
+    void publishWith(int version, const nlohmann::json &organisations,
+                     const std::vector<std::string> &extraRoutes = {})
     {
         nlohmann::json routes = nlohmann::json::array();
         std::vector<std::string> paths = { "/once/", "/again/", "/stream/" };
@@ -56,8 +64,7 @@
             = { { "Version", version },
                 { "Routes", routes },
                 { "Services", nlohmann::json::array({ { { "Name", "plain" } } }) },
-                { "Tenants",
-                  nlohmann::json::array({ { { "Name", "shop" }, { "ApiKeys", keys } } }) } };
+                { "Tenants", organisations } };
         platform.publish(configuration.dump());
     }
 
--- a/tests/e2e/gateway_test.cpp
+++ b/tests/e2e/gateway_test.cpp
@@ -89,6 +89,38 @@
     BOOST_TEST(sendRequest(0, "/again/a", "key-2").status == 401);
 }
 
+// Guards against requests with any key, or none, that run once the last organisation is removed.
+BOOST_AUTO_TEST_CASE(organisations_lastOneRemoved_allKeysAreRejectedAlsoAfterRestart)
+{
+    publishWith(2, nlohmann::json::array());
+    for (std::size_t i = 0; i < gateways.size(); ++i) {
+        BOOST_TEST(waitUntil([&] { return sendRequest(i, "/again/a").status != 200; }));
+        gateways[i]->start();
+        BOOST_REQUIRE(waitUntil([&] { return gateways[i]->ready() == 200; }));
+        for (const char *key : { "key-1", "key-2", "never-issued", "" })
+            BOOST_TEST(sendRequest(i, "/once/a", key).status == 401, key);
+    }
+}
+
+// Guards against a configuration that is read as one without organisations.
+BOOST_AUTO_TEST_CASE(organisations_ofAnotherType_configurationInForceIsKept)
+{
+    publishWith(2, nullptr);
+    for (std::size_t i = 0; i < gateways.size(); ++i) {
+        BOOST_TEST(waitUntil([&] { return gateways[i]->logged("Tenants of the configuration"); }));
+        BOOST_TEST(sendRequest(i, "/once/a").status == 200);
+        BOOST_TEST(sendRequest(i, "/once/a", "never-issued").status == 401);
+        gateways[i]->start();
+        BOOST_TEST(waitUntil([&] { return gateways[i]->logged("Tenants of the configuration"); }));
+        BOOST_TEST(sendRequest(i, "/once/a", "never-issued").status == 503);
+    }
+    publish(3, { "key-2" });
+    for (std::size_t i = 0; i < gateways.size(); ++i) {
+        BOOST_TEST(waitUntil([&] { return sendRequest(i, "/once/a", "key-2").status == 200; }));
+        BOOST_TEST(sendRequest(i, "/once/a").status == 401);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(endpoint_leaving_getsNoNewRequests)
 {
     platform.listEndpoint("p1", "plain", "draining");
