Send trials of an estimate that rejects all requests to a plain service

Cause: the mean answer time of a service is corrected only by answers, and requests that it rejects bring none. The first sample was taken as it is, later ones weighed 0.05, nothing aged; late errors counted; all routes of a service shared one mean.

Evidence: PlainAdmissionTest on fails in estimate_firstAnswerTooLong, estimate_manyAnswersTooLong, estimate_errorTakesLong and routes_ofOneService: 503 for good.

Change: serving/answer_estimate is a mean for each route and service whose samples lose weight with time; the first ones weigh the same. Where an estimate alone rejects, without a queue, serving/admission_trials sends one request 0.5 s after the last answer, later ones after twice the time each, up to 8 s; a request that may run once waits twice as long, so that one that may repeat goes first. A trial that is answered in time replaces the mean. admission_tried and request_ended's expected_ms show it.

Result: platform_test and serving_test pass.

--- a/include/zinniadoor/base/events.hpp
+++ b/include/zinniadoor/base/events.hpp
@@ -55,6 +55,7 @@
     EndpointSilent = 734,
     EndpointSilenceEnded = 735,
     EndpointCrashed = 736,
+    AdmissionTried = 737,
     RefusedRequestTried = 738,
     RefusedRequestCleared = 739,
     DutyLeaseGained = 740,
--- a/include/zinniadoor/gateway/gateway_metrics.hpp
+++ b/include/zinniadoor/gateway/gateway_metrics.hpp
@@ -22,6 +22,7 @@
     void countFailureReport(const char *effect); ///< Of an endpoint, sent or received.
     void countRetry();
     void countRetryWithoutBudget(); ///< Also counted as a retry.
+    void countAdmissionTrial(); ///< Sent although expected too late.
     void countInboundRefusal(const char *reason);
 
     /// Bytes of a request's body, or of its answer, to or from another data centre.
--- a/include/zinniadoor/gateway/serving_context.hpp
+++ b/include/zinniadoor/gateway/serving_context.hpp
@@ -23,6 +23,8 @@
 #include "zinniadoor/gateway/speed_estimate.hpp"
 #include "zinniadoor/gateway/usage_window_counter.hpp"
 #include "zinniadoor/net/http_client.hpp"
+#include "zinniadoor/serving/admission_trials.hpp"
+#include "zinniadoor/serving/answer_estimate.hpp"
 #include "zinniadoor/serving/crash_evidence.hpp"
 #include "zinniadoor/serving/engine_view.hpp"
 #include "zinniadoor/serving/held_answers.hpp"
@@ -114,6 +116,8 @@
     ClusterTime trueTime;
     SpeedEstimate speeds;
     serving::PlainChoice plainChoice {};
+    serving::AnswerEstimate answers {}; ///< Of plain services.
+    serving::AdmissionTrials admissionTrials {};
     RegionTable regions {};
     serving::Spill spill { {}, {} };
     ExchangeRegistry exchanges {};
--- a/include/zinniadoor/gateway/speed_estimate.hpp
+++ b/include/zinniadoor/gateway/speed_estimate.hpp
@@ -10,7 +10,7 @@
 
 namespace zinniadoor::gateway {
 
-/// Estimates the speed of services' endpoints from calls that were not delayed by other requests.
+/// Estimates the speed of services' engines from calls that were not delayed by other requests.
 /// Not thread-safe.
 class SpeedEstimate
 {
@@ -28,14 +28,8 @@
     /// After a remote prefill, the first token of a decode engine came after this time.
     void noteFirstStep(const std::string &service, absl::Duration time);
 
-    /// An endpoint of a plain service answered in `time`.
-    void noteAnswer(const std::string &service, absl::Duration time);
-
     serving::EngineTimings engine(const std::string &service) const;
 
-    /// Mean answer time of a plain service; zero without samples.
-    absl::Duration answerTime(const std::string &service) const;
-
 private:
     struct RunningMean
     {
@@ -52,7 +46,6 @@
         RunningMean decode;
     };
     absl::flat_hash_map<std::string, Engines> engines_;
-    absl::flat_hash_map<std::string, absl::Duration> answers_;
 };
 
 } // namespace zinniadoor::gateway
--- a/src/zinniadoor/base/events.cpp
+++ b/src/zinniadoor/base/events.cpp
@@ -247,6 +247,8 @@
           "A silent call has received data again." },
         { EventId::EndpointCrashed, EventLevel::Warning, "endpoint_crashed",
           "An endpoint broke the connection while it worked on a request." },
+        { EventId::AdmissionTried, EventLevel::Info, "admission_tried",
+          "A request whose answer is expected too late was sent, to correct the estimate." },
         { EventId::RefusedRequestTried, EventLevel::Warning, "refused_request_tried",
           "A request that is refused for crashes of endpoints was sent to one, as a trial." },
         { EventId::RefusedRequestCleared, EventLevel::Info, "refused_request_cleared",
--- a/src/zinniadoor/gateway/endpoint_choice.cpp
+++ b/src/zinniadoor/gateway/endpoint_choice.cpp
@@ -60,7 +60,7 @@
     }
     if (home.empty())
         return elsewhere.empty() ? candidates : elsewhere;
-    const absl::Duration usual = context.speeds.answerTime(facts.service);
+    const absl::Duration usual = context.answers.mean({ facts.service, facts.route });
     const auto stay = context.plainChoice.choose(home, facts.request, usual, now);
     const auto leave = context.plainChoice.choose(elsewhere, facts.request, usual, now);
     if (leave && leaves(context, facts, stay->expected, leave->expected, now))
@@ -90,8 +90,8 @@
     }
     if (context.spill.options().isEnabled)
         candidates = withinDataCentre(context, facts, candidates, now);
-    const auto pick = context.plainChoice.choose(candidates, facts.request,
-                                                 context.speeds.answerTime(facts.service), now);
+    const absl::Duration usual = context.answers.mean({ facts.service, facts.route });
+    const auto pick = context.plainChoice.choose(candidates, facts.request, usual, now);
     if (!pick)
         return std::nullopt;
     EndpointChoice choice;
@@ -100,7 +100,8 @@
     // or silent, for moments only.
     const double load = static_cast<double>(context.load.load(choice.endpoint, now).requests)
         / std::max<std::uint32_t>(candidates[pick->index].slots, 1);
-    choice.firstByte = context.speeds.answerTime(facts.service) * std::max(1.0, load);
+    choice.firstByte = usual * std::max(1.0, load);
+    choice.hasQueue = load >= 1;
     choice.queueFactor = pick->queueFactor;
     return choice;
 }
--- a/src/zinniadoor/gateway/endpoint_choice.hpp
+++ b/src/zinniadoor/gateway/endpoint_choice.hpp
@@ -15,13 +15,15 @@
     std::optional<base::EndpointId>
         prefixSource; ///< Caches the shared prefix, which is copied from it.
     std::uint64_t tokensToPrefill = 0;
-    absl::Duration firstByte; ///< Expected time to first byte.
+    absl::Duration firstByte; ///< Expected time to first byte; of a plain answer, to its end.
+    bool hasQueue = false; ///< Other requests are ahead of this one.
     double queueFactor = 1; ///< Of a plain endpoint; see `serving::PlainPick`.
 };
 
 struct ChoiceFacts
 {
     std::string service;
+    std::string route; ///< Name.
     std::string request; ///< Request id.
     const std::vector<serving::KeyedSegment> *parts = nullptr;
     std::uint32_t promptTokens = 0;
--- a/src/zinniadoor/gateway/exchange.cpp
+++ b/src/zinniadoor/gateway/exchange.cpp
@@ -34,11 +34,8 @@
         refuseWithoutEndpoint();
         return;
     }
-    const absl::Duration limit = longestExpected();
-    if (choice->firstByte > limit) {
-        refuse(RefusalKind::NotRun, "too_late", choice->firstByte - limit);
+    if (!admitInTime(*choice))
         return;
-    }
     noteTrialIfRefused();
     send(*choice);
 }
@@ -47,6 +44,7 @@
 {
     ChoiceFacts facts;
     facts.service = service_;
+    facts.route = route_.name;
     facts.request = facts_.id;
     facts.parts = &parts_;
     facts.promptTokens = facts_.promptTokens;
@@ -497,6 +495,8 @@
             firstByteAt_ = context_.clock.now();
             context_.metrics.observeFirstByte(*firstByteAt_ - arrivedAt_);
             noteFirstEvent(*firstByteAt_ - runStartedAt_);
+            if (!route_.carriesPrompt)
+                noteAnswerTime(*firstByteAt_ - callStartedAt_);
             noteOrigin();
         }
         servingLoad_.releaseTokens();
@@ -544,10 +544,11 @@
     const bool ok = answerHead_.result_int() < 500;
     if (ok)
         context_.health.noteSuccess(servingEndpoint_.id, now - callStartedAt_, now);
-    if (ok && !route_.streaming) // An engine may refuse a prompt before it runs it.
+    if (ok && !route_.streaming) { // An engine may refuse a prompt before it runs it.
         noteAnswered();
+        noteAnswerTime(now - callStartedAt_);
+    }
     context_.directory.noteSuccess(servingEndpoint_.id);
-    context_.speeds.noteAnswer(service_, now - callStartedAt_);
     if (ok) // An error says little about the endpoint's speed.
         servingLoad_.noteAnswered();
     context_.metrics.observeFirstByte(now - arrivedAt_);
--- a/src/zinniadoor/gateway/exchange_admission.cpp
+++ b/src/zinniadoor/gateway/exchange_admission.cpp
@@ -208,6 +208,52 @@
                { "estimated", whole(view->estimated) } });
 }
 
+bool Exchange::admitInTime(const EndpointChoice &choice)
+{
+    const absl::Duration limit = longestExpected();
+    if (choice.firstByte <= limit)
+        return true;
+    // A queue ends by itself, and answers to those ahead correct the estimate.
+    absl::Duration retryAfter = choice.firstByte - limit;
+    if (!route_.carriesPrompt && !choice.hasQueue) {
+        const bool mayRepeat = route_.repeatability != Repeatability::AtMostOnce;
+        const absl::Duration wait
+            = context_.admissionTrials.takeTrial(answerClass(), mayRepeat, context_.clock.now());
+        if (wait <= absl::ZeroDuration()) {
+            trialLimit_ = limit;
+            context_.metrics.countAdmissionTrial();
+            logEvent(EventId::AdmissionTried,
+                     { { "request", facts_.id },
+                       { "route", route_.name },
+                       { "expected_ms", wholeMs(choice.firstByte) },
+                       { "limit_ms", wholeMs(limit) } });
+            return true;
+        }
+        retryAfter = std::max(retryAfter, wait);
+    }
+    expected_ = choice.firstByte;
+    refuse(RefusalKind::NotRun, "too_late", retryAfter);
+    return false;
+}
+
+serving::AnswerClass Exchange::answerClass() const
+{
+    return { service_, route_.name };
+}
+
+// A trial that was answered in time rules out what the estimate was made of.
+void Exchange::noteAnswerTime(absl::Duration time)
+{
+    const absl::Time now = context_.clock.now();
+    const bool isRefuted = trialLimit_ && time <= *trialLimit_;
+    if (isRefuted)
+        context_.answers.replace(answerClass(), time, now);
+    else
+        context_.answers.note(answerClass(), time, now);
+    if (!trialLimit_ || isRefuted)
+        context_.admissionTrials.noteAnswer(answerClass(), now);
+}
+
 void refuseRequest(ServingContext &context, net::Request request,
                    std::shared_ptr<net::Responder> responder, const Refusal &refusal)
 {
--- a/src/zinniadoor/gateway/exchange_end.cpp
+++ b/src/zinniadoor/gateway/exchange_end.cpp
@@ -96,6 +96,7 @@
                { "endpoint_version", attempts_ > 0 ? servingEndpoint_.version : "" },
                { "sendings", std::to_string(attempts_) },
                { "objective_ms", wholeMs(route_.objective) },
+               { "expected_ms", expected_ > absl::ZeroDuration() ? wholeMs(expected_) : "" },
                { "read_ms", prefillTime_ ? wholeMs(*prefillTime_) : "" },
                { "begin_ms", firstByteAt_ ? wholeMs(*firstByteAt_ - runStartedAt_) : "" },
                { "first_ms", firstByteAt_ ? wholeMs(*firstByteAt_ - arrivedAt_) : "" },
--- a/src/zinniadoor/gateway/exchange_state.hpp
+++ b/src/zinniadoor/gateway/exchange_state.hpp
@@ -206,6 +206,13 @@
     std::size_t unsentBytes() const; ///< Of a stream.
     /// `time`: from the start of the run call to the first event.
     void noteFirstEvent(absl::Duration time);
+
+    /// Whether the answer is expected in time, or the request is a trial of the estimate. Rejects
+    /// it otherwise.
+    bool admitInTime(const EndpointChoice &choice);
+    serving::AnswerClass answerClass() const;
+    /// `time`: from the start of the call to the end of a plain answer, or to its first event.
+    void noteAnswerTime(absl::Duration time);
     void startStream(const net::ResponseHead &head);
     void resumeReading(); ///< The caller has taken what was sent to it.
 
@@ -269,6 +276,8 @@
     std::optional<absl::Duration> prefillTime_; ///< Duration of the last remote prefill.
     bool mayHaveQueued_ = false; ///< All slots of the serving endpoint were in use.
     EndpointChoice choice_;
+    absl::Duration expected_; ///< Time to first byte for which the request was rejected.
+    std::optional<absl::Duration> trialLimit_; ///< Of the expected time; set in a trial of it.
     EndpointRecord prefillEngine_;
     EndpointRecord servingEndpoint_;
     std::uint64_t queuedTokens_ = 0; ///< Ahead of this request at the prefilling engine.
--- a/src/zinniadoor/gateway/gateway_metrics.cpp
+++ b/src/zinniadoor/gateway/gateway_metrics.cpp
@@ -79,6 +79,12 @@
               .Help("Retries after attempts that reached no endpoint.")
               .Register(registry)
               .Add({});
+    prometheus::Counter &admissionTrials
+        = prometheus::BuildCounter()
+              .Name("zinniadoor_admission_trials_total")
+              .Help("Requests sent although their answers were expected too late.")
+              .Register(registry)
+              .Add({});
     prometheus::Counter &spilledRequests
         = prometheus::BuildCounter()
               .Name("zinniadoor_spilled_requests_total")
@@ -164,6 +170,11 @@
     impl_->retriesWithoutBudget.Increment();
 }
 
+void GatewayMetrics::countAdmissionTrial()
+{
+    impl_->admissionTrials.Increment();
+}
+
 void GatewayMetrics::countInboundRefusal(const char *reason)
 {
     impl_->inboundRefusals.Add({ { "reason", reason } }).Increment();
--- a/src/zinniadoor/gateway/speed_estimate.cpp
+++ b/src/zinniadoor/gateway/speed_estimate.cpp
@@ -75,23 +75,10 @@
     estimate.firstStep.note(time, estimate.speeds.handoffTime);
 }
 
-void SpeedEstimate::noteAnswer(const std::string &service, absl::Duration time)
-{
-    const auto [it, inserted] = answers_.try_emplace(service, time);
-    if (!inserted)
-        it->second += SampleWeight * (time - it->second);
-}
-
 serving::EngineTimings SpeedEstimate::engine(const std::string &service) const
 {
     const auto found = engines_.find(service);
     return found == engines_.end() ? serving::EngineTimings {} : found->second.speeds;
 }
 
-absl::Duration SpeedEstimate::answerTime(const std::string &service) const
-{
-    const auto found = answers_.find(service);
-    return found == answers_.end() ? absl::ZeroDuration() : found->second;
-}
-
 } // namespace zinniadoor::gateway
