Let a plain answer take the time that its caller waits

Cause: firstByteTimeout had two uses. As the time after which a silent endpoint is doubted, it is half of the remaining time; as the limit of admission it rejected what callers would have waited for.

Change: the limit is 0.9 of the remaining time for plain answers; streams that have not begun keep theirs, after which callers abandon them. The time of doubt is at least 1.5 times the mean answer time, so that slow endpoints are not called silent and their requests are not run twice.

--- a/src/zinniadoor/gateway/exchange_end.cpp
+++ b/src/zinniadoor/gateway/exchange_end.cpp
@@ -21,6 +21,9 @@
 /// Timeout of a silent stream, in multiples of its target event gap.
 constexpr int SilenceTimeoutGaps = 4;
 
+/// Timeout of a plain answer, in multiples of the mean answer time.
+constexpr double SilenceTimeoutAnswers = 1.5;
+
 /// A timer that is later shows that this process stood still, not that the endpoint was silent.
 constexpr absl::Duration MaxTimerDelay = absl::Milliseconds(250);
 
@@ -289,19 +292,23 @@
     return std::max(MinSilenceTimeout, route_.targetEventGap * SilenceTimeoutGaps);
 }
 
+// A whole answer that takes as long as others is no sign of silence.
 absl::Duration Exchange::firstByteTimeout() const
 {
-    if (!route_.streaming)
-        return std::max(route_.objective, timeLeft() * 0.5);
+    if (!route_.streaming) {
+        return std::max({ route_.objective, timeLeft() * 0.5,
+                          context_.answers.mean(answerClass()) * SilenceTimeoutAnswers });
+    }
     return std::max({ FirstEventMinTimeout, route_.objective * FirstEventTimeoutPerObjective,
                       route_.targetEventGap * FirstEventTimeoutPerGap });
 }
 
-// A stream that has begun is broken off if it is not continued, so it may use all of its time.
+// Callers wait for a whole answer until their time is over, but abandon a stream that does not
+// begin. One that has begun is broken off if it is not continued, so it may use all of its time.
 absl::Duration Exchange::longestExpected() const
 {
-    return MaxExpectedShare
-        * (streamStarted_ ? timeLeft() : std::min(firstByteTimeout(), timeLeft()));
+    const bool mayTakeAll = !route_.streaming || streamStarted_;
+    return MaxExpectedShare * (mayTakeAll ? timeLeft() : std::min(firstByteTimeout(), timeLeft()));
 }
 
 } // namespace zinniadoor::gateway
