Do not count a standstill of the process as an answer time

Cause: a sample is the time from the start of a call to its end, whoever spent it.

Change: a silence timer that is over 250 ms late, before or after its handler has run, shows that the process stood still; such calls are no samples. Shorter standstills than the timer's time, half of the caller's, are not seen; a trial corrects what they leave.

--- a/src/zinniadoor/gateway/exchange.cpp
+++ b/src/zinniadoor/gateway/exchange.cpp
@@ -93,6 +93,8 @@
     callStartedAt_ = now;
     lastSignAt_ = now;
     silent_ = false;
+    stoodStill_ = false;
+    silenceDue_ = absl::InfiniteFuture();
     paused_ = false;
     if (attempts_ == 0)
         context_.budget.noteRequest(service_, now);
--- a/src/zinniadoor/gateway/exchange_admission.cpp
+++ b/src/zinniadoor/gateway/exchange_admission.cpp
@@ -241,9 +241,12 @@
     return { service_, route_.name };
 }
 
-// A trial that was answered in time rules out what the estimate was made of.
+// A trial that was answered in time rules out what the estimate was made of. A time in which this
+// process stood still is not the endpoint's.
 void Exchange::noteAnswerTime(absl::Duration time)
 {
+    if (hasStoodStill())
+        return;
     const absl::Time now = context_.clock.now();
     const bool isRefuted = trialLimit_ && time <= *trialLimit_;
     if (isRefuted)
--- a/src/zinniadoor/gateway/exchange_end.cpp
+++ b/src/zinniadoor/gateway/exchange_end.cpp
@@ -268,6 +268,8 @@
 {
     const std::weak_ptr<Exchange> weak = weak_from_this();
     const absl::Time due = context_.clock.now() + time;
+    stoodStill_ = hasStoodStill();
+    silenceDue_ = due;
     silenceTimer_.expires_after(absl::ToChronoMilliseconds(time));
     silenceTimer_.async_wait(
         [weak, due, isExtension, turn = ++silenceTurn_](boost::system::error_code error) {
@@ -275,13 +277,22 @@
             // It may have been set anew when its handler was queued already.
             if (!self || error || turn != self->silenceTurn_)
                 return;
-            if (!isExtension && self->context_.clock.now() - due > MaxTimerDelay)
+            const bool isLate = self->context_.clock.now() - due > MaxTimerDelay;
+            self->stoodStill_ = self->stoodStill_ || isLate;
+            self->silenceDue_ = absl::InfiniteFuture();
+            if (!isExtension && isLate)
                 self->armSilenceTimer(UnreadTime, true);
             else
                 self->onSilenceTimeout();
         });
 }
 
+// The answer of a call may be read before the timer that shows the standstill.
+bool Exchange::hasStoodStill() const
+{
+    return stoodStill_ || context_.clock.now() - silenceDue_ > MaxTimerDelay;
+}
+
 absl::Duration Exchange::timeLeft() const
 {
     return std::max(absl::ZeroDuration(), deadline_ - context_.clock.now());
--- a/src/zinniadoor/gateway/exchange_standby.cpp
+++ b/src/zinniadoor/gateway/exchange_standby.cpp
@@ -167,6 +167,8 @@
     runStartedAt_ = standby.startedAt;
     lastSignAt_ = standby.startedAt;
     silent_ = false;
+    stoodStill_ = false;
+    silenceDue_ = absl::InfiniteFuture();
     paused_ = false;
     mayHaveQueued_ = true; // The time until the switch says nothing about the engine's speed.
     phase_ = Phase::Running;
--- a/src/zinniadoor/gateway/exchange_state.hpp
+++ b/src/zinniadoor/gateway/exchange_state.hpp
@@ -234,6 +234,7 @@
     void noteSignOfLife(); ///< The current call has received a head or an event.
     void armDeadlineTimer();
     void armSilenceTimer(absl::Duration time, bool isExtension = false);
+    bool hasStoodStill() const; ///< This process, during the current call.
     absl::Duration timeLeft() const;
     absl::Duration firstByteTimeout() const;
     absl::Duration longestExpected() const; ///< Longest expected time to the first byte.
@@ -272,6 +273,8 @@
     absl::Time runStartedAt_;
     absl::Time lastSignAt_; ///< Start of the call, or its last head or event.
     bool paused_ = false; ///< Reading of the current call is paused for a slow caller.
+    absl::Time silenceDue_ = absl::InfiniteFuture(); ///< Of the silence timer.
+    bool stoodStill_ = false; ///< The silence timer of the current call was late.
     bool silent_ = false; ///< Since `lastSignAt_`, for at least the silence timeout.
     std::optional<absl::Duration> prefillTime_; ///< Duration of the last remote prefill.
     bool mayHaveQueued_ = false; ///< All slots of the serving endpoint were in use.
