Send trials of an estimate that rejects all prompts of a service

What callers would have seen: after one late first event, an instance rejects all prompts of a service as too_late for good.

Cause: the overheads and speeds of engines are means whose first sample is taken as it is, and that only answers correct. Times in which the process stood still were counted.

Evidence: EngineAdmissionTest/estimate_firstEventTooLate and estimate_processStoodStillDuringCalls fail on the commit before.

Change: prompts that the estimate alone rejects, with no tokens ahead, are tried as requests to plain services are; a first event within the limit returns the service's speeds to their initial values. Calls during which the process stood still are no samples.

--- a/include/zinniadoor/gateway/speed_estimate.hpp
+++ b/include/zinniadoor/gateway/speed_estimate.hpp
@@ -28,6 +28,9 @@
     /// After a remote prefill, the first token of a decode engine came after this time.
     void noteFirstStep(const std::string &service, absl::Duration time);
 
+    /// Returns to the initial estimate.
+    void forget(const std::string &service);
+
     serving::EngineTimings engine(const std::string &service) const;
 
 private:
--- a/src/zinniadoor/gateway/endpoint_choice.cpp
+++ b/src/zinniadoor/gateway/endpoint_choice.cpp
@@ -186,9 +186,14 @@
         // may execute the request.
         if (!plan)
             plan = serving::placePrompt(prompt, context.load, speeds, now, usable);
-        if (plan)
-            return EndpointChoice { plan->prefillEngine, plan->decodeEngine, plan->kvSource,
-                                    plan->uncachedTokens, plan->timeToFirstToken };
+        if (!plan)
+            continue;
+        const base::EndpointId &executor
+            = plan->prefillEngine ? *plan->prefillEngine : plan->decodeEngine;
+        EndpointChoice choice { plan->prefillEngine, plan->decodeEngine, plan->kvSource,
+                                plan->uncachedTokens, plan->timeToFirstToken };
+        choice.hasQueue = context.load.load(executor, now).tokensAhead(facts.rank) > 0;
+        return choice;
     }
     return std::nullopt;
 }
--- a/src/zinniadoor/gateway/exchange.cpp
+++ b/src/zinniadoor/gateway/exchange.cpp
@@ -171,7 +171,10 @@
     prefillTime_ = now - callStartedAt_;
     prefillLoad_.release();
     context_.directory.noteSuccess(prefillEngine_.id);
-    context_.speeds.notePrefill(service_, choice_.tokensToPrefill, queuedTokens_, *prefillTime_);
+    if (!hasStoodStill()) {
+        context_.speeds.notePrefill(service_, choice_.tokensToPrefill, queuedTokens_,
+                                    *prefillTime_);
+    }
     prompt_ = PromptHandle { prefillEngine_.address, handle };
     promptTransferred_ = false;
     prefilledBefore_ = true;
@@ -497,8 +500,7 @@
             firstByteAt_ = context_.clock.now();
             context_.metrics.observeFirstByte(*firstByteAt_ - arrivedAt_);
             noteFirstEvent(*firstByteAt_ - runStartedAt_);
-            if (!route_.carriesPrompt)
-                noteAnswerTime(*firstByteAt_ - callStartedAt_);
+            noteAnswerTime(*firstByteAt_ - callStartedAt_);
             noteOrigin();
         }
         servingLoad_.releaseTokens();
@@ -513,7 +515,7 @@
 
 void Exchange::noteFirstEvent(absl::Duration time)
 {
-    if (!route_.carriesPrompt || mayHaveQueued_)
+    if (!route_.carriesPrompt || mayHaveQueued_ || hasStoodStill())
         return;
     if (prompt_)
         context_.speeds.noteFirstStep(service_, time);
--- a/src/zinniadoor/gateway/exchange_admission.cpp
+++ b/src/zinniadoor/gateway/exchange_admission.cpp
@@ -215,7 +215,7 @@
         return true;
     // A queue ends by itself, and answers to those ahead correct the estimate.
     absl::Duration retryAfter = choice.firstByte - limit;
-    if (!route_.carriesPrompt && !choice.hasQueue) {
+    if (!choice.hasQueue) {
         const bool mayRepeat = route_.repeatability != Repeatability::AtMostOnce;
         const absl::Duration wait
             = context_.admissionTrials.takeTrial(answerClass(), mayRepeat, context_.clock.now());
@@ -238,7 +238,8 @@
 
 serving::AnswerClass Exchange::answerClass() const
 {
-    return { service_, route_.name };
+    // The estimate of an engine's speed takes the length of the prompt into account.
+    return { service_, route_.carriesPrompt ? "" : route_.name };
 }
 
 // A trial that was answered in time rules out what the estimate was made of. A time in which this
@@ -249,9 +250,11 @@
         return;
     const absl::Time now = context_.clock.now();
     const bool isRefuted = trialLimit_ && time <= *trialLimit_;
-    if (isRefuted)
+    if (isRefuted && route_.carriesPrompt)
+        context_.speeds.forget(service_);
+    else if (isRefuted)
         context_.answers.replace(answerClass(), time, now);
-    else
+    else if (!route_.carriesPrompt)
         context_.answers.note(answerClass(), time, now);
     if (!trialLimit_ || isRefuted)
         context_.admissionTrials.noteAnswer(answerClass(), now);
--- a/src/zinniadoor/gateway/speed_estimate.cpp
+++ b/src/zinniadoor/gateway/speed_estimate.cpp
@@ -75,6 +75,11 @@
     estimate.firstStep.note(time, estimate.speeds.handoffTime);
 }
 
+void SpeedEstimate::forget(const std::string &service)
+{
+    engines_.erase(service);
+}
+
 serving::EngineTimings SpeedEstimate::engine(const std::string &service) const
 {
     const auto found = engines_.find(service);
