--- a/include/zinniadoor/serving/admission_trials.hpp
+++ b/include/zinniadoor/serving/admission_trials.hpp
@@ -1,7 +1,5 @@
 #pragma once
 
-#include <optional>
-
 #include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
 
