Soak: versions without organisations, or with faulty ones

Change: before each further version, one with an empty list of organisations or null is in force for 0.3 s. The check that each request at an endpoint names its organisation was there already.

--- a/tests/soak/gateway_soak.cpp
+++ b/tests/soak/gateway_soak.cpp
@@ -46,6 +46,7 @@
 constexpr std::size_t StreamCallerCount = 32;
 constexpr int StreamEvents = 5;
 constexpr milliseconds EventPause(30);
+constexpr milliseconds FaultyVersionTime(300);
 constexpr char ReleasedPath[] = "/resume-released/"; // Served by endpoints of several versions.
 constexpr char UnframedEndpointId[] = "unframed";
 constexpr std::chrono::seconds UsageWindow(2); // As in the instances' settings.
@@ -195,6 +196,21 @@
     }
 
     void publish()
+    {
+        const Json shop = { { "Name", "shop" }, { "ApiKeys", { "key-1" } } };
+        configuration_ = nextConfiguration(Json::array({ shop }));
+        platform_.publish(configuration_);
+    }
+
+    /// Publishes a version without organisations, or with none that can be read, for a while.
+    void publishFaulty()
+    {
+        const Json organisations = version_ % 2 == 0 ? Json(nullptr) : Json::array();
+        platform_.publish(nextConfiguration(organisations));
+        schedule(FaultyVersionTime, [this] { publish(); });
+    }
+
+    std::string nextConfiguration(const Json &organisations)
     {
         ++version_;
         Json routes = Json::array();
@@ -220,14 +236,11 @@
                                { "MaxAttempts", 2 },
                                { "Service", serviceOf(path) } });
         }
-        const Json configuration
-            = { { "Version", version_ },
-                { "Routes", routes },
-                { "Services", services },
-                { "Tenants",
-                  Json::array({ { { "Name", "shop" }, { "ApiKeys", { "key-1" } } } }) } };
-        configuration_ = configuration.dump();
-        platform_.publish(configuration_);
+        const Json configuration = { { "Version", version_ },
+                                     { "Routes", routes },
+                                     { "Services", services },
+                                     { "Tenants", organisations } };
+        return configuration.dump();
     }
 
     void listEndpoint(std::size_t endpoint, const std::string &state)
@@ -363,7 +376,7 @@
             schedule(randomDelay(2000), [this] { platform_.setLostAppendInterval(0); });
             break;
         default:
-            publish();
+            publishFaulty();
             listEndpoint(endpoint, "draining");
             schedule(randomDelay(2000), [this, endpoint] {
                 ++endpointStarts_[endpoint]; // An endpoint that drains does not return otherwise.
