Try an estimate that rejects also while endpoints have a queue

Cause: trials waited for an endpoint without requests ahead. Requests of other instances may keep all endpoints busy, and their answers correct nothing here: a wrong estimate stayed as long as they did.

Evidence: PlainAdmissionTest/estimate_endpointsBusyWithOthersRequests fails on the commit before.

Change: a trial needs no endpoint without a queue. While some requests of this instance are admitted, their answers put it off; otherwise it is one request in 0.5 to 8 s. Retry-After names the next trial only where there is no queue. A trial that found a queue leaves the speeds of engines to its samples.

Result: platform_test passes.

--- a/src/zinniadoor/gateway/exchange_admission.cpp
+++ b/src/zinniadoor/gateway/exchange_admission.cpp
@@ -213,26 +213,23 @@
     const absl::Duration limit = longestExpected();
     if (choice.firstByte <= limit)
         return true;
-    // A queue ends by itself, and answers to those ahead correct the estimate.
-    absl::Duration retryAfter = choice.firstByte - limit;
-    if (!choice.hasQueue) {
-        const bool mayRepeat = route_.repeatability != Repeatability::AtMostOnce;
-        const absl::Duration wait
-            = context_.admissionTrials.takeTrial(answerClass(), mayRepeat, context_.clock.now());
-        if (wait <= absl::ZeroDuration()) {
-            trialLimit_ = limit;
-            context_.metrics.countAdmissionTrial();
-            logEvent(EventId::AdmissionTried,
-                     { { "request", facts_.id },
-                       { "route", route_.name },
-                       { "expected_ms", wholeMs(choice.firstByte) },
-                       { "limit_ms", wholeMs(limit) } });
-            return true;
-        }
-        retryAfter = std::max(retryAfter, wait);
+    const bool mayRepeat = route_.repeatability != Repeatability::AtMostOnce;
+    const absl::Duration wait
+        = context_.admissionTrials.takeTrial(answerClass(), mayRepeat, context_.clock.now());
+    if (wait <= absl::ZeroDuration()) {
+        trialLimit_ = limit;
+        context_.metrics.countAdmissionTrial();
+        logEvent(EventId::AdmissionTried,
+                 { { "request", facts_.id },
+                   { "route", route_.name },
+                   { "expected_ms", wholeMs(choice.firstByte) },
+                   { "limit_ms", wholeMs(limit) } });
+        return true;
     }
     expected_ = choice.firstByte;
-    refuse(RefusalKind::NotRun, "too_late", retryAfter);
+    // A queue gets shorter by itself; an estimate changes with the next trial.
+    const absl::Duration excess = choice.firstByte - limit;
+    refuse(RefusalKind::NotRun, "too_late", choice.hasQueue ? excess : std::max(excess, wait));
     return false;
 }
 
@@ -250,12 +247,12 @@
         return;
     const absl::Time now = context_.clock.now();
     const bool isRefuted = trialLimit_ && time <= *trialLimit_;
-    if (isRefuted && route_.carriesPrompt)
-        context_.speeds.forget(service_);
-    else if (isRefuted)
+    if (!route_.carriesPrompt && isRefuted)
         context_.answers.replace(answerClass(), time, now);
     else if (!route_.carriesPrompt)
         context_.answers.note(answerClass(), time, now);
+    else if (isRefuted && !choice_.hasQueue) // Otherwise the queue may have been shorter.
+        context_.speeds.forget(service_);
     if (!trialLimit_ || isRefuted)
         context_.admissionTrials.noteAnswer(answerClass(), now);
 }
