--- a/include/zinniadoor/serving/admission_trials.hpp
+++ b/include/zinniadoor/serving/admission_trials.hpp
@@ -29,8 +29,8 @@
     /// A request that the estimate admits was answered, or a trial was answered in time.
     void noteAnswer(const AnswerClass &requests, absl::Time now);
 
-    /// The estimate rejects a request. Zero if it is to be sent as a trial; otherwise the time until
-    /// the next trial.
+    /// The estimate rejects a request. Zero if it is to be sent as a trial; otherwise the time
+    /// until the next trial.
     absl::Duration takeTrial(const AnswerClass &requests, bool mayRepeat, absl::Time now);
 
 private:
